--- /dev/null
+++ b/internal/blackboard/board.go
@@ -0,0 +1,48 @@
+package blackboard
+
+import (
+	"time"
+
+	"github.com/doorpond/doorpond/internal/catalogue"
+	"github.com/doorpond/doorpond/internal/policy"
+	"github.com/doorpond/doorpond/internal/topology"
+)
+
+// Phase is where a daemon is in its life.
+type Phase int
+
+// The phases, in order.
+const (
+	PhaseStarting Phase = iota
+	PhaseServing
+	PhaseDraining
+	PhaseStopped
+)
+
+// StoreStatus says whether the platform's store can be reached, as seen by
+// this daemon or learned from the peers that watch it.
+type StoreStatus struct {
+	Reachable bool
+	// Since is when Reachable last changed.
+	Since time.Time
+	// Regressed is true while the store holds an older table than the one in
+	// force.
+	Regressed bool
+	LastError string
+}
+
+// Board is the blackboard of one daemon.
+type Board struct {
+	// Table is written by package policytable.
+	Table Section[policy.Index]
+	// Catalogue is written by package document's catalogue follower.
+	Catalogue Section[catalogue.Catalogue]
+	// Members is written by package membership.
+	Members Section[topology.Members]
+	// Replicas is written by package replica's tracker.
+	Replicas Section[topology.Replicas]
+	// Phase is written by package daemon.
+	Phase Section[Phase]
+	// Store is written by the store's watcher.
+	Store Section[StoreStatus]
+}
