--- /dev/null
+++ b/internal/failure/failure_test.go
@@ -0,0 +1,97 @@
+package failure
+
+import (
+	"encoding/json"
+	"errors"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rotisserie/eris"
+
+	"github.com/doorpond/doorpond/client"
+)
+
+// declaredKinds reads the constants of type Kind from the source, so that a
+// kind without a row cannot hide.
+func declaredKinds(t *testing.T) []string {
+	t.Helper()
+	file, err := parser.ParseFile(token.NewFileSet(), "failure.go", nil, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var names []string
+	ast.Inspect(file, func(node ast.Node) bool {
+		spec, isValue := node.(*ast.ValueSpec)
+		if !isValue {
+			return true
+		}
+		if kind, isName := spec.Type.(*ast.Ident); isName && kind.Name == "Kind" {
+			names = append(names, spec.Names[0].Name)
+		}
+		return true
+	})
+	return names
+}
+
+func TestTheTableHasOneRowForEachKind(t *testing.T) {
+	declared := declaredKinds(t)
+	if len(declared) == 0 || len(declared) != len(Kinds()) {
+		t.Errorf("%d kinds are declared and %d have rows", len(declared), len(Kinds()))
+	}
+	for _, kind := range Kinds() {
+		row := Lookup(kind)
+		if row.Status < 400 || row.Title == "" {
+			t.Errorf("%s: row %+v has no error status or no title", kind, row)
+		}
+	}
+}
+
+func TestFromFindsTheKindInAChain(t *testing.T) {
+	inner := New(Overloaded, "too many queries")
+	cases := []struct {
+		name string
+		err  error
+		kind Kind
+		not  bool
+	}{
+		{"itself", inner, Overloaded, true},
+		{"wrapped", eris.Wrap(inner, "search"), Overloaded, true},
+		{"wrapped into a kind", Wrap(errors.New("reset"), OutcomeUnknown, "call"), OutcomeUnknown, false},
+		{"unknown", errors.New("surprise"), Internal, false},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			got := From(test.err)
+			if got.Kind != test.kind || got.NotRun != test.not {
+				t.Errorf("kind %s, not run %v", got.Kind, got.NotRun)
+			}
+		})
+	}
+}
+
+func TestWriteProblem(t *testing.T) {
+	recorder := httptest.NewRecorder()
+	WriteProblem(recorder, New(Overloaded, "12 queries in flight").WithRetryAfter(1100*time.Millisecond))
+	if got := recorder.Header().Get("Retry-After"); got != "2" {
+		t.Errorf("Retry-After %q; whole seconds are rounded up", got)
+	}
+	if got := recorder.Header().Get("Content-Type"); got != ProblemContentType {
+		t.Errorf("Content-Type %q", got)
+	}
+	var problem client.Problem
+	if err := json.Unmarshal(recorder.Body.Bytes(), &problem); err != nil {
+		t.Fatal(err)
+	}
+	want := client.Problem{
+		Type: "https://doorpond.dev/problems/overloaded", Title: Lookup(Overloaded).Title, Status: 429,
+		Detail: "12 queries in flight", Kind: "overloaded", NotRun: true, RetryAfterMilliseconds: 1100,
+	}
+	if diff := cmp.Diff(want, problem); diff != "" {
+		t.Errorf("problem (-want +got):\n%s", diff)
+	}
+}
--- /dev/null
+++ b/internal/policy/index_test.go
@@ -0,0 +1,54 @@
+package policy
+
+import (
+	"fmt"
+	"testing"
+)
+
+func splitTable() *Table {
+	return &Table{
+		Policies: []Row{{Name: "a"}, {Name: "b"}, {Name: "fallback"}},
+		Assignments: []Assignment{
+			{Group: "gate", Shares: []Share{{"a", 3}, {"b", 1}}},
+			{Group: DefaultGroup, Shares: []Share{{"fallback", 1}}},
+		},
+	}
+}
+
+func TestResolve(t *testing.T) {
+	index := NewIndex(splitTable())
+	cases := []struct{ name, group, caller, want string }{
+		{"group without an assignment", "clerk", "1", "fallback"},
+		{"same caller", "gate", "console-1", index.Resolve("gate", "console-1").Name},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			if got := index.Resolve(test.group, test.caller).Name; got != test.want {
+				t.Errorf("policy %s, want %s", got, test.want)
+			}
+		})
+	}
+	if row := NewIndex(&Table{}).Resolve("gate", "1"); row != nil {
+		t.Errorf("an empty table resolved to %v", row)
+	}
+}
+
+func TestSplitFollowsTheWeightsAndSurvivesARestart(t *testing.T) {
+	first, second := NewIndex(splitTable()), NewIndex(splitTable())
+	const callers = 10_000
+	got := 0
+	for i := range callers {
+		caller := fmt.Sprintf("console-%d", i)
+		row := first.Resolve("gate", caller)
+		if row.Name != second.Resolve("gate", caller).Name {
+			t.Fatalf("%s changed its policy over a restart", caller)
+		}
+		if row.Name == "a" {
+			got++
+		}
+	}
+	const want, slack = callers * 3 / 4, callers / 50
+	if got < want-slack || got > want+slack {
+		t.Errorf("%d of %d callers got the policy of weight 3 in 4", got, callers)
+	}
+}
