Stand-ins for store, machine list and back ends; corpus of subtitles and card histories

Cause: the full path needs a platform that can fail on demand, and nothing of a third party may run. Before: no back end. Not done: stand-ins have no TLS; h2c and frozen watches have no test of their own.

--- /dev/null
+++ b/cmd/doorpond-lab/platform.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"io/fs"
+	"os"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	"github.com/doorpond/doorpond/internal/standin/platform"
+	"github.com/doorpond/doorpond/testdata"
+)
+
+const (
+	flagCorpus = "corpus"
+	flagSeed   = "seed"
+	flagReady  = "ready-file"
+	flagHollow = "hollow-shards"
+)
+
+// hollowReplicas is the number of replicas of each hollow shard.
+const hollowReplicas = 2
+
+// readyFileMode lets only the owner write the ready file.
+const readyFileMode = 0o644
+
+func platformCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "platform",
+		Usage: "run the store, the machine list and the back ends of both deployments until SIGTERM",
+		Description: "Prints one line of JSON on standard output once everything listens:\n" +
+			"store_url, machines_url, admin_url and the back ends' addresses.\n\n" +
+			"Example: doorpond-lab platform --corpus ./files",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: flagCorpus, Usage: "index the .srt and .csv files under `DIRECTORY` (default: the corpus built in)"},
+			&cli.Uint64Flag{Name: flagSeed, Value: 1, Usage: "seed of the service times"},
+			&cli.IntFlag{Name: flagHollow, Usage: "also run the corpus \"hollow\" of `NUMBER` shards that answer at once, two replicas each"},
+			&cli.StringFlag{Name: flagReady, Usage: "also write the line of JSON to `FILE`"},
+		},
+		Action: runPlatform,
+	}
+}
+
+func runPlatform(ctx context.Context, command *cli.Command) error {
+	config := platform.DefaultConfig(corpusFiles(command.String(flagCorpus)))
+	config.Seed = command.Uint64(flagSeed)
+	if shards := command.Int(flagHollow); shards > 0 {
+		config.Deployments = append(config.Deployments, platform.HollowDeployment(shards, hollowReplicas))
+	}
+	running, err := platform.Start(ctx, config)
+	if err != nil {
+		return eris.Wrapf(err, "start the platform with corpus %q", command.String(flagCorpus))
+	}
+	if err := announce(command, running.Describe()); err != nil {
+		_ = running.Close() // the first error is the one to report
+		return err
+	}
+	<-ctx.Done()
+	return running.Close()
+}
+
+// corpusFiles is a directory, or the corpus built in when none is named.
+func corpusFiles(directory string) fs.FS {
+	if directory == "" {
+		return testdata.Corpus
+	}
+	return os.DirFS(directory)
+}
+
+func announce(command *cli.Command, description platform.Description) error {
+	line, err := json.Marshal(description)
+	if err != nil {
+		return eris.Wrap(err, "encode the description")
+	}
+	line = append(line, '\n')
+	if path := command.String(flagReady); path != "" {
+		if err := os.WriteFile(path, line, readyFileMode); err != nil {
+			return eris.Wrap(err, "write the ready file")
+		}
+	}
+	if _, err := command.Root().Writer.Write(line); err != nil {
+		return eris.Wrap(err, "print the description")
+	}
+	return nil
+}
