Store and machine-list adapters, policy table edits, document register, at-most-once calls, pause detection

Cause: the table must survive races, outages and lost acknowledgements, and a repeated call must not run twice. Ruled out: a blind retry after an unclear write (overwrites or reports a false conflict); handing a claim on after a lease lapses (a paused holder runs it again); trusting the table right after a pause. Before: interfaces only.

--- /dev/null
+++ b/internal/document/fetcher.go
@@ -0,0 +1,141 @@
+package document
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+)
+
+// Source fetches a document from a peer; package peer's client is one.
+type Source interface {
+	FetchDocument(ctx context.Context, address string, name Name) (Document, error)
+}
+
+// FetcherOptions are what a Fetcher needs.
+type FetcherOptions struct {
+	Source   Source
+	Register *Register
+	// Peers returns addresses to try after the one that announced, best first.
+	Peers  func() []string
+	Logger *slog.Logger
+}
+
+const (
+	fetchTimeout  = 2 * time.Second
+	fetchAttempts = 4
+	fetchBackoff  = 200 * time.Millisecond
+	fetchQueue    = 256
+)
+
+// announcement says which peer has which revision.
+type announcement struct {
+	name     Name
+	revision uint64
+	address  string
+}
+
+// Fetcher fetches documents that peers announce and offers them to the
+// register. One document is fetched at a time, so a burst of announcements of
+// one revision costs one fetch.
+type Fetcher struct {
+	options  FetcherOptions
+	mutex    sync.Mutex
+	wanted   map[Name]announcement
+	arrivals chan struct{}
+}
+
+// NewFetcher returns a Fetcher; Run does the work.
+func NewFetcher(options FetcherOptions) *Fetcher {
+	if options.Logger == nil {
+		options.Logger = slog.New(slog.DiscardHandler)
+	}
+	return &Fetcher{options: options, wanted: make(map[Name]announcement), arrivals: make(chan struct{}, 1)}
+}
+
+// Announced tells the fetcher that a peer has a revision. It does not block.
+func (f *Fetcher) Announced(name Name, revision uint64, address string) {
+	if f.has(name, revision) {
+		return
+	}
+	f.mutex.Lock()
+	if f.wanted[name].revision < revision {
+		f.wanted[name] = announcement{name: name, revision: revision, address: address}
+	}
+	f.mutex.Unlock()
+	select {
+	case f.arrivals <- struct{}{}:
+	default:
+	}
+}
+
+func (f *Fetcher) has(name Name, revision uint64) bool {
+	current, found := f.options.Register.Current(name)
+	return found && current.Revision >= revision
+}
+
+// Run fetches until ctx ends, and returns nil then.
+func (f *Fetcher) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-f.arrivals:
+		}
+		for _, name := range Names {
+			f.satisfy(ctx, name)
+		}
+	}
+}
+
+// satisfy fetches the revision wanted of a document, from its announcer first
+// and from other peers after it. If none gives it, a later announcement or
+// digest brings it up again.
+func (f *Fetcher) satisfy(ctx context.Context, name Name) {
+	f.mutex.Lock()
+	want, isWanted := f.wanted[name]
+	delete(f.wanted, name)
+	f.mutex.Unlock()
+	if !isWanted {
+		return
+	}
+	addresses := append([]string{want.address}, f.options.Peers()...)
+	for attempt := 0; attempt < min(fetchAttempts, len(addresses)); attempt++ {
+		if f.has(name, want.revision) || !pause(ctx, time.Duration(attempt)*fetchBackoff) {
+			return
+		}
+		f.FetchFrom(ctx, addresses[attempt], name)
+	}
+}
+
+// FetchFrom fetches a document from one peer and offers it. It tells whether
+// the peer answered with a document, newer or not.
+func (f *Fetcher) FetchFrom(ctx context.Context, address string, name Name) bool {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	fetched, err := f.options.Source.FetchDocument(ctx, address, name)
+	if err != nil {
+		f.options.Logger.Debug("fetch of a document failed", "document", name, "peer", address, "error", err)
+		return false
+	}
+	if _, err := f.options.Register.Offer(fetched); err != nil {
+		f.options.Logger.Warn("a peer's document was refused", "document", name, "peer", address, "error", err)
+		return false
+	}
+	return true
+}
+
+// pause waits, and tells whether ctx is still on.
+func pause(ctx context.Context, wait time.Duration) bool {
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/freshness/freshness.go
@@ -0,0 +1,116 @@
+// Package freshness notices that the process was paused (stopped, swapped out,
+// its machine frozen) and keeps it from trusting its policy table until a peer
+// or the store has confirmed it. A paused process does not know that it was
+// paused, so a request that was waiting for it must not be answered from a
+// table that others have replaced long ago.
+package freshness
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+const (
+	// interval between two readings of the clock.
+	interval = 200 * time.Millisecond
+	// pauseThreshold is the gap between readings that counts as a pause: well
+	// over a garbage collection or a busy machine, well under the seconds
+	// within which a change must be in force.
+	pauseThreshold = 1500 * time.Millisecond
+	// confirmTimeout bounds one attempt to confirm.
+	confirmTimeout = time.Second
+	// confirmAttempts is how often confirming is tried before the daemon goes
+	// on with what it has: cut off from all peers and the store, nobody can
+	// tell it more.
+	confirmAttempts = 3
+)
+
+// Options are what a Monitor needs.
+type Options struct {
+	// Confirm asks a peer or the store for the present revisions, takes them
+	// over, and tells whether one of them answered.
+	Confirm func(ctx context.Context) bool
+	// Now is a monotonic reading; nil means time.Since the start.
+	Now        func() time.Duration
+	Logger     *slog.Logger
+	Registerer prometheus.Registerer
+}
+
+// Monitor watches for pauses of its own process.
+type Monitor struct {
+	options Options
+	// lastReading is in nanoseconds of Now.
+	lastReading atomic.Int64
+	confirming  atomic.Bool
+	pauses      prometheus.Counter
+}
+
+// New returns a Monitor that counts from now; Run must be running.
+func New(options Options) *Monitor {
+	if options.Now == nil {
+		start := time.Now()
+		options.Now = func() time.Duration { return time.Since(start) }
+	}
+	if options.Logger == nil {
+		options.Logger = slog.New(slog.DiscardHandler)
+	}
+	m := &Monitor{options: options, pauses: prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "doorpondd_process_pauses_total", Help: "Pauses of the process that were noticed.",
+	})}
+	if options.Registerer != nil {
+		options.Registerer.MustRegister(m.pauses)
+	}
+	m.lastReading.Store(int64(options.Now()))
+	return m
+}
+
+// Fresh tells whether the table may be trusted. It is cheap enough for each
+// query, and true again at the latest after a few failed confirmations.
+func (m *Monitor) Fresh() bool { return !m.confirming.Load() && !m.paused() }
+
+func (m *Monitor) paused() bool {
+	return m.options.Now()-time.Duration(m.lastReading.Load()) > pauseThreshold
+}
+
+// Run reads the clock until ctx ends, and returns nil then.
+func (m *Monitor) Run(ctx context.Context) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			m.read(ctx)
+		}
+	}
+}
+
+// read takes one reading and, after a pause, starts to confirm. The mark is
+// set before the reading, so that no query slips in between.
+func (m *Monitor) read(ctx context.Context) {
+	if m.paused() && m.confirming.CompareAndSwap(false, true) {
+		m.pauses.Inc()
+		m.options.Logger.Warn("the process was paused; confirming the policy table before trusting it")
+		go m.confirm(ctx)
+	}
+	m.lastReading.Store(int64(m.options.Now()))
+}
+
+func (m *Monitor) confirm(ctx context.Context) {
+	defer m.confirming.Store(false)
+	for range confirmAttempts {
+		attempt, cancel := context.WithTimeout(ctx, confirmTimeout)
+		confirmed := m.options.Confirm(attempt)
+		cancel()
+		if confirmed {
+			m.options.Logger.Info("the policy table is confirmed after the pause")
+			return
+		}
+	}
+	m.options.Logger.Warn("nobody could confirm the policy table; going on with it")
+}
--- /dev/null
+++ b/internal/policy/default.go
@@ -0,0 +1,40 @@
+package policy
+
+import (
+	"time"
+
+	"github.com/doorpond/doorpond/client"
+)
+
+// DefaultName is the name of the policy in DefaultTable.
+const DefaultName = "default"
+
+// DefaultRow returns a policy of sensible weights and limits: every shard
+// asked, the caller's zone preferred, hedges after the 95th percentile within
+// a budget of 5% of the first attempts.
+func DefaultRow(name string) Row {
+	return Row{
+		Name:     name,
+		Shards:   Shards{Selection: SelectAll, Fraction: 1},
+		Replicas: Replicas{ZoneWeight: 100, RegionWeight: 10, FarWeight: 1},
+		Wait: Wait{
+			Timeout:       Duration(time.Second),
+			HedgeQuantile: 0.95,
+			HedgeFloor:    Duration(5 * time.Millisecond),
+		},
+		Retry:        Retry{Attempts: 3, BudgetRatio: 0.05, BudgetBurst: 100},
+		Completeness: Completeness{Target: 1, Grace: Duration(0), Least: 0},
+		Limits:       Limits{Concurrency: 256, Hits: 1000},
+		Priority:     client.PriorityNormal,
+	}
+}
+
+// DefaultTable returns a table of one policy, assigned to every group.
+func DefaultTable() *Table {
+	return &Table{
+		Policies: []Row{DefaultRow(DefaultName)},
+		Assignments: []Assignment{
+			{Group: DefaultGroup, Shares: []Share{{Policy: DefaultName, Weight: 1}}},
+		},
+	}
+}
--- /dev/null
+++ b/internal/store/etcd/etcd_test.go
@@ -0,0 +1,290 @@
+package etcd_test
+
+import (
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/doorpond/doorpond/internal/store"
+	"github.com/doorpond/doorpond/internal/store/etcd"
+)
+
+func encoded(text string) string { return base64.StdEncoding.EncodeToString([]byte(text)) }
+
+// gateway serves one fixed answer and keeps the last request.
+type gateway struct {
+	status   int
+	reply    string
+	path     string
+	request  string
+	requests atomic.Int32
+}
+
+func (g *gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	g.path, g.request = r.URL.Path, string(body)
+	g.requests.Add(1)
+	w.WriteHeader(g.status)
+	_, _ = io.WriteString(w, g.reply)
+}
+
+func serve(t *testing.T, handler http.Handler) *etcd.Store {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return etcd.New(etcd.Options{Endpoint: server.URL, Client: server.Client()})
+}
+
+func TestGetReadsIntegersAsStringsOrNumbers(t *testing.T) {
+	cases := map[string]string{
+		"strings": `{"header":{"revision":"9"},"kvs":[{"key":"%s","value":"%s","create_revision":"3","mod_revision":"7"}]}`,
+		"numbers": `{"header":{"revision":9},"kvs":[{"key":"%s","value":"%s","create_revision":3,"mod_revision":7}]}`,
+	}
+	for name, format := range cases {
+		t.Run(name, func(t *testing.T) {
+			fake := &gateway{status: http.StatusOK, reply: fmt.Sprintf(format, encoded("/a"), encoded("v"))}
+			value, found, revision, err := serve(t, fake).Get(t.Context(), "/a")
+			if err != nil || !found || revision != 9 {
+				t.Fatalf("found %v, revision %d, error %v", found, revision, err)
+			}
+			want := store.KeyValue{Key: "/a", Value: []byte("v"), CreateRevision: 3, ModRevision: 7}
+			if diff := cmp.Diff(want, value); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+func TestListAsksForTheWholePrefix(t *testing.T) {
+	fake := &gateway{status: http.StatusOK, reply: `{"header":{"revision":"1"}}`}
+	values, _, err := serve(t, fake).List(t.Context(), "/a/", 5)
+	if err != nil || len(values) != 0 {
+		t.Fatalf("values %v, error %v", values, err)
+	}
+	want := fmt.Sprintf(`{"key":"%s","range_end":"%s","limit":"5"}`, encoded("/a/"), encoded("/a0"))
+	if diff := cmp.Diff(want, fake.request); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestErrorsOfWrites(t *testing.T) {
+	cases := []struct {
+		name   string
+		status int
+		reply  string
+		want   error
+	}{
+		{"rate limit by status", 429, "", store.ErrNotApplied},
+		{"rate limit by code", 500, `{"code":8,"message":"etcdserver: too many requests"}`, store.ErrNotApplied},
+		{"malformed", 400, `{"code":3}`, store.ErrNotApplied},
+		{"lease lapsed", 404, `{"code":5,"message":"etcdserver: requested lease not found"}`, store.ErrLeaseNotFound},
+		{"unavailable", 503, `{"code":14,"message":"leader changed"}`, store.ErrUnclear},
+		{"internal error", 500, "oops", store.ErrUnclear},
+		{"gateway timeout", 504, `{"code":4}`, store.ErrUnclear},
+		{"client closed request", 499, `{"code":1}`, store.ErrUnclear},
+		{"redirect", 302, "", store.ErrUnclear},
+		{"reply not JSON", 200, "{", store.ErrUnclear},
+	}
+	transaction := store.Transaction{Writes: []store.Write{{Key: "/a", Value: []byte("v")}}}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			fake := &gateway{status: c.status, reply: c.reply}
+			client := serve(t, fake)
+			_, err := client.Commit(t.Context(), transaction)
+			if !errors.Is(err, c.want) {
+				t.Errorf("Commit: %v, want %v", err, c.want)
+			}
+			if errors.Is(err, store.ErrNotApplied) == errors.Is(err, store.ErrUnclear) {
+				t.Errorf("Commit: %v is both or neither", err)
+			}
+			_, _, _, err = client.Get(t.Context(), "/a")
+			if !errors.Is(err, store.ErrUnavailable) || errors.Is(err, store.ErrUnclear) || errors.Is(err, store.ErrNotApplied) {
+				t.Errorf("Get: %v, want only %v", err, store.ErrUnavailable)
+			}
+			if got := fake.requests.Load(); got != 2 {
+				t.Errorf("%d requests, want 2", got)
+			}
+		})
+	}
+}
+
+func TestConnectionRefusedIsNotApplied(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	if err := listener.Close(); err != nil {
+		t.Fatal(err)
+	}
+	client := etcd.New(etcd.Options{Endpoint: "http://" + address})
+	if _, err := client.Commit(t.Context(), store.Transaction{}); !errors.Is(err, store.ErrNotApplied) {
+		t.Errorf("%v, want %v", err, store.ErrNotApplied)
+	}
+}
+
+// TestCutReusedConnectionIsNotReplayed answers the first request and cuts the
+// connection after it has read the second one.
+func TestCutReusedConnectionIsNotReplayed(t *testing.T) {
+	var requests, reused atomic.Int32
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if requests.Add(1) == 1 {
+			_, _ = io.WriteString(w, `{"header":{"revision":"1"},"succeeded":true}`)
+			return
+		}
+		connection, _, err := w.(http.Hijacker).Hijack()
+		if err == nil {
+			_ = connection.Close()
+		}
+	})
+	server := httptest.NewUnstartedServer(handler)
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			reused.Add(1)
+		}
+	}
+	server.Start()
+	t.Cleanup(server.Close)
+	client := etcd.New(etcd.Options{Endpoint: server.URL, Client: server.Client()})
+	transaction := store.Transaction{Writes: []store.Write{{Key: "/a", Value: []byte("v")}}}
+	if _, err := client.Commit(t.Context(), transaction); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := client.Commit(t.Context(), transaction); !errors.Is(err, store.ErrUnclear) {
+		t.Errorf("%v, want %v", err, store.ErrUnclear)
+	}
+	if got := requests.Load(); got != 2 {
+		t.Errorf("%d requests reached the server, want 2", got)
+	}
+	if got := reused.Load(); got != 1 {
+		t.Errorf("%d connections, want 1 that is reused", got)
+	}
+}
+
+func TestTimeoutAfterSendingIsUnclear(t *testing.T) {
+	release := make(chan struct{})
+	received := make(chan struct{})
+	client := serve(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		close(received)
+		<-release
+	}))
+	defer close(release)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-received
+		cancel()
+	}()
+	if _, err := client.Commit(ctx, store.Transaction{}); !errors.Is(err, store.ErrUnclear) {
+		t.Errorf("%v, want %v", err, store.ErrUnclear)
+	}
+}
+
+func TestCommitAllNestsTransactions(t *testing.T) {
+	reply := `{"header":{"revision":"12"},"succeeded":true,"responses":[
+		{"response_txn":{"succeeded":true,"responses":[{"response_put":{}}]}},
+		{"response_txn":{"responses":[{"response_range":{"kvs":[{"key":"%s","value":"%s","mod_revision":"4"}]}}]}}]}`
+	fake := &gateway{status: http.StatusOK, reply: fmt.Sprintf(reply, encoded("/b"), encoded("other"))}
+	got, err := serve(t, fake).CommitAll(t.Context(), []store.Transaction{
+		{Compares: []store.Compare{{Key: "/a", Absent: true}}, Writes: []store.Write{{Key: "/a", Lease: 3}}},
+		{Compares: []store.Compare{{Key: "/b", ModRevision: 2}}, Writes: []store.Write{{Key: "/b", Delete: true}}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []store.Outcome{
+		{Applied: true, Revision: 12},
+		{Revision: 12, Current: []store.KeyValue{{Key: "/b", Value: []byte("other"), ModRevision: 4}}},
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+	if !json.Valid([]byte(fake.request)) || fake.path != "/v3/kv/txn" {
+		t.Errorf("sent to %s: %s", fake.path, fake.request)
+	}
+}
+
+func TestCommitAllWithMissingOutcomesIsUnclear(t *testing.T) {
+	cases := map[string]string{
+		"none":          `{"header":{"revision":"1"},"succeeded":true}`,
+		"of other kind": `{"header":{"revision":"1"},"succeeded":true,"responses":[{"response_range":{}}]}`,
+	}
+	for name, reply := range cases {
+		t.Run(name, func(t *testing.T) {
+			fake := &gateway{status: http.StatusOK, reply: reply}
+			_, err := serve(t, fake).CommitAll(t.Context(), make([]store.Transaction, 1))
+			if !errors.Is(err, store.ErrUnclear) {
+				t.Errorf("%v, want %v", err, store.ErrUnclear)
+			}
+		})
+	}
+}
+
+func TestLeases(t *testing.T) {
+	fake := &gateway{status: http.StatusOK, reply: `{"header":{},"ID":"77","TTL":"90000"}`}
+	lease, err := serve(t, fake).Grant(t.Context(), 25*time.Hour)
+	if err != nil || lease != 77 {
+		t.Errorf("lease %d, error %v", lease, err)
+	}
+	fake = &gateway{status: http.StatusOK, reply: `{"result":{"header":{},"ID":"77"}}`}
+	if err := serve(t, fake).KeepAlive(t.Context(), 77); !errors.Is(err, store.ErrNotApplied) {
+		t.Errorf("a lapsed lease: %v", err)
+	}
+	fake = &gateway{status: http.StatusOK, reply: `{"result":{"header":{},"ID":"77","TTL":"90000"}}`}
+	if err := serve(t, fake).KeepAlive(t.Context(), 77); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestWatch(t *testing.T) {
+	created := `{"result":{"header":{"revision":"4"},"created":true}}` + "\n"
+	put := fmt.Sprintf(`{"result":{"header":{"revision":"5"},"events":[{"kv":{"key":"%s","value":"%s","mod_revision":"5"}}]}}`,
+		encoded("/a/x"), encoded("v"))
+	deleted := fmt.Sprintf(`{"result":{"header":{"revision":"6"},"events":[{"type":"DELETE","kv":{"key":"%s","mod_revision":"6"}}]}}`,
+		encoded("/a/x"))
+	errStop := errors.New("stop")
+	cases := []struct {
+		name   string
+		reply  string
+		stopAt int
+		want   error
+		events int
+	}{
+		{"ends", created + put + deleted, 0, store.ErrUnavailable, 2},
+		{"consumer's error", created + put + deleted, 1, errStop, 1},
+		{"compacted", `{"result":{"canceled":true,"compact_revision":"9"}}`, 0, store.ErrCompacted, 0},
+		{"canceled", created + `{"result":{"canceled":true,"cancel_reason":"no leader"}}`, 0, store.ErrUnavailable, 0},
+		{"stream error", `{"error":{"grpc_code":14,"message":"gone"}}`, 0, store.ErrUnavailable, 0},
+		{"not JSON", created + "}", 0, store.ErrUnavailable, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			events := 0
+			err := serve(t, &gateway{status: http.StatusOK, reply: c.reply}).Watch(t.Context(), "/a/", 5, func(batch store.WatchBatch) error {
+				events += len(batch.Events)
+				if c.stopAt == events {
+					return errStop
+				}
+				return nil
+			})
+			if !errors.Is(err, c.want) {
+				t.Errorf("%v, want %v", err, c.want)
+			}
+			if events != c.events {
+				t.Errorf("%d events, want %d", events, c.events)
+			}
+		})
+	}
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -21,6 +21,9 @@
 	ErrNotApplied = errors.New("store write not applied")
 	// ErrUnclear: the write may or may not have taken effect.
 	ErrUnclear = errors.New("store write unclear")
+	// ErrLeaseNotFound: a write named a lease that has lapsed; it comes with
+	// ErrNotApplied.
+	ErrLeaseNotFound = errors.New("store lease not found")
 	// ErrCompacted: a watch asked for a revision that is no longer kept.
 	ErrCompacted = errors.New("store revision compacted")
 )
