--- /dev/null
+++ b/internal/admission/admission.go
@@ -0,0 +1,184 @@
+// Package admission decides at once whether a query may start: per policy, per
+// daemon by priority, and by whether its deadline can be met.
+package admission
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/doorpond/doorpond/client"
+	"github.com/doorpond/doorpond/internal/failure"
+	"github.com/doorpond/doorpond/internal/policy"
+)
+
+// defaultTotal is the greatest number of queries in flight at one daemon.
+const defaultTotal = 1024
+
+// Rank orders priorities: the higher, the later it gives way.
+type Rank int
+
+// rankOf returns the rank of a priority; an unknown one is normal.
+func rankOf(priority client.Priority) Rank {
+	switch priority {
+	case client.PriorityBatch:
+		return 0
+	case client.PriorityHigh:
+		return 2
+	case client.PriorityCritical:
+		return 3
+	default:
+		return 1
+	}
+}
+
+// capacityShares is the part of the daemon's total up to which a query of
+// each rank is let in.
+var capacityShares = [...]float64{0.5, 0.75, 0.9, 1}
+
+// Lower returns the lower of a policy's and a query's priority; an empty
+// query's priority leaves the policy's.
+func Lower(row, query client.Priority) client.Priority {
+	if query == "" || rankOf(query) >= rankOf(row) {
+		return row
+	}
+	return query
+}
+
+// Options are what a Controller needs. Zero values take defaults.
+type Options struct {
+	// Total is the greatest number of queries in flight at this daemon.
+	Total      int
+	Registerer prometheus.Registerer
+}
+
+// Controller counts the queries in flight. It takes no lock on the path of a
+// query.
+type Controller struct {
+	limits   [len(capacityShares)]int64
+	inFlight atomic.Int64
+	policies sync.Map // name -> *policyState
+	refused  *prometheus.CounterVec
+}
+
+type policyState struct {
+	inFlight atomic.Int64
+	fastest  recentMinimum
+}
+
+// New makes a Controller.
+func New(options Options) *Controller {
+	if options.Total <= 0 {
+		options.Total = defaultTotal
+	}
+	controller := &Controller{refused: prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "doorpondd_queries_refused_total", Help: "Queries refused before anything was sent, by reason.",
+	}, []string{"reason"})}
+	for rank, share := range capacityShares {
+		controller.limits[rank] = max(1, int64(share*float64(options.Total)))
+	}
+	if options.Registerer != nil {
+		options.Registerer.MustRegister(controller.refused)
+		options.Registerer.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "doorpondd_queries_in_flight_count", Help: "Queries in flight.",
+		}, func() float64 { return float64(controller.inFlight.Load()) }))
+	}
+	return controller
+}
+
+// Ticket is a query that was let in. Release must be called once.
+type Ticket struct {
+	controller *Controller
+	policy     *policyState
+}
+
+// Release counts the query out.
+func (t Ticket) Release() {
+	t.policy.inFlight.Add(-1)
+	t.controller.inFlight.Add(-1)
+}
+
+// Answered records how long a whole answer took.
+func (t Ticket) Answered(now time.Time, took time.Duration) { t.policy.fastest.observe(now, took) }
+
+// Admit lets a query in or refuses it. Errors are *failure.Error of kinds
+// Overloaded and DeadlineUnreachable, with NotRun set and a time to come back.
+func (c *Controller) Admit(row *policy.Row, priority client.Priority, now time.Time, deadline time.Duration) (Ticket, error) {
+	state := c.state(row.Name)
+	if least := state.fastest.value(now); deadline < least {
+		return Ticket{}, c.refuse("deadline", failure.DeadlineUnreachable,
+			fmt.Sprintf("deadline of %v is under the fastest recent answer of %v", deadline, least))
+	}
+	if state.inFlight.Add(1) > int64(row.Limits.Concurrency) {
+		state.inFlight.Add(-1)
+		return Ticket{}, c.refuse("policy", failure.Overloaded,
+			fmt.Sprintf("policy %s is at its limit of %d queries", row.Name, row.Limits.Concurrency))
+	}
+	limit := c.limits[rankOf(priority)]
+	if c.inFlight.Add(1) > limit {
+		c.inFlight.Add(-1)
+		state.inFlight.Add(-1)
+		return Ticket{}, c.refuse("priority", failure.Overloaded,
+			fmt.Sprintf("daemon is at its limit of %d queries for priority %s", limit, priority))
+	}
+	return Ticket{controller: c, policy: state}, nil
+}
+
+func (c *Controller) refuse(reason string, kind failure.Kind, detail string) *failure.Error {
+	c.refused.WithLabelValues(reason).Inc()
+	return failure.New(kind, detail)
+}
+
+func (c *Controller) state(name string) *policyState {
+	if state, known := c.policies.Load(name); known {
+		return state.(*policyState)
+	}
+	state, _ := c.policies.LoadOrStore(name, &policyState{})
+	return state.(*policyState)
+}
+
+// minimumWindow is the time for which a fastest answer counts, at least.
+const minimumWindow = 15 * time.Second
+
+// recentMinimum is the least duration of the last one to two windows.
+type recentMinimum struct {
+	mutex    sync.Mutex
+	started  time.Time
+	current  time.Duration
+	previous time.Duration
+}
+
+func (m *recentMinimum) observe(now time.Time, took time.Duration) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.rotate(now)
+	if m.current == 0 || took < m.current {
+		m.current = took
+	}
+}
+
+func (m *recentMinimum) value(now time.Time) time.Duration {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.rotate(now)
+	if m.current == 0 || (m.previous != 0 && m.previous < m.current) {
+		return m.previous
+	}
+	return m.current
+}
+
+func (m *recentMinimum) rotate(now time.Time) {
+	age := now.Sub(m.started)
+	if age < minimumWindow {
+		return
+	}
+	m.previous = m.current
+	if age >= 2*minimumWindow {
+		m.previous = 0
+	}
+	m.current = 0
+	m.started = now
+}
--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,61 @@
+package admission
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/doorpond/doorpond/client"
+	"github.com/doorpond/doorpond/internal/failure"
+	"github.com/doorpond/doorpond/internal/policy"
+)
+
+func TestAdmissionByPriority(t *testing.T) {
+	controller := New(Options{Total: 4})
+	row := &policy.Row{Name: "test", Limits: policy.Limits{Concurrency: 100}}
+	var admitted []client.Priority
+	for _, priority := range []client.Priority{
+		client.PriorityBatch, client.PriorityBatch, client.PriorityBatch, client.PriorityNormal,
+		client.PriorityNormal, client.PriorityHigh, client.PriorityCritical, client.PriorityCritical,
+	} {
+		if _, err := controller.Admit(row, priority, time.Unix(1, 0), time.Second); err == nil {
+			admitted = append(admitted, priority)
+		}
+	}
+	want := []client.Priority{client.PriorityBatch, client.PriorityBatch, client.PriorityNormal, client.PriorityCritical}
+	if !slices.Equal(admitted, want) {
+		t.Errorf("admitted %v, want %v", admitted, want)
+	}
+}
+
+func TestAdmissionByDeadline(t *testing.T) {
+	controller := New(Options{})
+	row := &policy.Row{Name: "test", Limits: policy.Limits{Concurrency: 100}}
+	now := time.Unix(1000, 0)
+	ticket, err := controller.Admit(row, client.PriorityNormal, now, time.Millisecond)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ticket.Answered(now, 5*time.Millisecond)
+	ticket.Release()
+	_, err = controller.Admit(row, client.PriorityNormal, now, time.Millisecond)
+	if known := failure.From(err); err == nil || known.Kind != failure.DeadlineUnreachable || !known.NotRun {
+		t.Errorf("error %v, want deadline_unreachable and not run", err)
+	}
+	if _, err = controller.Admit(row, client.PriorityNormal, now.Add(time.Minute), time.Millisecond); err != nil {
+		t.Errorf("an old answer still counts: %v", err)
+	}
+}
+
+func TestLower(t *testing.T) {
+	cases := []struct{ row, query, want client.Priority }{
+		{client.PriorityHigh, "", client.PriorityHigh},
+		{client.PriorityHigh, client.PriorityCritical, client.PriorityHigh},
+		{client.PriorityHigh, client.PriorityBatch, client.PriorityBatch},
+	}
+	for _, test := range cases {
+		if got := Lower(test.row, test.query); got != test.want {
+			t.Errorf("a %s query under a %s policy runs as %s, want %s", test.query, test.row, got, test.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/decision/event.go
@@ -0,0 +1,103 @@
+package decision
+
+import "time"
+
+// Outcome is how one sub-request ended.
+type Outcome uint8
+
+// The outcomes of a sub-request.
+const (
+	// Success: a whole, checked reply.
+	Success Outcome = iota
+	// Failed: a broken connection, a timeout or a server's error.
+	Failed
+	// Shed: the replica refused for load, without running the request.
+	Shed
+	// Draining: the replica is leaving and did not run the request.
+	Draining
+	// SnapshotNotHeld: the replica does not hold the pinned snapshot.
+	SnapshotNotHeld
+	// Invalid: the reply did not pass its checks.
+	Invalid
+	// NoReplica: no usable replica was left to send to; nothing was sent.
+	NoReplica
+	// DeadlinePassed: the replica refused because the time was over.
+	DeadlinePassed
+)
+
+// EventKind tells the events apart.
+type EventKind uint8
+
+// The kinds of event.
+const (
+	// Started begins the query.
+	Started EventKind = iota
+	// Replied reports the outcome of one sub-request.
+	Replied
+	// TimerFired reports that the time of the last SetTimer has come.
+	TimerFired
+	// GaveUp reports that the caller no longer waits.
+	GaveUp
+)
+
+// Event is one input of Query.Step. Shard, Attempt and Outcome belong to
+// Replied; Shard is an index into Plan.Shards.
+type Event struct {
+	Kind    EventKind
+	Shard   int
+	Attempt int
+	Outcome Outcome
+	// OtherSnapshot is true when the query could start anew on another
+	// snapshot; it ends as soon as a shard's replicas do not hold this one.
+	OtherSnapshot bool
+	// RetryAfter is when the replica wants the next request, 0 if it did not
+	// say. Another replica may be asked at once.
+	RetryAfter time.Duration
+}
+
+// ActionKind tells the actions apart.
+type ActionKind uint8
+
+// The kinds of action.
+const (
+	// Send sends a sub-request.
+	Send ActionKind = iota
+	// Cancel gives up on a sub-request in flight.
+	Cancel
+	// SetTimer asks for TimerFired at Action.At; it replaces the last one.
+	SetTimer
+	// Finish ends the query; no action follows it.
+	Finish
+)
+
+// Action is one output of Query.Step.
+type Action struct {
+	Kind    ActionKind
+	Shard   int
+	Attempt int
+	// Hedge is true for a Send beside an attempt still in flight.
+	Hedge bool
+	// Timeout is the time left for a Send.
+	Timeout time.Duration
+	// At is the moment of a SetTimer, from the query's start.
+	At time.Duration
+	// Reason belongs to Finish.
+	Reason FinishReason
+}
+
+// FinishReason says why a query ended.
+type FinishReason uint8
+
+// The reasons to end.
+const (
+	// AllSettled: each shard has answered or cannot answer any more.
+	AllSettled FinishReason = iota
+	// CompleteEnough: the policy's target was reached and its grace is over.
+	CompleteEnough
+	// DeadlineReached: the time is over.
+	DeadlineReached
+	// CallerGaveUp: nobody waits for the answer.
+	CallerGaveUp
+	// SnapshotLost: a shard's replicas no longer hold the pinned snapshot.
+	SnapshotLost
+)
--- /dev/null
+++ b/internal/decision/query.go
@@ -0,0 +1,296 @@
+// Package decision is the pure core of a query: which shards to ask, which
+// replica, when to hedge or retry, and when the answer is complete enough. It
+// has no I/O, clock, goroutine or global randomness; a shell feeds events and
+// carries out actions.
+package decision
+
+import (
+	"math"
+	"math/bits"
+	"time"
+
+	"github.com/doorpond/doorpond/client"
+)
+
+// maxAttempts is the greatest number of attempts to one shard that the
+// in-flight bits can hold.
+const maxAttempts = 16
+
+type shardState struct {
+	attempts int
+	inFlight uint16
+	hedgeAt  time.Duration
+	settled  bool
+	hedgeOff bool
+	status   ShardStatus
+}
+
+// Query decides one query. It is not safe for concurrent use.
+type Query struct {
+	plan     Plan
+	shards   []shardState
+	actions  []Action
+	answered int
+	settled  int
+	target   int
+	graceAt  time.Duration
+	timerAt  time.Duration
+	// snapshotLost is set once a shard has settled for want of the snapshot.
+	snapshotLost bool
+	// otherSnapshot is true while the query could start anew on another one.
+	otherSnapshot bool
+	finished      bool
+}
+
+// never is a time that does not come.
+const never = time.Duration(math.MaxInt64)
+
+// New makes the core of a query.
+func New(plan Plan) *Query {
+	count := len(plan.Shards)
+	return &Query{
+		plan:    plan,
+		shards:  make([]shardState, count),
+		actions: make([]Action, 0, count+2),
+		target:  int(math.Ceil(plan.Policy.Completeness.Target * float64(count))),
+		graceAt: never,
+		timerAt: never,
+	}
+}
+
+// Step takes one event at a time since the query's start. The actions belong
+// to the caller only until the next Step.
+func (q *Query) Step(now time.Duration, event Event) []Action {
+	q.actions = q.actions[:0]
+	if q.finished {
+		return nil
+	}
+	switch event.Kind {
+	case Started:
+		q.start(now)
+	case Replied:
+		q.replied(now, event)
+	case TimerFired:
+		q.timerAt = never
+		q.fire(now)
+	case GaveUp:
+		q.finish(CallerGaveUp, client.MissingTimeout)
+	}
+	q.settle(now)
+	return q.actions
+}
+
+// Status returns what became of a shard of the plan.
+func (q *Query) Status(shard int) ShardStatus { return q.shards[shard].status }
+
+// Answered returns the number of shards that have answered.
+func (q *Query) Answered() int { return q.answered }
+
+func (q *Query) start(now time.Duration) {
+	for i := range q.plan.Shards {
+		if budget := q.plan.Shards[i].Budget; budget != nil {
+			budget.Deposit()
+		}
+		q.send(now, i, false)
+	}
+}
+
+func (q *Query) send(now time.Duration, shard int, hedge bool) {
+	state, plan := &q.shards[shard], &q.plan.Shards[shard]
+	attempt := state.attempts
+	state.attempts++
+	state.inFlight |= 1 << attempt
+	state.hedgeAt = never
+	if plan.HedgeDelay > 0 && !state.hedgeOff && state.attempts < q.attemptLimit() {
+		state.hedgeAt = now + plan.HedgeDelay
+	}
+	q.actions = append(q.actions, Action{
+		Kind: Send, Shard: shard, Attempt: attempt, Hedge: hedge, Timeout: q.plan.Deadline - now,
+	})
+}
+
+func (q *Query) attemptLimit() int { return min(q.plan.Policy.Retry.Attempts, maxAttempts) }
+
+func (q *Query) replied(now time.Duration, event Event) {
+	state := &q.shards[event.Shard]
+	bit := uint16(1) << event.Attempt
+	if state.settled || state.inFlight&bit == 0 {
+		return
+	}
+	state.inFlight &^= bit
+	if event.Outcome == Success {
+		q.succeed(now, event.Shard)
+		return
+	}
+	q.otherSnapshot = q.otherSnapshot || event.OtherSnapshot
+	state.status.Reason = reasonAfter(state.status.Reason, event.Outcome)
+	if event.Outcome == NoReplica {
+		state.hedgeOff = true
+		state.hedgeAt = never
+	}
+	if state.inFlight != 0 {
+		return
+	}
+	if event.Outcome != NoReplica && q.mayRetry(now, event.Shard, event.Outcome) {
+		q.send(now, event.Shard, false)
+		return
+	}
+	q.settleShard(event.Shard)
+}
+
+// reasonAfter keeps the reason of an attempt that reached a replica when a
+// later one finds no replica left.
+func reasonAfter(earlier client.MissingReason, outcome Outcome) client.MissingReason {
+	if outcome == NoReplica && earlier != "" {
+		return earlier
+	}
+	return outcome.missing()
+}
+
+func (o Outcome) missing() client.MissingReason {
+	switch o {
+	case Shed, Draining:
+		return client.MissingShed
+	case SnapshotNotHeld:
+		return client.MissingSnapshot
+	case Invalid:
+		return client.MissingInvalidReply
+	case NoReplica:
+		return client.MissingNoReplica
+	case DeadlinePassed:
+		return client.MissingTimeout
+	default:
+		return client.MissingFailed
+	}
+}
+
+func (q *Query) mayRetry(now time.Duration, shard int, outcome Outcome) bool {
+	if outcome == DeadlinePassed || !q.mayAttempt(now, shard) {
+		return false
+	}
+	if outcome == Draining || outcome == SnapshotNotHeld {
+		return true // refused before any work; the attempt limit bounds these
+	}
+	return q.withdraw(shard)
+}
+
+func (q *Query) mayAttempt(now time.Duration, shard int) bool {
+	if q.shards[shard].attempts >= q.attemptLimit() {
+		return false
+	}
+	return now+q.plan.Shards[shard].Expected < min(q.plan.Deadline, q.graceAt)
+}
+
+func (q *Query) withdraw(shard int) bool {
+	budget := q.plan.Shards[shard].Budget
+	return budget != nil && budget.Withdraw()
+}
+
+func (q *Query) succeed(now time.Duration, shard int) {
+	state := &q.shards[shard]
+	state.status = ShardStatus{Answered: true}
+	q.answered++
+	q.settleShard(shard)
+	if q.answered >= q.target && q.graceAt == never {
+		q.graceAt = now + time.Duration(q.plan.Policy.Completeness.Grace)
+	}
+}
+
+// settleShard closes a shard for good and gives up what it has in flight.
+func (q *Query) settleShard(shard int) {
+	state := &q.shards[shard]
+	state.settled = true
+	state.hedgeAt = never
+	q.settled++
+	q.snapshotLost = q.snapshotLost || state.status.Reason == client.MissingSnapshot
+	q.cancelAttempts(shard)
+}
+
+func (q *Query) cancelAttempts(shard int) {
+	state := &q.shards[shard]
+	for state.inFlight != 0 {
+		attempt := bits.TrailingZeros16(state.inFlight)
+		state.inFlight &^= 1 << attempt
+		q.actions = append(q.actions, Action{Kind: Cancel, Shard: shard, Attempt: attempt})
+	}
+}
+
+// fire sends the hedges that are due.
+func (q *Query) fire(now time.Duration) {
+	for i := range q.shards {
+		state := &q.shards[i]
+		if state.settled || state.hedgeAt > now {
+			continue
+		}
+		state.hedgeAt = never
+		if q.mayAttempt(now, i) && q.withdraw(i) {
+			q.send(now, i, true)
+		}
+	}
+}
+
+// settle ends the query if it is over, else sets the timer.
+func (q *Query) settle(now time.Duration) {
+	switch {
+	case q.finished:
+	case q.settled == len(q.shards):
+		q.finish(q.settledReason(), client.MissingFailed)
+	case q.otherSnapshot && q.snapshotLost:
+		q.finish(SnapshotLost, client.MissingSnapshot)
+	case now >= q.plan.Deadline:
+		q.finish(DeadlineReached, client.MissingTimeout)
+	case now >= q.graceAt:
+		q.finish(CompleteEnough, client.MissingComplete)
+	default:
+		q.setTimer()
+	}
+}
+
+func (q *Query) settledReason() FinishReason {
+	if q.otherSnapshot && q.snapshotLost {
+		return SnapshotLost
+	}
+	return AllSettled
+}
+
+// setTimer asks for the earliest moment at which something is due. Only sends
+// and the grace bring it forward, so it looks at the shards of this step's
+// sends; all of them are looked at after the timer has fired.
+func (q *Query) setTimer() {
+	next := min(q.plan.Deadline, q.graceAt)
+	if q.timerAt == never {
+		for i := range q.shards {
+			next = min(next, q.hedgeTime(i))
+		}
+	} else {
+		for _, action := range q.actions {
+			if action.Kind == Send {
+				next = min(next, q.hedgeTime(action.Shard))
+			}
+		}
+	}
+	if next < q.timerAt {
+		q.timerAt = next
+		q.actions = append(q.actions, Action{Kind: SetTimer, At: next})
+	}
+}
+
+func (q *Query) hedgeTime(shard int) time.Duration {
+	if q.shards[shard].settled {
+		return never
+	}
+	return q.shards[shard].hedgeAt
+}
+
+func (q *Query) finish(reason FinishReason, missing client.MissingReason) {
+	q.finished = true
+	for i := range q.shards {
+		state := &q.shards[i]
+		if state.settled {
+			continue
+		}
+		state.status = ShardStatus{Reason: missing}
+		q.cancelAttempts(i)
+	}
+	q.actions = append(q.actions, Action{Kind: Finish, Reason: reason})
+}
--- /dev/null
+++ b/internal/decision/selection.go
@@ -0,0 +1,108 @@
+package decision
+
+import (
+	"encoding/binary"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/doorpond/doorpond/client"
+	"github.com/doorpond/doorpond/internal/catalogue"
+	"github.com/doorpond/doorpond/internal/policy"
+)
+
+// Selected is which shards of a snapshot a query asks. Together, Asked and
+// NotAsked name each shard of the searched indexes once.
+type Selected struct {
+	Asked    []ShardPlan
+	NotAsked []client.ShardReport
+}
+
+// SelectShards applies a policy's shard selection. The same query ID gives
+// the same choice. Hedge delays and budgets are left for the caller to fill.
+func SelectShards(snapshot *catalogue.Snapshot, row *policy.Row, query *client.Query, queryID string) Selected {
+	selected := Selected{Asked: make([]ShardPlan, 0, snapshot.Shards())}
+	for i := range snapshot.Indexes {
+		index := &snapshot.Indexes[i]
+		if len(query.Indexes) > 0 && !slices.Contains(query.Indexes, index.Name) {
+			continue
+		}
+		selected.addIndex(index, row, query)
+	}
+	if row.Shards.Fraction < 1 {
+		selected.sample(row, queryID)
+	}
+	return selected
+}
+
+func (s *Selected) addIndex(index *catalogue.Index, row *policy.Row, query *client.Query) {
+	shards := len(index.Groups)
+	skipped := indexWeight(row, index.Name) == 0
+	keyed := query.Card != "" && row.Shards.Selection != policy.SelectBroadcast && shards > 0
+	holder := 0
+	if keyed {
+		holder = catalogue.ShardOf(query.Card, shards)
+	}
+	for shard, group := range index.Groups {
+		switch {
+		case skipped:
+			s.leaveOut(index.Name, shard, client.NotAskedPolicy)
+		case keyed && shard != holder:
+			s.leaveOut(index.Name, shard, client.NotAskedKey)
+		default:
+			s.Asked = append(s.Asked, ShardPlan{Index: index.Name, Shard: shard, Shards: shards, Group: group})
+		}
+	}
+}
+
+func (s *Selected) leaveOut(index string, shard int, reason client.MissingReason) {
+	s.NotAsked = append(s.NotAsked, client.ShardReport{Index: index, Shard: shard, Reason: reason})
+}
+
+func indexWeight(row *policy.Row, index string) float64 {
+	weight, named := row.Shards.IndexWeights[index]
+	if !named {
+		return 1
+	}
+	return weight
+}
+
+// sample keeps a weighted share of the asked shards: each draws an
+// exponential variate of its weight from a hash, and the least are kept
+// (Efraimidis and Spirakis, 2006).
+func (s *Selected) sample(row *policy.Row, queryID string) {
+	keep := int(math.Ceil(row.Shards.Fraction * float64(len(s.Asked))))
+	if keep >= len(s.Asked) {
+		return
+	}
+	draws := make([]float64, len(s.Asked))
+	for i := range s.Asked {
+		draws[i] = draw(queryID, &s.Asked[i]) / indexWeight(row, s.Asked[i].Index)
+	}
+	sorted := slices.Clone(draws)
+	slices.Sort(sorted)
+	limit := sorted[keep-1]
+	kept := make([]ShardPlan, 0, keep)
+	for i, shard := range s.Asked {
+		if draws[i] <= limit && len(kept) < keep {
+			kept = append(kept, shard)
+			continue
+		}
+		s.leaveOut(shard.Index, shard.Shard, client.NotAskedPolicy)
+	}
+	s.Asked = kept
+}
+
+// draw returns an exponential variate of rate 1.
+func draw(queryID string, shard *ShardPlan) float64 {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(queryID) // never fails
+	_, _ = digest.WriteString(shard.Index)
+	var number [8]byte
+	binary.LittleEndian.PutUint64(number[:], uint64(shard.Shard))
+	_, _ = digest.Write(number[:])
+	const mantissa = 1 << 53
+	uniform := (float64(digest.Sum64()>>11) + 0.5) / mantissa
+	return -math.Log(uniform)
+}
--- /dev/null
+++ b/internal/query/coverage.go
@@ -0,0 +1,59 @@
+package query
+
+import (
+	"slices"
+
+	"github.com/doorpond/doorpond/client"
+	"github.com/doorpond/doorpond/internal/catalogue"
+	"github.com/doorpond/doorpond/internal/decision"
+)
+
+// buildCoverage states what was searched. A shard counts as answered only
+// when the core has seen its whole, checked reply.
+func buildCoverage(snapshot *catalogue.Snapshot, query *client.Query, selected decision.Selected, status func(int) decision.ShardStatus) client.Coverage {
+	coverage := client.Coverage{Indexes: []client.IndexCoverage{}}
+	places := make(map[string]int, len(snapshot.Indexes))
+	for i := range snapshot.Indexes {
+		index := &snapshot.Indexes[i]
+		if len(query.Indexes) > 0 && !slices.Contains(query.Indexes, index.Name) {
+			continue
+		}
+		places[index.Name] = len(coverage.Indexes)
+		coverage.Indexes = append(coverage.Indexes, client.IndexCoverage{
+			Index: index.Name, Shards: len(index.Groups),
+			Missing: []client.ShardReport{}, NotAsked: []client.ShardReport{},
+		})
+	}
+	for i := range selected.Asked {
+		shard := &selected.Asked[i]
+		addAsked(&coverage.Indexes[places[shard.Index]], shard, status(i))
+	}
+	for _, report := range selected.NotAsked {
+		index := &coverage.Indexes[places[report.Index]]
+		index.NotAsked = append(index.NotAsked, report)
+	}
+	return totalCoverage(coverage)
+}
+
+func addAsked(index *client.IndexCoverage, shard *decision.ShardPlan, status decision.ShardStatus) {
+	index.Asked++
+	if status.Answered {
+		index.Answered++
+		return
+	}
+	index.Missing = append(index.Missing, client.ShardReport{
+		Index: shard.Index, Shard: shard.Shard, Reason: status.Reason,
+	})
+}
+
+func totalCoverage(coverage client.Coverage) client.Coverage {
+	for i := range coverage.Indexes {
+		coverage.Asked += coverage.Indexes[i].Asked
+		coverage.Answered += coverage.Indexes[i].Answered
+	}
+	coverage.Share = 1
+	if coverage.Asked > 0 {
+		coverage.Share = float64(coverage.Answered) / float64(coverage.Asked)
+	}
+	return coverage
+}
--- /dev/null
+++ b/internal/query/fixture_test.go
@@ -0,0 +1,147 @@
+package query_test
+
+import (
+	"encoding/json"
+	"io"
+	"log"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/doorpond/doorpond/client"
+	"github.com/doorpond/doorpond/internal/backendapi"
+	"github.com/doorpond/doorpond/internal/blackboard"
+	"github.com/doorpond/doorpond/internal/catalogue"
+	"github.com/doorpond/doorpond/internal/policy"
+	"github.com/doorpond/doorpond/internal/query"
+	"github.com/doorpond/doorpond/internal/replica"
+	"github.com/doorpond/doorpond/internal/statistics"
+	"github.com/doorpond/doorpond/internal/topology"
+)
+
+// respond is what a stand-in shard does with one request.
+type respond func(w http.ResponseWriter, r *http.Request, request backendapi.SearchRequest)
+
+// fixture is a service over two shards of one index, each with its replicas.
+type fixture struct {
+	board      *blackboard.Board
+	service    *query.Service
+	statistics *statistics.Recorder
+	row        policy.Row
+	requests   atomic.Int64
+	network    *memoryNetwork
+}
+
+func goodHits(request backendapi.SearchRequest) backendapi.SearchReply {
+	id := []string{"a", "b", "c"}[request.Shard%3]
+	hits := []client.Hit{{ID: id, Index: request.Index, Rank: float64(request.Shard)}}
+	return backendapi.SearchReply{
+		QueryID: request.QueryID, Attempt: request.Attempt, Snapshot: request.Snapshot, Index: request.Index,
+		Shard: request.Shard, Shards: request.Shards, Count: 1, Hits: hits, Total: 1, Incarnation: "1",
+	}
+}
+
+func good(w http.ResponseWriter, _ *http.Request, request backendapi.SearchRequest) {
+	_ = json.NewEncoder(w).Encode(goodHits(request))
+}
+
+func refuse(reason backendapi.RefusalReason) respond {
+	return func(w http.ResponseWriter, _ *http.Request, _ backendapi.SearchRequest) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_ = json.NewEncoder(w).Encode(backendapi.Refusal{Reason: reason, NotRun: true, RetryAfterMilliseconds: 70})
+	}
+}
+
+func broken(http.ResponseWriter, *http.Request, backendapi.SearchRequest) {
+	panic(http.ErrAbortHandler)
+}
+
+// stuck waits until the request is cancelled.
+func stuck(_ http.ResponseWriter, r *http.Request, _ backendapi.SearchRequest) { <-r.Context().Done() }
+
+func crossed(w http.ResponseWriter, _ *http.Request, request backendapi.SearchRequest) {
+	request.QueryID = "another"
+	_ = json.NewEncoder(w).Encode(goodHits(request))
+}
+
+// onlyHolds refuses other snapshots.
+func onlyHolds(snapshot uint64) respond {
+	return func(w http.ResponseWriter, r *http.Request, request backendapi.SearchRequest) {
+		if request.Snapshot != snapshot {
+			refuse(backendapi.RefusedSnapshotNotHeld)(w, r, request)
+			return
+		}
+		good(w, r, request)
+	}
+}
+
+func newFixture(t *testing.T, shards ...[]respond) *fixture {
+	t.Helper()
+	f := &fixture{board: &blackboard.Board{}, statistics: statistics.New(nil), network: newMemoryNetwork()}
+	f.row = policy.Row{
+		Name: "test", Priority: client.PriorityNormal,
+		Shards:       policy.Shards{Selection: policy.SelectAll, Fraction: 1},
+		Replicas:     policy.Replicas{ZoneWeight: 1},
+		Wait:         policy.Wait{Timeout: policy.Duration(30 * time.Second)},
+		Retry:        policy.Retry{Attempts: 3, BudgetBurst: 10},
+		Completeness: policy.Completeness{Target: 1},
+		Limits:       policy.Limits{Concurrency: 10, Hits: 100},
+	}
+	groups := make(map[string][]topology.Replica)
+	names := []string{}
+	for shard, replicas := range shards {
+		name := string(rune('g' + shard))
+		names = append(names, name)
+		for _, behaviour := range replicas {
+			groups[name] = append(groups[name], topology.Replica{
+				Address: f.startReplica(t, behaviour), Incarnation: "1", Group: name, Slots: 10, ConnectionLimit: 100,
+			})
+		}
+	}
+	f.board.Replicas.Publish(&topology.Replicas{Groups: groups})
+	f.publishSnapshots(names, 6, 7)
+	f.publishPolicy()
+	pool := replica.NewPool(replica.PoolOptions{Board: f.board, Random: func() uint64 { return 0 }, Dial: f.network.dial})
+	t.Cleanup(pool.Close)
+	f.service = query.NewService(query.Options{Board: f.board, Pool: pool, Statistics: f.statistics})
+	return f
+}
+
+func (f *fixture) startReplica(t *testing.T, behaviour respond) string {
+	address, listener := f.network.listen()
+	server := &http.Server{ErrorLog: log.New(io.Discard, "", 0)}
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.requests.Add(1)
+		var request backendapi.SearchRequest
+		if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		behaviour(w, r, request)
+	})
+	go func() { _ = server.Serve(listener) }() // ends with the server's Close
+	t.Cleanup(func() { _ = server.Close() })
+	return address
+}
+
+func (f *fixture) publishSnapshots(groups []string, ids ...uint64) {
+	corpus := catalogue.Corpus{Name: "cards"}
+	for _, id := range ids {
+		corpus.Snapshots = append(corpus.Snapshots, catalogue.Snapshot{
+			ID: id, Indexes: []catalogue.Index{{Name: "bus", Groups: groups}},
+		})
+	}
+	f.board.Catalogue.Publish(&catalogue.Catalogue{Revision: 1, Corpora: []catalogue.Corpus{corpus}})
+}
+
+func (f *fixture) publishPolicy() {
+	f.board.Table.Publish(policy.NewIndex(&policy.Table{
+		Revision: 3, Policies: []policy.Row{f.row},
+		Assignments: []policy.Assignment{{Group: policy.DefaultGroup, Shares: []policy.Share{{Policy: "test", Weight: 1}}}},
+	}))
+}
+
+func phraseQuery() client.Query {
+	return client.Query{Group: "gate", Corpus: "cards", Phrase: "fare"}
+}
--- /dev/null
+++ b/internal/query/metrics.go
@@ -0,0 +1,46 @@
+package query
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/doorpond/doorpond/internal/failure"
+)
+
+// answeredLabel is the value of the label "kind" for a query without error.
+const answeredLabel = "answered"
+
+type serviceMetrics struct {
+	queries  *prometheus.CounterVec
+	latency  prometheus.Histogram
+	restarts prometheus.Counter
+}
+
+func newServiceMetrics(registerer prometheus.Registerer) serviceMetrics {
+	metrics := serviceMetrics{
+		queries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "doorpondd_queries_total", Help: "Admitted queries that ended, by error kind or answered.",
+		}, []string{"kind"}),
+		latency: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "doorpondd_query_duration_seconds", Help: "Time from a query's arrival to its answer.",
+			Buckets: []float64{.001, .002, .005, .01, .02, .04, .06, .1, .2, .5, 1, 2, 5, 10},
+		}),
+		restarts: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "doorpondd_query_restarts_total", Help: "Queries started anew because their snapshot was retired.",
+		}),
+	}
+	if registerer != nil {
+		registerer.MustRegister(metrics.queries, metrics.latency, metrics.restarts)
+	}
+	return metrics
+}
+
+func (m *serviceMetrics) observe(took time.Duration, err error) {
+	m.latency.Observe(took.Seconds())
+	label := answeredLabel
+	if err != nil {
+		label = string(failure.KindOf(err))
+	}
+	m.queries.WithLabelValues(label).Inc()
+}
--- /dev/null
+++ b/internal/query/service_test.go
@@ -0,0 +1,275 @@
+package query_test
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/doorpond/doorpond/client"
+	"github.com/doorpond/doorpond/internal/backendapi"
+	"github.com/doorpond/doorpond/internal/blackboard"
+	"github.com/doorpond/doorpond/internal/catalogue"
+	"github.com/doorpond/doorpond/internal/failure"
+	"github.com/doorpond/doorpond/internal/policy"
+)
+
+// bubble runs a case on a virtual clock.
+func bubble(t *testing.T, name string, test func(t *testing.T)) {
+	t.Run(name, func(t *testing.T) { synctest.Test(t, test) })
+}
+
+func TestSearchWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, []respond{good}, []respond{good})
+		answer, err := f.service.Search(t.Context(), phraseQuery())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if answer.QueryID == "" {
+			t.Error("the answer has no query ID")
+		}
+		answer.QueryID, answer.TookMicroseconds = "", 0
+		want := client.Answer{
+			Hits:     []client.Hit{{ID: "b", Index: "bus", Rank: 1}, {ID: "a", Index: "bus", Rank: 0}},
+			Snapshot: 7, Policy: "test", TableRevision: 3, Attempts: 2,
+			Coverage: client.Coverage{Asked: 2, Answered: 2, Share: 1, Indexes: []client.IndexCoverage{{
+				Index: "bus", Shards: 2, Asked: 2, Answered: 2, Missing: []client.ShardReport{}, NotAsked: []client.ShardReport{},
+			}}},
+		}
+		if diff := cmp.Diff(want, answer); diff != "" {
+			t.Errorf("answer (-want +got):\n%s", diff)
+		}
+		if recorded := f.statistics.Snapshot(time.Minute); len(recorded) != 1 || recorded[0].Whole != 1 || recorded[0].Attempts != 2 {
+			t.Errorf("statistics %+v", recorded)
+		}
+	})
+}
+
+func TestSearchFaults(t *testing.T) {
+	shed, draining := refuse(backendapi.RefusedShed), refuse(backendapi.RefusedDraining)
+	cases := []struct {
+		name   string
+		shard  []respond
+		change func(*policy.Row, *client.Query)
+		// missing is the reason for the second shard; empty if it answers.
+		missing  client.MissingReason
+		snapshot uint64
+		kind     failure.Kind
+		notRun   bool
+	}{
+		{name: "failure then another replica", shard: []respond{broken, good}, snapshot: 7},
+		{name: "shed then another replica", shard: []respond{shed, good}, snapshot: 7},
+		{name: "draining then another replica", shard: []respond{draining, good}, snapshot: 7},
+		{name: "crossed reply then another replica", shard: []respond{crossed, good}, snapshot: 7},
+		{name: "snapshot held by one replica only", shard: []respond{onlyHolds(6), good}, snapshot: 7},
+		{name: "snapshot held by none: whole on another", shard: []respond{onlyHolds(6)}, snapshot: 6},
+		{name: "no snapshot held", shard: []respond{onlyHolds(1)}, snapshot: 6, missing: client.MissingSnapshot},
+		{name: "all crossed", shard: []respond{crossed, crossed}, snapshot: 7, missing: client.MissingInvalidReply},
+		{name: "all broken", shard: []respond{broken}, snapshot: 7, missing: client.MissingFailed},
+		{name: "all shed", shard: []respond{shed, shed}, snapshot: 7, missing: client.MissingShed},
+		{name: "no replica", shard: nil, snapshot: 7, missing: client.MissingNoReplica},
+		{
+			name: "stuck until the deadline", shard: []respond{stuck}, snapshot: 7, missing: client.MissingTimeout,
+			change: func(_ *policy.Row, q *client.Query) { q.DeadlineMilliseconds = 300 },
+		},
+		{
+			name: "complete enough without it", shard: []respond{stuck}, snapshot: 7, missing: client.MissingComplete,
+			change: func(row *policy.Row, _ *client.Query) { row.Completeness.Target = 0.5 },
+		},
+		{
+			name: "policy's least coverage unmet", shard: []respond{broken}, kind: failure.InsufficientCoverage,
+			change: func(row *policy.Row, _ *client.Query) { row.Completeness.Least = 0.9 },
+		},
+		{
+			name: "query's least coverage unmet", shard: []respond{broken}, kind: failure.InsufficientCoverage,
+			change: func(_ *policy.Row, q *client.Query) { q.LeastCoverage = 0.9 },
+		},
+	}
+	for _, test := range cases {
+		bubble(t, test.name, func(t *testing.T) {
+			f := newFixture(t, []respond{good}, test.shard)
+			asked := phraseQuery()
+			if test.change != nil {
+				test.change(&f.row, &asked)
+				f.publishPolicy()
+			}
+			answer, err := f.service.Search(t.Context(), asked)
+			if test.kind != "" {
+				checkError(t, err, test.kind, test.notRun)
+				return
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			if answer.Snapshot != test.snapshot {
+				t.Errorf("snapshot %d, want %d", answer.Snapshot, test.snapshot)
+			}
+			checkMissing(t, answer, test.missing)
+		})
+	}
+}
+
+func checkMissing(t *testing.T, answer client.Answer, reason client.MissingReason) {
+	t.Helper()
+	want, hits := []client.ShardReport{}, 2
+	if reason != "" {
+		want = append(want, client.ShardReport{Index: "bus", Shard: 1, Reason: reason})
+		hits = 1
+	}
+	if diff := cmp.Diff(want, answer.Coverage.Indexes[0].Missing); diff != "" {
+		t.Errorf("missing (-want +got):\n%s", diff)
+	}
+	if len(answer.Hits) != hits || answer.Coverage.Answered != hits {
+		t.Errorf("%d hits from %d shards, want %d", len(answer.Hits), answer.Coverage.Answered, hits)
+	}
+}
+
+func checkError(t *testing.T, err error, kind failure.Kind, notRun bool) {
+	t.Helper()
+	if err == nil {
+		t.Fatalf("no error, want %s", kind)
+	}
+	if known := failure.From(err); known.Kind != kind || known.NotRun != notRun {
+		t.Errorf("error %v not run %v, want %s %v", err, known.NotRun, kind, notRun)
+	}
+}
+
+func TestSearchRefusedByAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		shed := refuse(backendapi.RefusedShed)
+		f := newFixture(t, []respond{shed}, []respond{shed})
+		_, err := f.service.Search(t.Context(), phraseQuery())
+		checkError(t, err, failure.BackendRefused, true)
+		if wait := failure.From(err).RetryAfter; wait != 70*time.Millisecond {
+			t.Errorf("retry after %v, want the back ends' 70ms", wait)
+		}
+		f = newFixture(t, nil, nil)
+		_, err = f.service.Search(t.Context(), phraseQuery())
+		checkError(t, err, failure.NoReplica, true)
+	})
+}
+
+func TestSearchGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		arrived := make(chan struct{}, 2)
+		waits := func(w http.ResponseWriter, r *http.Request, request backendapi.SearchRequest) {
+			arrived <- struct{}{}
+			stuck(w, r, request)
+		}
+		f := newFixture(t, []respond{waits}, []respond{waits})
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { <-arrived; <-arrived; cancel() }()
+		_, err := f.service.Search(ctx, phraseQuery())
+		checkError(t, err, failure.Canceled, false)
+	})
+}
+
+func TestSearchRefusals(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(*fixture, *client.Query)
+		kind   failure.Kind
+	}{
+		{"no table", func(f *fixture, _ *client.Query) { f.board.Table = blackboard.Section[policy.Index]{} }, failure.NoTable},
+		{"no catalogue", func(f *fixture, _ *client.Query) {
+			f.board.Catalogue = blackboard.Section[catalogue.Catalogue]{}
+		}, failure.NoCatalogue},
+		{"no snapshot", func(f *fixture, _ *client.Query) { f.publishSnapshots(nil) }, failure.NoCatalogue},
+		{"unknown corpus", func(_ *fixture, q *client.Query) { q.Corpus = "x" }, failure.NotFound},
+		{"unknown index", func(_ *fixture, q *client.Query) { q.Indexes = []string{"x"} }, failure.NotFound},
+		{"limit over the policy's", func(_ *fixture, q *client.Query) { q.Limit = 101 }, failure.TooLarge},
+		{"negative limit", func(_ *fixture, q *client.Query) { q.Limit = -1 }, failure.InvalidRequest},
+		{"phrase and card", func(_ *fixture, q *client.Query) { q.Card = "1" }, failure.InvalidRequest},
+		{"neither phrase nor card", func(_ *fixture, q *client.Query) { q.Phrase = "" }, failure.InvalidRequest},
+		{"no group", func(_ *fixture, q *client.Query) { q.Group = "" }, failure.InvalidRequest},
+		{"no corpus", func(_ *fixture, q *client.Query) { q.Corpus = "" }, failure.InvalidRequest},
+		{"unknown order", func(_ *fixture, q *client.Query) { q.Order = "x" }, failure.InvalidRequest},
+		{"unknown priority", func(_ *fixture, q *client.Query) { q.Priority = "x" }, failure.InvalidRequest},
+		{"least coverage over 1", func(_ *fixture, q *client.Query) { q.LeastCoverage = 1.1 }, failure.InvalidRequest},
+		{"negative deadline", func(_ *fixture, q *client.Query) { q.DeadlineMilliseconds = -1 }, failure.InvalidRequest},
+	}
+	for _, test := range cases {
+		bubble(t, test.name, func(t *testing.T) {
+			f := newFixture(t, []respond{good}, []respond{good})
+			asked := phraseQuery()
+			test.change(f, &asked)
+			_, err := f.service.Search(t.Context(), asked)
+			checkError(t, err, test.kind, true)
+			if sent := f.requests.Load(); sent != 0 {
+				t.Errorf("%d sub-requests of a refused query were sent", sent)
+			}
+		})
+	}
+}
+
+func TestSearchOverConcurrency(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		arrived, release := make(chan struct{}), make(chan struct{})
+		f := newFixture(t, []respond{func(w http.ResponseWriter, r *http.Request, request backendapi.SearchRequest) {
+			close(arrived)
+			<-release
+			good(w, r, request)
+		}})
+		f.row.Limits.Concurrency = 1
+		f.publishPolicy()
+		var group sync.WaitGroup
+		group.Go(func() {
+			if _, err := f.service.Search(t.Context(), phraseQuery()); err != nil {
+				t.Error(err)
+			}
+		})
+		<-arrived
+		_, err := f.service.Search(t.Context(), phraseQuery())
+		checkError(t, err, failure.Overloaded, true)
+		close(release)
+		group.Wait()
+	})
+}
+
+// TestSearchHedge lets one replica become slow: the hedge wins after the
+// learned quantile, the slow attempt is cancelled, and its reply is not merged.
+func TestSearchHedge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var slow atomic.Bool
+		cancelled := make(chan struct{}, 1)
+		sometimes := func(w http.ResponseWriter, r *http.Request, request backendapi.SearchRequest) {
+			if !slow.Load() {
+				time.Sleep(2 * time.Millisecond)
+				good(w, r, request)
+				return
+			}
+			<-r.Context().Done()
+			cancelled <- struct{}{}
+		}
+		steady := func(w http.ResponseWriter, r *http.Request, request backendapi.SearchRequest) {
+			time.Sleep(4 * time.Millisecond)
+			good(w, r, request)
+		}
+		f := newFixture(t, []respond{sometimes, steady})
+		f.row.Wait.HedgeQuantile = 0.95
+		f.publishPolicy()
+		for range 50 {
+			if _, err := f.service.Search(t.Context(), phraseQuery()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		slow.Store(true)
+		answer, err := f.service.Search(t.Context(), phraseQuery())
+		if err != nil {
+			t.Fatal(err)
+		}
+		<-cancelled
+		if answer.Attempts != 2 || answer.Coverage.Answered != 1 || len(answer.Hits) != 1 {
+			t.Errorf("attempts %d, answered %d, hits %d, want 2, 1, 1", answer.Attempts, answer.Coverage.Answered, len(answer.Hits))
+		}
+		if took := time.Duration(answer.TookMicroseconds) * time.Microsecond; took > 20*time.Millisecond {
+			t.Errorf("took %v of virtual time", took)
+		}
+	})
+}
--- /dev/null
+++ b/internal/query/snapshot.go
@@ -0,0 +1,59 @@
+package query
+
+import (
+	"slices"
+
+	"github.com/doorpond/doorpond/client"
+	"github.com/doorpond/doorpond/internal/catalogue"
+	"github.com/doorpond/doorpond/internal/replica"
+)
+
+// pinSnapshot returns the newest snapshot that has the wanted indexes and
+// whose replicas are all known, else the newest.
+func pinSnapshot(corpus *catalogue.Corpus, indexes []string, pool *replica.Pool) *catalogue.Snapshot {
+	for i := len(corpus.Snapshots) - 1; i >= 0; i-- {
+		if usable(&corpus.Snapshots[i], indexes, pool) {
+			return &corpus.Snapshots[i]
+		}
+	}
+	return corpus.Newest()
+}
+
+func usable(snapshot *catalogue.Snapshot, indexes []string, pool *replica.Pool) bool {
+	for _, name := range indexes {
+		if !holdsIndex(snapshot, name) {
+			return false
+		}
+	}
+	return replicasKnown(snapshot, pool)
+}
+
+func replicasKnown(snapshot *catalogue.Snapshot, pool *replica.Pool) bool {
+	for i := range snapshot.Indexes {
+		if !pool.Knows(snapshot.Indexes[i].Groups) {
+			return false
+		}
+	}
+	return true
+}
+
+// otherSnapshot returns the snapshot on which to start anew when one is lost:
+// the newest, or the one before when the newest was lost because its replicas
+// do not hold it yet; nil where there is none.
+func (s *Service) otherSnapshot(query *client.Query, lost uint64) *catalogue.Snapshot {
+	published := s.options.Board.Catalogue.Load()
+	if published == nil {
+		return nil
+	}
+	corpus := published.Corpus(query.Corpus)
+	if corpus == nil {
+		return nil
+	}
+	others := slices.DeleteFunc(slices.Clone(corpus.Snapshots), func(snapshot catalogue.Snapshot) bool {
+		return snapshot.ID == lost || !usable(&snapshot, query.Indexes, s.options.Pool)
+	})
+	if len(others) == 0 {
+		return nil
+	}
+	return &others[len(others)-1]
+}
--- /dev/null
+++ b/internal/replica/latency.go
@@ -0,0 +1,110 @@
+package replica
+
+import (
+	"math/bits"
+	"sync/atomic"
+	"time"
+)
+
+// The latency window keeps counts in buckets of a quarter of a power of two
+// of microseconds: the error is under 25%.
+const (
+	subBuckets    = 4
+	subBucketBits = 2
+	bucketCount   = 32 * subBuckets
+	// windowSamples is the number of samples after which the older half of
+	// the window is dropped.
+	windowSamples = 512
+	// leastSamples is the number below which a quantile is not known.
+	leastSamples = 20
+	// cacheSamples is the number of samples between two computations.
+	cacheSamples = 32
+)
+
+// latencyWindow estimates quantiles of the latest 512 to 1,024 latencies. It
+// is safe for concurrent use; samples that race a rotation may be lost.
+type latencyWindow struct {
+	halves  [2]latencyHalf
+	current atomic.Uint32
+	total   atomic.Uint64
+	cached  atomic.Pointer[cachedQuantile]
+}
+
+type latencyHalf struct {
+	counts [bucketCount]atomic.Uint32
+	size   atomic.Uint32
+}
+
+type cachedQuantile struct {
+	quantile float64
+	value    time.Duration
+	until    uint64
+}
+
+func bucketOf(latency time.Duration) int {
+	micros := uint64(max(latency.Microseconds(), 1))
+	exponent := bits.Len64(micros) - 1
+	fraction := 0
+	if exponent >= subBucketBits {
+		fraction = int(micros>>(exponent-subBucketBits)) & (subBuckets - 1)
+	}
+	return min(exponent*subBuckets+fraction, bucketCount-1)
+}
+
+// bucketEnd returns the upper edge of a bucket.
+func bucketEnd(bucket int) time.Duration {
+	exponent, fraction := bucket/subBuckets, bucket%subBuckets
+	micros := float64(uint64(1)<<exponent) * (1 + float64(fraction+1)/subBuckets)
+	return time.Duration(micros * float64(time.Microsecond))
+}
+
+// Record adds one latency.
+func (w *latencyWindow) Record(latency time.Duration) {
+	half := &w.halves[w.current.Load()&1]
+	half.counts[bucketOf(latency)].Add(1)
+	w.total.Add(1)
+	if half.size.Add(1) == windowSamples {
+		w.rotate()
+	}
+}
+
+func (w *latencyWindow) rotate() {
+	next := &w.halves[(w.current.Load()+1)&1]
+	for i := range next.counts {
+		next.counts[i].Store(0)
+	}
+	next.size.Store(0)
+	w.current.Add(1)
+}
+
+// Quantile returns the latency below which a share of the window lies, or 0
+// while there are too few samples.
+func (w *latencyWindow) Quantile(quantile float64) time.Duration {
+	total := w.total.Load()
+	if total < leastSamples {
+		return 0
+	}
+	if cached := w.cached.Load(); cached != nil && cached.quantile == quantile && total < cached.until {
+		return cached.value
+	}
+	value := w.compute(quantile)
+	w.cached.Store(&cachedQuantile{quantile: quantile, value: value, until: total + cacheSamples})
+	return value
+}
+
+func (w *latencyWindow) compute(quantile float64) time.Duration {
+	var counts [bucketCount]uint32
+	var sum uint32
+	for i := range counts {
+		counts[i] = w.halves[0].counts[i].Load() + w.halves[1].counts[i].Load()
+		sum += counts[i]
+	}
+	rank := uint32(quantile * float64(sum))
+	for i, count := range counts {
+		if count > rank {
+			return bucketEnd(i)
+		}
+		rank -= count
+	}
+	return bucketEnd(bucketCount - 1)
+}
--- /dev/null
+++ b/internal/replica/pool_test.go
@@ -0,0 +1,307 @@
+package replica
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/doorpond/doorpond/client"
+	"github.com/doorpond/doorpond/internal/backendapi"
+	"github.com/doorpond/doorpond/internal/blackboard"
+	"github.com/doorpond/doorpond/internal/decision"
+	"github.com/doorpond/doorpond/internal/failure"
+	"github.com/doorpond/doorpond/internal/topology"
+)
+
+func TestSearchOutcomes(t *testing.T) {
+	good, _ := json.Marshal(goodReply())
+	cases := []struct {
+		name    string
+		handler http.HandlerFunc
+		want    decision.Outcome
+		notRun  bool
+	}{
+		{"whole reply", changed(func(*backendapi.SearchReply) {}), decision.Success, false},
+		{"no hits", changed(func(r *backendapi.SearchReply) { r.Hits, r.Count, r.Total = nil, 0, 0 }), decision.Success, false},
+		{"crossed query", changed(func(r *backendapi.SearchReply) { r.QueryID = "q2" }), decision.Invalid, false},
+		{"crossed attempt", changed(func(r *backendapi.SearchReply) { r.Attempt = 1 }), decision.Invalid, false},
+		{"wrong snapshot", changed(func(r *backendapi.SearchReply) { r.Snapshot = 6 }), decision.Invalid, false},
+		{"wrong index", changed(func(r *backendapi.SearchReply) { r.Index = "cues" }), decision.Invalid, false},
+		{"wrong shard", changed(func(r *backendapi.SearchReply) { r.Shard = 2 }), decision.Invalid, false},
+		{"wrong number of shards", changed(func(r *backendapi.SearchReply) { r.Shards = 4 }), decision.Invalid, false},
+		{"short of its count", changed(func(r *backendapi.SearchReply) { r.Hits = r.Hits[:1] }), decision.Invalid, false},
+		{"short of the limit", changed(func(r *backendapi.SearchReply) { r.Hits, r.Count = r.Hits[:1], 1 }), decision.Invalid, false},
+		{"over the limit", changed(func(r *backendapi.SearchReply) {
+			r.Hits, r.Count = append(r.Hits, client.Hit{ID: "c", Index: "cards"}), 3
+		}), decision.Invalid, false},
+		{"total under count", changed(func(r *backendapi.SearchReply) { r.Total = 1 }), decision.Invalid, false},
+		{"hit twice", changed(func(r *backendapi.SearchReply) { r.Hits[1].ID = "a" }), decision.Invalid, false},
+		{"hit of another index", changed(func(r *backendapi.SearchReply) { r.Hits[1].Index = "cues" }), decision.Invalid, false},
+		{"reply doubled", write(string(good) + string(good)), decision.Invalid, false},
+		{"half of the JSON", write(string(good[:len(good)/2])), decision.Invalid, false},
+		{"empty body", write(""), decision.Invalid, false},
+		{"cut body", truncate, decision.Failed, false},
+		{"over the size limit", write(string(good) + strings.Repeat(" ", 5000)), decision.Failed, false},
+		{"cut after the write", cut, decision.Failed, false},
+		{"server error", answer(http.StatusInternalServerError, nil), decision.Failed, false},
+		{"shed", refused(http.StatusTooManyRequests, backendapi.RefusedShed, true), decision.Shed, true},
+		{"draining", refused(http.StatusServiceUnavailable, backendapi.RefusedDraining, true), decision.Draining, true},
+		{"snapshot not held", refused(http.StatusGone, backendapi.RefusedSnapshotNotHeld, true), decision.SnapshotNotHeld, true},
+		{"deadline passed", refused(http.StatusServiceUnavailable, backendapi.RefusedDeadlinePassed, true), decision.DeadlinePassed, true},
+		{"refusal that ran", refused(http.StatusTooManyRequests, backendapi.RefusedShed, false), decision.Failed, false},
+		{"refusal with a strange status", refused(http.StatusBadGateway, backendapi.RefusedShed, true), decision.Failed, false},
+		{"503 without a refusal", write503, decision.Failed, false},
+	}
+	for _, protocol := range []Protocol{ProtocolHTTP1, ProtocolH2C} {
+		for _, test := range cases {
+			t.Run(string(protocol)+"/"+test.name, func(t *testing.T) {
+				result, _ := searchOnce(t, protocol, test.handler)
+				if result.Outcome != test.want || result.NotRun != test.notRun {
+					t.Errorf("outcome %d not run %v, want %d %v (%v)", result.Outcome, result.NotRun, test.want, test.notRun, result.Err)
+				}
+			})
+		}
+	}
+}
+
+func write503(w http.ResponseWriter, _ *http.Request) {
+	http.Error(w, "busy", http.StatusServiceUnavailable)
+}
+
+func searchOnce(t *testing.T, protocol Protocol, handler http.HandlerFunc) (SearchResult, *Handle) {
+	t.Helper()
+	backend := &testBackend{Server: httptest.NewUnstartedServer(handler)}
+	backend.Config.Protocols = new(http.Protocols)
+	backend.Config.Protocols.SetHTTP1(true)
+	backend.Config.Protocols.SetUnencryptedHTTP2(protocol == ProtocolH2C)
+	backend.Start()
+	t.Cleanup(backend.Close)
+	board := &blackboard.Board{}
+	publish(board, backend.address())
+	pool := newTestPool(t, board, func(options *PoolOptions) { options.Protocol = protocol })
+	handle := pool.Acquire(testGroup, callWeights, nil)
+	if handle == nil {
+		t.Fatal("no replica")
+	}
+	result := pool.Search(t.Context(), handle, searchRequest())
+	if inFlight := handle.inFlight.Load(); inFlight != 0 {
+		t.Errorf("%d requests in flight after the end", inFlight)
+	}
+	return result, handle
+}
+
+// closedAddress is one where nothing listens.
+func closedAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+func TestSearchConnectionRefused(t *testing.T) {
+	board := &blackboard.Board{}
+	publish(board, closedAddress(t))
+	pool := newTestPool(t, board, nil)
+	result := pool.Search(t.Context(), pool.Acquire(testGroup, callWeights, nil), searchRequest())
+	if result.Outcome != decision.Failed || !result.NotRun {
+		t.Errorf("outcome %d not run %v, want failed and not run", result.Outcome, result.NotRun)
+	}
+}
+
+func TestSearchCancelledIsUnclear(t *testing.T) {
+	arrived := make(chan struct{})
+	backend := newBackend(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		close(arrived)
+		<-r.Context().Done()
+	})
+	board := &blackboard.Board{}
+	publish(board, backend.address())
+	pool := newTestPool(t, board, nil)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { <-arrived; cancel() }()
+	result := pool.Search(ctx, pool.Acquire(testGroup, callWeights, nil), searchRequest())
+	if result.Outcome != decision.Failed || result.NotRun {
+		t.Errorf("outcome %d not run %v, want failed and unclear", result.Outcome, result.NotRun)
+	}
+}
+
+func TestConnectionBudgetHolds(t *testing.T) {
+	release := make(chan struct{})
+	backend := newBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		<-release
+		answer(http.StatusOK, goodReply())(w, r)
+	})
+	board := &blackboard.Board{}
+	publish(board, backend.address())
+	pool := newTestPool(t, board, nil)
+	const budget = 9 // nine tenths of the limit of 10
+	results := make(chan SearchResult)
+	handle := pool.Acquire(testGroup, callWeights, nil)
+	go func() { results <- pool.Search(t.Context(), handle, searchRequest()) }()
+	for range budget - 1 {
+		handle := pool.Acquire(testGroup, callWeights, nil)
+		go func() { results <- pool.Search(t.Context(), handle, searchRequest()) }()
+	}
+	if extra := pool.Acquire(testGroup, callWeights, nil); extra != nil {
+		t.Error("a request over the connection budget was let through")
+	}
+	close(release)
+	for range budget {
+		if result := <-results; result.Outcome != decision.Success {
+			t.Errorf("outcome %d: %v", result.Outcome, result.Err)
+		}
+	}
+	if open := handle.Connections(); open > budget {
+		t.Errorf("%d connections open, over the budget of %d", open, budget)
+	}
+}
+
+func callRequest() backendapi.CallRequest {
+	return backendapi.CallRequest{Key: "refund-1", Operation: "credit", TimeoutMilliseconds: 1000}
+}
+
+func TestCallOutcomes(t *testing.T) {
+	good := answer(http.StatusOK, backendapi.CallReply{Key: "refund-1", Result: json.RawMessage(`{}`)})
+	cases := []struct {
+		name    string
+		handler http.HandlerFunc
+		kind    failure.Kind
+		notRun  bool
+		// requests to the first replica and to both together
+		first, total int64
+	}{
+		{"ran", good, "", false, 1, 1},
+		{"shed goes to another replica", refused(http.StatusTooManyRequests, backendapi.RefusedShed, true), "", false, 1, 2},
+		{"cut after the write is never repeated", cut, failure.OutcomeUnknown, false, 1, 1},
+		{"server error is never repeated", answer(http.StatusInternalServerError, nil), failure.OutcomeUnknown, false, 1, 1},
+		{"reply to another key", answer(http.StatusOK, backendapi.CallReply{Key: "refund-2"}), failure.OutcomeUnknown, false, 1, 1},
+		{"half of the JSON", write(`{"key":"refund-1"`), failure.OutcomeUnknown, false, 1, 1},
+		{"cut body", truncate, failure.OutcomeUnknown, false, 1, 1},
+		{"refusal that ran", refused(http.StatusTooManyRequests, backendapi.RefusedShed, false), failure.OutcomeUnknown, false, 1, 1},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			first, second := newBackend(t, test.handler), newBackend(t, good)
+			board := &blackboard.Board{}
+			publish(board, first.address(), second.address())
+			pool := newTestPool(t, board, nil)
+			_, err := pool.Call(t.Context(), testGroup, callRequest())
+			checkCallError(t, err, test.kind, test.notRun)
+			total := first.requests.Load() + second.requests.Load()
+			if first.requests.Load() != test.first || total != test.total {
+				t.Errorf("%d requests to the first and %d in all, want %d and %d", first.requests.Load(), total, test.first, test.total)
+			}
+		})
+	}
+}
+
+func checkCallError(t *testing.T, err error, kind failure.Kind, notRun bool) {
+	t.Helper()
+	if kind == "" {
+		if err != nil {
+			t.Errorf("error %v", err)
+		}
+		return
+	}
+	if err == nil {
+		t.Fatalf("no error, want %s", kind)
+	}
+	if known := failure.From(err); known.Kind != kind || known.NotRun != notRun {
+		t.Errorf("error %v not run %v, want %s %v", err, known.NotRun, kind, notRun)
+	}
+}
+
+// TestCallNotReplayedOnReusedConnection cuts a kept-alive connection after the
+// request was written, which is when net/http would replay an idempotent one.
+func TestCallNotReplayedOnReusedConnection(t *testing.T) {
+	var served atomic.Int64
+	good := answer(http.StatusOK, backendapi.CallReply{Key: "refund-1"})
+	backend := newBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		if served.Add(1) == 1 {
+			good(w, r)
+			return
+		}
+		cut(w, r)
+	})
+	board := &blackboard.Board{}
+	publish(board, backend.address())
+	pool := newTestPool(t, board, nil)
+	if _, err := pool.Call(t.Context(), testGroup, callRequest()); err != nil {
+		t.Fatal(err)
+	}
+	_, err := pool.Call(t.Context(), testGroup, callRequest())
+	checkCallError(t, err, failure.OutcomeUnknown, false)
+	if served.Load() != 2 {
+		t.Errorf("the back end saw %d requests, want 2", served.Load())
+	}
+}
+
+func TestCallRefusedByAll(t *testing.T) {
+	board := &blackboard.Board{}
+	publish(board, closedAddress(t), closedAddress(t))
+	pool := newTestPool(t, board, nil)
+	_, err := pool.Call(t.Context(), testGroup, callRequest())
+	checkCallError(t, err, failure.BackendRefused, true)
+	_, err = pool.Call(t.Context(), "unknown", callRequest())
+	checkCallError(t, err, failure.NoReplica, true)
+	late := callRequest()
+	late.NotAfterUnixMilliseconds = 1
+	_, err = pool.Call(t.Context(), testGroup, late)
+	checkCallError(t, err, failure.DeadlineExceeded, true)
+}
+
+func TestDrainingReplyTakesReplicaOut(t *testing.T) {
+	backend := newBackend(t, changed(func(r *backendapi.SearchReply) { r.Draining = true }))
+	board := &blackboard.Board{}
+	tracker := NewTracker(TrackerOptions{Lister: &fakeLister{}, Board: board})
+	tracker.accept([]topology.Replica{{Address: backend.address(), Incarnation: "1", Group: testGroup, Slots: 1, ConnectionLimit: 9}})
+	pool := newTestPool(t, board, func(options *PoolOptions) { options.Tracker = tracker })
+	result := pool.Search(t.Context(), pool.Acquire(testGroup, callWeights, nil), searchRequest())
+	if result.Outcome != decision.Success {
+		t.Fatalf("outcome %d: %v", result.Outcome, result.Err)
+	}
+	if handle := pool.Acquire(testGroup, callWeights, nil); handle != nil {
+		t.Error("a draining replica was given new work")
+	}
+}
+
+func TestEjectionNeverEmptiesAGroup(t *testing.T) {
+	bad := newBackend(t, answer(http.StatusInternalServerError, nil))
+	fine := newBackend(t, answer(http.StatusOK, goodReply()))
+	board := &blackboard.Board{}
+	publish(board, bad.address(), fine.address(), fine.address())
+	pool := newTestPool(t, board, nil)
+	fail := func(handle *Handle) {
+		for range ejectAfter {
+			handle.inFlight.Add(1)
+			pool.Search(t.Context(), handle, searchRequest())
+		}
+	}
+	handles := pool.current().groups[testGroup].handles
+	fail(handles[0])
+	if statuses := pool.Statuses(); !slices.ContainsFunc(statuses, func(s Status) bool { return s.Ejected }) {
+		t.Errorf("%d failures in a row did not eject: %+v", ejectAfter, statuses)
+	}
+	for range 20 {
+		handle := pool.Acquire(testGroup, callWeights, nil)
+		if handle == handles[0] {
+			t.Fatal("an ejected replica was chosen before the others")
+		}
+		handle.release()
+	}
+	publish(board, bad.address())
+	if pool.Acquire(testGroup, callWeights, nil) == nil {
+		t.Error("ejection emptied the group")
+	}
+}
--- /dev/null
+++ b/internal/replica/search.go
@@ -0,0 +1,144 @@
+package replica
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/doorpond/doorpond/internal/backendapi"
+	"github.com/doorpond/doorpond/internal/decision"
+)
+
+// SearchResult is what came of one sub-request.
+type SearchResult struct {
+	Outcome decision.Outcome
+	// NotRun is true only when the replica provably did not run it.
+	NotRun     bool
+	RetryAfter time.Duration
+	// Reply is set on Success and has passed its checks.
+	Reply *backendapi.SearchReply
+	Err   error
+}
+
+// Search sends one sub-request to an acquired replica, once, and releases it.
+func (p *Pool) Search(ctx context.Context, handle *Handle, request *backendapi.SearchRequest) SearchResult {
+	defer handle.release()
+	started := p.options.Now()
+	exchanged := p.post(ctx, handle, handle.urls.search, request)
+	defer exchanged.free()
+	result := p.classifySearch(handle, request, &exchanged)
+	p.learn(ctx, handle, result, started)
+	p.metrics.outcomes[result.Outcome].Inc()
+	return result
+}
+
+func (p *Pool) classifySearch(handle *Handle, request *backendapi.SearchRequest, exchanged *exchange) SearchResult {
+	switch {
+	case overConnectionBudget(exchanged.err):
+		return SearchResult{Outcome: decision.Shed, NotRun: true, Err: exchanged.err}
+	case exchanged.err != nil:
+		return SearchResult{Outcome: decision.Failed, NotRun: exchanged.notSent, Err: exchanged.err}
+	case exchanged.status == http.StatusOK:
+		return p.decodeReply(handle, request, exchanged.body)
+	default:
+		return p.decodeRefusal(handle, exchanged)
+	}
+}
+
+func (p *Pool) decodeReply(handle *Handle, request *backendapi.SearchRequest, body []byte) SearchResult {
+	reply := &backendapi.SearchReply{}
+	if err := json.Unmarshal(body, reply); err != nil {
+		return SearchResult{Outcome: decision.Invalid, Err: eris.Wrap(err, "decode the reply")}
+	}
+	if err := checkReply(request, reply); err != nil {
+		return SearchResult{Outcome: decision.Invalid, Err: err}
+	}
+	p.noteReply(handle, reply.Load, reply.Draining, reply.Incarnation)
+	return SearchResult{Outcome: decision.Success, Reply: reply}
+}
+
+// noteReply takes in what a reply says of its replica.
+func (p *Pool) noteReply(handle *Handle, load backendapi.Load, draining bool, incarnation string) {
+	handle.observeLoad(load)
+	if !draining || p.options.Tracker == nil {
+		return
+	}
+	if incarnation == "" {
+		incarnation = handle.replica.Incarnation
+	}
+	p.options.Tracker.MarkLeaving(handle.replica.Address, incarnation)
+}
+
+// refusal returns the refusal in an exchange, or nil if it is not one: only a
+// decoded body that says so proves that the request did not run.
+func refusal(exchanged *exchange) *backendapi.Refusal {
+	switch exchanged.status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusGone:
+	default:
+		return nil
+	}
+	refused := &backendapi.Refusal{}
+	if err := json.Unmarshal(exchanged.body, refused); err != nil || !refused.NotRun {
+		return nil
+	}
+	return refused
+}
+
+func (p *Pool) decodeRefusal(handle *Handle, exchanged *exchange) SearchResult {
+	refused := refusal(exchanged)
+	if refused == nil {
+		return SearchResult{Outcome: decision.Failed, Err: eris.Errorf("status %d", exchanged.status)}
+	}
+	draining := refused.Draining || refused.Reason == backendapi.RefusedDraining
+	p.noteReply(handle, refused.Load, draining, refused.Incarnation)
+	return SearchResult{
+		Outcome:    refusalOutcome(refused.Reason),
+		NotRun:     true,
+		RetryAfter: time.Duration(refused.RetryAfterMilliseconds) * time.Millisecond,
+		Err:        eris.Errorf("refused: %s", refused.Reason),
+	}
+}
+
+func refusalOutcome(reason backendapi.RefusalReason) decision.Outcome {
+	switch reason {
+	case backendapi.RefusedShed:
+		return decision.Shed
+	case backendapi.RefusedDraining:
+		return decision.Draining
+	case backendapi.RefusedSnapshotNotHeld:
+		return decision.SnapshotNotHeld
+	case backendapi.RefusedDeadlinePassed:
+		return decision.DeadlinePassed
+	default:
+		return decision.Failed
+	}
+}
+
+// learn updates the replica's health by an outcome. A refusal is not a
+// failure, and neither is an exchange that this daemon gave up.
+func (p *Pool) learn(ctx context.Context, handle *Handle, result SearchResult, started time.Time) {
+	now := p.options.Now()
+	elapsed := now.Sub(started)
+	switch {
+	case result.Outcome == decision.Success:
+		handle.succeeded(now, elapsed)
+		p.recordLatency(handle.replica.Group, elapsed)
+	case result.Outcome == decision.Shed:
+		handle.cutLimit()
+	case result.Outcome == decision.Invalid:
+		handle.failed(now)
+	case result.Outcome == decision.Failed && ctx.Err() != nil:
+		handle.cancelled(now, elapsed)
+	case result.Outcome == decision.Failed:
+		handle.failed(now)
+	}
+}
+
+func (p *Pool) recordLatency(groupName string, latency time.Duration) {
+	if found := p.view.Load().groups[groupName]; found != nil {
+		found.state.latency.Record(latency)
+	}
+}
--- /dev/null
+++ b/internal/replica/tracker.go
@@ -0,0 +1,297 @@
+package replica
+
+import (
+	"cmp"
+	"context"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/doorpond/doorpond/internal/blackboard"
+	"github.com/doorpond/doorpond/internal/machines"
+	"github.com/doorpond/doorpond/internal/topology"
+)
+
+// The defaults of TrackerOptions.
+const (
+	defaultListInterval = 2 * time.Second
+	defaultColdFor      = 10 * time.Second
+)
+
+// TrackerOptions are what a Tracker needs. Zero values take defaults.
+type TrackerOptions struct {
+	Lister machines.Lister
+	Board  *blackboard.Board
+	// Interval between two readings of the machine list.
+	Interval time.Duration
+	// ColdFor is how long a newly listed process counts as cold.
+	ColdFor    time.Duration
+	Logger     *slog.Logger
+	Now        func() time.Time
+	Registerer prometheus.Registerer
+}
+
+// Tracker merges the machine list with the marks of leaving replicas and
+// publishes Board.Replicas. It is that section's one writer.
+type Tracker struct {
+	options TrackerOptions
+	metrics trackerMetrics
+
+	mutex     sync.Mutex
+	listed    []topology.Replica
+	firstSeen map[process]time.Time
+	marks     leavingMarks
+	notify    []func(address, incarnation string)
+	reachable bool
+	readings  int
+}
+
+// NewTracker makes a Tracker; Run starts it.
+func NewTracker(options TrackerOptions) *Tracker {
+	if options.Interval <= 0 {
+		options.Interval = defaultListInterval
+	}
+	if options.ColdFor <= 0 {
+		options.ColdFor = defaultColdFor
+	}
+	if options.Logger == nil {
+		options.Logger = slog.New(slog.DiscardHandler)
+	}
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	return &Tracker{
+		options:   options,
+		metrics:   newTrackerMetrics(options.Registerer),
+		firstSeen: make(map[process]time.Time),
+		marks:     newLeavingMarks(),
+		reachable: true,
+	}
+}
+
+// OnLeaving registers a function that is called once for each newly learned
+// leaving replica. It must not block.
+func (t *Tracker) OnLeaving(notify func(address, incarnation string)) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.notify = append(t.notify, notify)
+}
+
+// Run reads the list at once and then at each interval, until ctx ends.
+func (t *Tracker) Run(ctx context.Context) error {
+	ticker := time.NewTicker(t.options.Interval)
+	defer ticker.Stop()
+	for {
+		t.Refresh(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// Refresh reads the list once. A reading that fails or that lost every
+// replica keeps the last one.
+func (t *Tracker) Refresh(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, t.options.Interval)
+	defer cancel()
+	list, err := t.options.Lister.List(ctx)
+	if err != nil {
+		t.metrics.listFailures.Inc()
+		t.noteReachable(false, err)
+		t.republish()
+		return
+	}
+	t.noteReachable(true, nil)
+	t.accept(list.Replicas)
+}
+
+func (t *Tracker) noteReachable(reachable bool, cause error) {
+	t.mutex.Lock()
+	changed := t.reachable != reachable
+	t.reachable = reachable
+	t.mutex.Unlock()
+	if !changed {
+		return
+	}
+	if reachable {
+		t.options.Logger.Info("machine list reachable again")
+		return
+	}
+	t.options.Logger.Warn("machine list unreachable; keeping the last reading", "error", cause.Error())
+}
+
+func (t *Tracker) accept(replicas []topology.Replica) {
+	now := t.options.Now()
+	t.mutex.Lock()
+	if len(replicas) > 0 {
+		t.listed = slices.Clone(replicas)
+	}
+	t.readings++
+	fresh := t.absorb(now)
+	t.publish(now)
+	t.mutex.Unlock()
+	t.tell(fresh)
+}
+
+// absorb notes first sights and takes the list's own leaving marks.
+func (t *Tracker) absorb(now time.Time) []process {
+	var fresh []process
+	for _, replica := range t.listed {
+		listed := process{replica.Address, replica.Incarnation}
+		if _, known := t.firstSeen[listed]; !known {
+			t.firstSeen[listed] = t.birth(now)
+		}
+		t.marks.see(listed, now)
+		if replica.State == topology.ReplicaLeaving && t.marks.add(listed, now) {
+			fresh = append(fresh, listed)
+		}
+	}
+	t.marks.forgetOld(now)
+	t.forgetUnlisted()
+	return fresh
+}
+
+// birth dates the processes of the first reading back, as they may have run
+// for long.
+func (t *Tracker) birth(now time.Time) time.Time {
+	if t.readings <= 1 {
+		return now.Add(-t.options.ColdFor)
+	}
+	return now
+}
+
+func (t *Tracker) forgetUnlisted() {
+	if len(t.firstSeen) <= 2*len(t.listed) {
+		return
+	}
+	present := make(map[process]bool, len(t.listed))
+	for _, replica := range t.listed {
+		present[process{replica.Address, replica.Incarnation}] = true
+	}
+	for known := range t.firstSeen {
+		if !present[known] {
+			delete(t.firstSeen, known)
+		}
+	}
+}
+
+// MarkLeaving records that a process is leaving, learned from its reply or
+// from a peer. Without an incarnation, the listed process at the address is
+// meant.
+func (t *Tracker) MarkLeaving(address, incarnation string) {
+	now := t.options.Now()
+	t.mutex.Lock()
+	if incarnation == "" {
+		incarnation = t.listedIncarnation(address)
+	}
+	marked := process{address, incarnation}
+	fresh := t.marks.add(marked, now)
+	if fresh {
+		t.publish(now)
+	}
+	t.mutex.Unlock()
+	if fresh {
+		t.options.Logger.Info("replica leaving", "address", address, "incarnation", incarnation)
+		t.tell([]process{marked})
+	}
+}
+
+func (t *Tracker) listedIncarnation(address string) string {
+	for _, replica := range t.listed {
+		if replica.Address == address {
+			return replica.Incarnation
+		}
+	}
+	return ""
+}
+
+// Leaving returns the address and incarnation of each marked process.
+func (t *Tracker) Leaving() []topology.Replica {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	leaving := make([]topology.Replica, 0, len(t.marks.lastSeen))
+	for marked := range t.marks.lastSeen {
+		leaving = append(leaving, topology.Replica{
+			Address: marked.address, Incarnation: marked.incarnation, State: topology.ReplicaLeaving,
+		})
+	}
+	slices.SortFunc(leaving, compareReplicas)
+	return leaving
+}
+
+func (t *Tracker) tell(fresh []process) {
+	t.mutex.Lock()
+	notify := slices.Clone(t.notify)
+	t.mutex.Unlock()
+	for _, marked := range fresh {
+		for _, call := range notify {
+			call(marked.address, marked.incarnation)
+		}
+	}
+}
+
+func (t *Tracker) republish() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.readings > 0 {
+		t.publish(t.options.Now())
+	}
+}
+
+// publish must be called with the mutex held. It writes only what differs.
+func (t *Tracker) publish(now time.Time) {
+	if t.readings == 0 {
+		return
+	}
+	groups := make(map[string][]topology.Replica)
+	leaving := 0
+	for _, replica := range t.listed {
+		replica.State = t.state(replica, now)
+		if replica.State == topology.ReplicaLeaving {
+			leaving++
+		}
+		groups[replica.Group] = append(groups[replica.Group], replica)
+	}
+	for _, replicas := range groups {
+		slices.SortFunc(replicas, compareReplicas)
+	}
+	t.metrics.replicas.Set(float64(len(t.listed)))
+	t.metrics.leaving.Set(float64(leaving))
+	if current := t.options.Board.Replicas.Load(); current != nil && sameGroups(current.Groups, groups) {
+		return
+	}
+	t.options.Board.Replicas.Publish(&topology.Replicas{Groups: groups})
+}
+
+func (t *Tracker) state(replica topology.Replica, now time.Time) topology.ReplicaState {
+	listed := process{replica.Address, replica.Incarnation}
+	switch {
+	case t.marks.has(listed):
+		return topology.ReplicaLeaving
+	case replica.State == topology.ReplicaCold, now.Sub(t.firstSeen[listed]) < t.options.ColdFor:
+		return topology.ReplicaCold
+	default:
+		return topology.ReplicaServing
+	}
+}
+
+func compareReplicas(a, b topology.Replica) int {
+	return cmp.Or(cmp.Compare(a.Address, b.Address), cmp.Compare(a.Incarnation, b.Incarnation))
+}
+
+func sameGroups(a, b map[string][]topology.Replica) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for name, replicas := range a {
+		if !slices.Equal(replicas, b[name]) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/replica/tracker_test.go
@@ -0,0 +1,111 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/doorpond/doorpond/internal/blackboard"
+	"github.com/doorpond/doorpond/internal/machines"
+	"github.com/doorpond/doorpond/internal/topology"
+)
+
+type fakeLister struct {
+	replicas []topology.Replica
+	err      error
+}
+
+func (f *fakeLister) List(context.Context) (machines.List, error) {
+	return machines.List{Replicas: f.replicas}, f.err
+}
+
+func listed(incarnation string, state topology.ReplicaState) []topology.Replica {
+	return []topology.Replica{{Address: "127.0.0.1:1", Incarnation: incarnation, Group: testGroup, State: state}}
+}
+
+func TestTracker(t *testing.T) {
+	const (
+		serving = topology.ReplicaServing
+		cold    = topology.ReplicaCold
+		leaving = topology.ReplicaLeaving
+	)
+	type step struct {
+		list []topology.Replica
+		err  error
+		mark string
+		wait time.Duration
+		want []topology.ReplicaState
+	}
+	first, second := listed("1", serving), listed("2", serving)
+	cases := []struct {
+		name     string
+		steps    []step
+		notified []string
+	}{
+		{"listed", []step{{list: first, want: []topology.ReplicaState{serving}}}, nil},
+		{"list says leaving, then flaps", []step{
+			{list: listed("1", leaving), want: []topology.ReplicaState{leaving}},
+			{list: first, want: []topology.ReplicaState{leaving}},
+		}, []string{"1"}},
+		{"marked by a reply; the list lags", []step{
+			{list: first, want: []topology.ReplicaState{serving}},
+			{list: first, mark: "1", want: []topology.ReplicaState{leaving}},
+			{list: first, mark: "1", want: []topology.ReplicaState{leaving}},
+		}, []string{"1"}},
+		{"a new incarnation is free, cold and then warm; the old one flaps back", []step{
+			{list: first, mark: "1", want: []topology.ReplicaState{leaving}},
+			{list: second, want: []topology.ReplicaState{cold}},
+			{list: second, wait: time.Minute, want: []topology.ReplicaState{serving}},
+			{list: first, want: []topology.ReplicaState{leaving}},
+		}, []string{"1"}},
+		{"marked before it is listed", []step{
+			{mark: "1", err: errors.New("down")},
+			{list: first, want: []topology.ReplicaState{leaving}},
+		}, []string{"1"}},
+		{"an error keeps the last reading", []step{
+			{list: first, want: []topology.ReplicaState{serving}},
+			{err: errors.New("down"), want: []topology.ReplicaState{serving}},
+		}, nil},
+		{"an empty list keeps the last reading", []step{
+			{list: first, want: []topology.ReplicaState{serving}},
+			{want: []topology.ReplicaState{serving}},
+		}, nil},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			lister := &fakeLister{}
+			board := &blackboard.Board{}
+			tracker := NewTracker(TrackerOptions{Lister: lister, Board: board, Now: func() time.Time { return now }})
+			var notified []string
+			tracker.OnLeaving(func(_, incarnation string) { notified = append(notified, incarnation) })
+			for number, step := range test.steps {
+				now = now.Add(step.wait)
+				lister.replicas, lister.err = step.list, step.err
+				tracker.Refresh(t.Context())
+				if step.mark != "" {
+					tracker.MarkLeaving("127.0.0.1:1", step.mark)
+				}
+				if diff := cmp.Diff(step.want, states(board)); diff != "" {
+					t.Errorf("step %d (-want +got):\n%s", number, diff)
+				}
+			}
+			if diff := cmp.Diff(test.notified, notified); diff != "" {
+				t.Errorf("notified (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func states(board *blackboard.Board) []topology.ReplicaState {
+	var all []topology.ReplicaState
+	if published := board.Replicas.Load(); published != nil {
+		for _, replica := range published.Groups[testGroup] {
+			all = append(all, replica.State)
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/internal/replica/transport.go
@@ -0,0 +1,193 @@
+package replica
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Protocol is the HTTP version spoken to back ends.
+type Protocol string
+
+// The protocols.
+const (
+	ProtocolHTTP1 Protocol = "http1"
+	// ProtocolH2C is HTTP/2 without TLS, by prior knowledge.
+	ProtocolH2C Protocol = "h2c"
+)
+
+// The constants of a transport.
+const (
+	idleTimeout       = 60 * time.Second
+	dialTimeout       = time.Second
+	maxIdlePerReplica = 128
+	maxHeaderBytes    = 16 << 10
+	bufferKept        = 256 << 10
+)
+
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+func newTransport(handle *Handle, options PoolOptions) *http.Transport {
+	protocols := new(http.Protocols)
+	if options.Protocol == ProtocolH2C {
+		protocols.SetUnencryptedHTTP2(true)
+	} else {
+		protocols.SetHTTP1(true)
+	}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			return handle.dial(ctx, network, address, options.Dial)
+		},
+		TLSClientConfig:        options.TLS,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    maxIdlePerReplica,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		Protocols:              protocols,
+	}
+}
+
+// countedConnection counts its bytes written and reports its close once.
+type countedConnection struct {
+	net.Conn
+	written atomic.Int64
+	once    sync.Once
+	closed  func()
+}
+
+// Write counts before it writes, so that a write under way is never taken for
+// none.
+func (c *countedConnection) Write(data []byte) (int, error) {
+	c.written.Add(int64(len(data)))
+	return c.Conn.Write(data)
+}
+
+func (c *countedConnection) Close() error {
+	err := c.Conn.Close()
+	c.once.Do(c.closed)
+	return err
+}
+
+// exchange is what came of one POST to a replica.
+type exchange struct {
+	status int
+	body   []byte
+	err    error
+	// notSent is true only when no byte of the request was written.
+	notSent bool
+	buffer  *bytes.Buffer
+}
+
+var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
+// free gives the body's memory back.
+func (e *exchange) free() {
+	if e.buffer != nil && e.buffer.Cap() <= bufferKept {
+		buffers.Put(e.buffer)
+	}
+	e.buffer, e.body = nil, nil
+}
+
+// requestBody hides its reader's type, so that the transport finds no way to
+// read the body a second time and replay the request.
+type requestBody struct{ reader bytes.Reader }
+
+func (b *requestBody) Read(p []byte) (int, error) { return b.reader.Read(p) }
+func (b *requestBody) Close() error               { return nil }
+
+var requestHeader = http.Header{"Content-Type": {"application/json"}}
+
+// sendWatch finds out whether any byte of a request was written.
+type sendWatch struct {
+	connection atomic.Pointer[countedConnection]
+	before     atomic.Int64
+	unclear    atomic.Bool
+}
+
+func (w *sendWatch) gotConnection(info httptrace.GotConnInfo) {
+	connection, plain := info.Conn.(*countedConnection)
+	if !plain {
+		w.unclear.Store(true)
+		return
+	}
+	w.before.Store(connection.written.Load())
+	w.connection.Store(connection)
+}
+
+// nothingWritten is only sure when the exchange has failed by itself; after a
+// cancellation the transport may still be writing.
+func (w *sendWatch) nothingWritten(multiplex bool) bool {
+	if w.unclear.Load() {
+		return false
+	}
+	connection := w.connection.Load()
+	if connection == nil {
+		return true
+	}
+	return !multiplex && connection.written.Load() == w.before.Load()
+}
+
+// post sends one request once: there is no GetBody and no idempotency header,
+// so net/http does not replay it after a byte was written.
+func (p *Pool) post(ctx context.Context, handle *Handle, target *url.URL, message any) exchange {
+	encoded, err := json.Marshal(message)
+	if err != nil {
+		return exchange{err: eris.Wrap(err, "encode the request"), notSent: true}
+	}
+	watch := &sendWatch{}
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: watch.gotConnection})
+	body := &requestBody{}
+	body.reader.Reset(encoded)
+	request := (&http.Request{
+		Method: http.MethodPost, URL: target, Host: target.Host, Header: requestHeader,
+		Body: body, ContentLength: int64(len(encoded)), Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}).WithContext(traced)
+	response, err := handle.transport.RoundTrip(request)
+	if err != nil {
+		gaveUp := ctx.Err() != nil && watch.connection.Load() != nil
+		return exchange{
+			err:     eris.Wrapf(err, "post to %s", target.Host),
+			notSent: !gaveUp && watch.nothingWritten(handle.multiplex),
+		}
+	}
+	return p.readBody(response)
+}
+
+var errReplyTooLarge = eris.New("reply over the size limit")
+
+// readBody reads the whole body. A body that is over the limit or broken is
+// closed unread, and its connection with it.
+func (p *Pool) readBody(response *http.Response) exchange {
+	defer func() { _ = response.Body.Close() }() // the reading has failed already if this does
+	buffer := buffers.Get().(*bytes.Buffer)
+	buffer.Reset()
+	result := exchange{status: response.StatusCode, buffer: buffer}
+	size, err := buffer.ReadFrom(io.LimitReader(response.Body, p.options.MaxReplyBytes+1))
+	switch {
+	case err != nil:
+		result.err = eris.Wrap(err, "read the reply")
+	case size > p.options.MaxReplyBytes:
+		result.err = errReplyTooLarge
+	}
+	result.body = buffer.Bytes()
+	return result
+}
+
+func overConnectionBudget(err error) bool { return errors.Is(err, errConnectionBudget) }
+
+// plainDial is the dial function used unless options give another.
+func plainDial(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: idleTimeout}
+	return dialer.DialContext(ctx, network, address)
+}
