Membership core and node, peer protocol, administration port, operators' command line

Cause: daemons must know each other and spread table revisions and drains without watching the store. Before: none.

--- /dev/null
+++ b/internal/admin/admin_test.go
@@ -0,0 +1,239 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/doorpond/doorpond/client"
+	"github.com/doorpond/doorpond/internal/blackboard"
+	"github.com/doorpond/doorpond/internal/failure"
+	"github.com/doorpond/doorpond/internal/peer"
+	"github.com/doorpond/doorpond/internal/policy"
+	"github.com/doorpond/doorpond/internal/policytable"
+	"github.com/doorpond/doorpond/internal/topology"
+)
+
+type fakeEditor struct {
+	applied atomic.Int32
+	err     error
+}
+
+func (e *fakeEditor) Apply(context.Context, policytable.Edit) (policy.Change, error) {
+	e.applied.Add(1)
+	return policy.Change{ID: "c", Revision: 8}, e.err
+}
+func (e *fakeEditor) Diff(context.Context, policytable.Edit) ([]string, error) {
+	return []string{"line"}, e.err
+}
+func (e *fakeEditor) History(_ context.Context, limit int) ([]policy.Change, error) {
+	return []policy.Change{{ID: "c", Revision: uint64(limit)}}, e.err
+}
+func (e *fakeEditor) Restore(_ context.Context, author string) (policy.Change, error) {
+	return policy.Change{Author: author, Revision: 9}, e.err
+}
+
+// fakePeers reach a revision at a time since the start.
+type fakePeers struct {
+	start   time.Time
+	reachAt map[string]time.Duration
+}
+
+func (p *fakePeers) State(_ context.Context, address string) (peer.NodeState, error) {
+	at, known := p.reachAt[address]
+	if !known {
+		return peer.NodeState{}, failure.New(failure.NoReplica, "gone")
+	}
+	revision := uint64(7)
+	if time.Since(p.start) >= at {
+		revision = 8
+	}
+	return peer.NodeState{Member: topology.Member{ID: address}, TableRevision: revision}, nil
+}
+
+func fixture(editor *fakeEditor, peers *fakePeers) Options {
+	board := &blackboard.Board{}
+	serving := blackboard.PhaseServing
+	board.Phase.Publish(&serving)
+	board.Table.Publish(policy.NewIndex(&policy.Table{Revision: 8, Policies: []policy.Row{{Name: "fast"}}}))
+	members := []topology.Member{{ID: "a", PeerAddress: "a"}, {ID: "b", PeerAddress: "b"}, {ID: "c", PeerAddress: "c"}}
+	board.Members.Publish(&topology.Members{Self: members[0], Members: members})
+	return Options{Board: board, Editor: editor, Peers: peers, Registerer: prometheus.NewRegistry(), Gatherer: prometheus.NewRegistry(),
+		State: func() peer.NodeState { return peer.NodeState{Member: members[0], TableRevision: 8} }}
+}
+
+func ask(handler http.Handler, method, path, body, token string) *httptest.ResponseRecorder {
+	request := httptest.NewRequest(method, path, strings.NewReader(body))
+	if token != "" {
+		request.Header.Set("Authorization", "Bearer "+token)
+	}
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, request)
+	return recorder
+}
+
+func TestAnswers(t *testing.T) {
+	conflict := failure.New(failure.Conflict, "changed by ama")
+	cases := []struct {
+		name, method, path, body, token string
+		editError                       error
+		status                          int
+		kind                            failure.Kind
+		contains                        string
+		applied                         int32
+	}{
+		{name: "health", path: "/healthz", status: 200},
+		{name: "ready", path: "/readyz", status: 200},
+		{name: "metrics", path: "/metrics", status: 200},
+		{name: "table", path: "/v1/table", status: 200, contains: `"revision":8`},
+		{name: "policy", path: "/v1/policies/fast", status: 200, contains: `"name":"fast"`},
+		{name: "no such policy", path: "/v1/policies/slow", status: 404, kind: failure.NotFound},
+		{name: "history", path: "/v1/history?limit=3", status: 200, contains: `"revision":3`},
+		{name: "history, bad limit", path: "/v1/history?limit=-1", status: 400, kind: failure.InvalidRequest},
+		{name: "members", path: "/v1/members", status: 200, contains: `"id":"b"`},
+		{name: "replicas", path: "/v1/replicas", status: 200, contains: `"groups":{}`},
+		{name: "edit", method: "POST", path: "/v1/edits", body: `{"author":"ama"}`, token: "secret", status: 200, contains: `"revision":8`, applied: 1},
+		{name: "dry run", method: "POST", path: "/v1/edits?dry_run=true", body: `{}`, token: "secret", status: 200, contains: `"diff":["line"]`},
+		{name: "dry run misspelt", method: "POST", path: "/v1/edits?dry_run=ja", body: `{}`, token: "secret", status: 400, kind: failure.InvalidRequest},
+		{name: "wait too long", method: "POST", path: "/v1/edits?wait=1h", body: `{}`, token: "secret", status: 400, kind: failure.InvalidRequest},
+		{name: "edit without token", method: "POST", path: "/v1/edits", body: `{}`, status: 401, kind: failure.Unauthorized},
+		{name: "edit with wrong token", method: "POST", path: "/v1/edits", body: `{}`, token: "other", status: 401, kind: failure.Unauthorized},
+		{name: "profile without token", path: "/debug/pprof/", status: 401, kind: failure.Unauthorized},
+		{name: "unknown field", method: "POST", path: "/v1/edits", body: `{"polices":[]}`, token: "secret", status: 400, kind: failure.InvalidRequest},
+		{name: "two documents", method: "POST", path: "/v1/edits", body: `{}{}`, token: "secret", status: 400, kind: failure.InvalidRequest},
+		{name: "too large", method: "POST", path: "/v1/edits", body: `{"author":"` + strings.Repeat("x", 3<<20) + `"}`, token: "secret", status: 413, kind: failure.TooLarge},
+		{name: "conflict", method: "POST", path: "/v1/edits", body: `{}`, token: "secret", editError: conflict, status: 409, kind: failure.Conflict, contains: "ama", applied: 1},
+		{name: "restore", method: "POST", path: "/v1/restore", body: `{"author":"ama"}`, token: "secret", status: 200, contains: `"author":"ama"`},
+		{name: "restore without token", method: "POST", path: "/v1/restore", body: `{}`, status: 401, kind: failure.Unauthorized},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			editor := &fakeEditor{err: test.editError}
+			options := fixture(editor, &fakePeers{})
+			options.Token = "secret"
+			method := test.method
+			if method == "" {
+				method = "GET"
+			}
+			got := ask(New(options), method, test.path, test.body, test.token)
+			if got.Code != test.status || !strings.Contains(got.Body.String(), test.contains) {
+				t.Errorf("got %d %s, want %d with %q", got.Code, got.Body, test.status, test.contains)
+			}
+			if applied := editor.applied.Load(); applied != test.applied {
+				t.Errorf("applied %d edits, want %d", applied, test.applied)
+			}
+			if test.kind == "" {
+				return
+			}
+			var problem client.Problem
+			if err := json.Unmarshal(got.Body.Bytes(), &problem); err != nil || problem.Kind != string(test.kind) {
+				t.Errorf("problem %+v (%v), want kind %s", problem, err, test.kind)
+			}
+		})
+	}
+}
+
+func TestEditFromAnotherOriginIsRefused(t *testing.T) {
+	editor := &fakeEditor{}
+	request := httptest.NewRequest("POST", "/v1/edits", strings.NewReader(`{}`))
+	request.Header.Set("Sec-Fetch-Site", "cross-site")
+	recorder := httptest.NewRecorder()
+	New(fixture(editor, &fakePeers{})).ServeHTTP(recorder, request)
+	if recorder.Code != http.StatusForbidden || editor.applied.Load() != 0 {
+		t.Errorf("got %d, %d edits applied", recorder.Code, editor.applied.Load())
+	}
+}
+
+func TestReadiness(t *testing.T) {
+	phase := func(phase blackboard.Phase) *blackboard.Board {
+		board := &blackboard.Board{}
+		board.Phase.Publish(&phase)
+		board.Table.Publish(policy.NewIndex(&policy.Table{}))
+		return board
+	}
+	withoutTable := &blackboard.Board{}
+	serving := blackboard.PhaseServing
+	withoutTable.Phase.Publish(&serving)
+	cases := []struct {
+		name   string
+		board  *blackboard.Board
+		status int
+	}{
+		{"nothing known", &blackboard.Board{}, 503},
+		{"starting", phase(blackboard.PhaseStarting), 503},
+		{"serving", phase(blackboard.PhaseServing), 200},
+		{"serving without table", withoutTable, 503},
+		{"draining", phase(blackboard.PhaseDraining), 503},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			options := fixture(&fakeEditor{}, &fakePeers{})
+			options.Board = test.board
+			if got := ask(New(options), "GET", "/readyz", "", ""); got.Code != test.status {
+				t.Errorf("got %d, want %d", got.Code, test.status)
+			}
+		})
+	}
+}
+
+func TestWaitForPropagation(t *testing.T) {
+	cases := []struct {
+		name        string
+		reachAt     map[string]time.Duration
+		complete    bool
+		lagging     []string
+		unreachable []string
+	}{
+		{"all at once", map[string]time.Duration{"b": 0, "c": 0}, true, nil, nil},
+		{"one late", map[string]time.Duration{"b": 0, "c": 3 * time.Second}, true, nil, nil},
+		{"one too late", map[string]time.Duration{"b": 0, "c": time.Minute}, false, []string{"c"}, nil},
+		{"one unreachable", map[string]time.Duration{"b": 0}, false, nil, []string{"c"}},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				peers := &fakePeers{start: time.Now(), reachAt: test.reachAt}
+				got := ask(New(fixture(&fakeEditor{}, peers)), "POST", "/v1/edits?wait=5s", `{}`, "")
+				var result EditResult
+				if err := json.Unmarshal(got.Body.Bytes(), &result); err != nil {
+					t.Fatal(err)
+				}
+				var lagging, unreachable []string
+				for _, one := range result.Propagation.Lagging {
+					lagging = append(lagging, one.ID)
+				}
+				for _, one := range result.Propagation.Unreachable {
+					unreachable = append(unreachable, one.Member.ID)
+				}
+				if result.Propagation.Complete != test.complete {
+					t.Errorf("complete %v, want %v", result.Propagation.Complete, test.complete)
+				}
+				if diff := cmp.Diff([][]string{test.lagging, test.unreachable}, [][]string{lagging, unreachable}); diff != "" {
+					t.Error(diff)
+				}
+			})
+		})
+	}
+}
+
+func TestStatusNamesWhoLagsAndWhoIsUnreachable(t *testing.T) {
+	peers := &fakePeers{start: time.Now(), reachAt: map[string]time.Duration{"b": time.Hour}}
+	got := ask(New(fixture(&fakeEditor{}, peers)), "GET", "/v1/status", "", "")
+	var status Status
+	if err := json.Unmarshal(got.Body.Bytes(), &status); err != nil {
+		t.Fatal(err)
+	}
+	if status.Revision != 8 || len(status.Nodes) != 2 || len(status.Lagging) != 1 || status.Lagging[0].ID != "b" ||
+		len(status.Unreachable) != 1 || status.Unreachable[0].Member.ID != "c" {
+		t.Errorf("got %+v", status)
+	}
+}
--- /dev/null
+++ b/internal/membership/options.go
@@ -0,0 +1,92 @@
+package membership
+
+import (
+	"math"
+	"time"
+)
+
+// Timing bounds the protocol in time and bytes. A zero field takes the
+// default.
+type Timing struct {
+	// Period between two probes by one daemon; 1 s.
+	Period time.Duration
+	// ProbeTimeout is when indirect probes are sent; half of Period.
+	ProbeTimeout time.Duration
+	// GossipInterval between rounds while there is fresh news; 200 ms.
+	GossipInterval time.Duration
+	// SyncInterval between digest exchanges; 10 s.
+	SyncInterval time.Duration
+	// SyncChunkInterval between the parts of a long synchronization; 500 ms.
+	SyncChunkInterval time.Duration
+	// ReconnectInterval between attempts to reach addresses that are not
+	// live members; 10 s.
+	ReconnectInterval time.Duration
+	// TombstoneRetention is how long dead members are remembered; 10 min.
+	TombstoneRetention time.Duration
+	// RecordRetention is the age at which a record of a leaving replica is
+	// forgotten; 1 h.
+	RecordRetention time.Duration
+	// RumorBytes bounds the rumors in one message; 1200.
+	RumorBytes int
+	// SyncBytes bounds the entries in one synchronization message; 16384.
+	SyncBytes int
+}
+
+const (
+	indirectProbes       = 3
+	gossipFanout         = 3
+	leastFreshTransmits  = 6
+	transmitMultiplier   = 3
+	suspicionMultiplier  = 4
+	resumePeriods        = 5
+	joinFanout           = 3
+	maximumRecords       = 1 << 16
+	maximumRecordBytes   = 1 << 10
+	maximumExchangesOpen = 256
+
+	// records take up to newsPart/newsWhole of the rumors of a message
+	newsPart  = 3
+	newsWhole = 4
+)
+
+func (t Timing) withDefaults() Timing {
+	setDuration(&t.Period, time.Second)
+	setDuration(&t.ProbeTimeout, t.Period/2)
+	setDuration(&t.GossipInterval, 200*time.Millisecond)
+	setDuration(&t.SyncInterval, 10*time.Second)
+	setDuration(&t.SyncChunkInterval, 500*time.Millisecond)
+	setDuration(&t.ReconnectInterval, 10*time.Second)
+	setDuration(&t.TombstoneRetention, 10*time.Minute)
+	setDuration(&t.RecordRetention, time.Hour)
+	if t.RumorBytes == 0 {
+		t.RumorBytes = 1200
+	}
+	if t.SyncBytes == 0 {
+		t.SyncBytes = 16 << 10
+	}
+	return t
+}
+
+func setDuration(field *time.Duration, value time.Duration) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
+// suspicionTimeout grows with the logarithm of the number of members, as the
+// refutation needs that long to reach everyone.
+func (t Timing) suspicionTimeout(members int) time.Duration {
+	scale := math.Max(1, math.Log10(float64(members)))
+	return time.Duration(suspicionMultiplier * scale * float64(t.Period))
+}
+
+// freshLimit is how often one rumor is sent in quick rounds. A rumor that
+// each of n daemons sends k times to random others misses about n/e^k.
+func freshLimit(members int) int {
+	return max(leastFreshTransmits, int(math.Ceil(math.Log2(float64(members+1)))))
+}
+
+// transmitLimit is how often one rumor is sent by one daemon.
+func transmitLimit(members int) int {
+	return transmitMultiplier * int(math.Ceil(math.Log2(float64(members+1))))
+}
--- /dev/null
+++ b/internal/operator/status.go
@@ -0,0 +1,89 @@
+package operator
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/doorpond/doorpond/internal/admin"
+	"github.com/doorpond/doorpond/internal/blackboard"
+	"github.com/doorpond/doorpond/internal/membership"
+	"github.com/doorpond/doorpond/internal/peer"
+)
+
+func statusCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "status",
+		Usage: "show every daemon, the table in force on it, and who lags",
+		Action: func(ctx context.Context, command *cli.Command) error {
+			if _, err := arguments(command, 0, 0); err != nil {
+				return err
+			}
+			status, err := api(command).Status(ctx)
+			if err != nil {
+				return coded(err, false)
+			}
+			return show(command, status, func(to io.Writer) { printStatus(to, status) })
+		},
+	}
+}
+
+func printStatus(to io.Writer, status *admin.Status) {
+	fmt.Fprintf(to, "table revision %d; %d daemons answer, %d lag, %d do not answer\n\n",
+		status.Revision, len(status.Nodes), len(status.Lagging), len(status.Unreachable))
+	nodes := slices.Clone(status.Nodes)
+	slices.SortStableFunc(nodes, byPlace)
+	lines := newGrid(to, "REGION", "ZONE", "DAEMON", "ADDRESS", "MEMBER", "PHASE", "TABLE", "CATALOGUE", "STORE", "LEAVING", "COLD", "EJECTED")
+	for _, node := range nodes {
+		lines.row(node.Member.Place.Region, node.Member.Place.Zone, node.Member.ID, node.Member.PeerAddress,
+			membership.StateName(node.Member.State), phaseName(node.Phase), node.TableRevision, node.CatalogueRevision,
+			storeText(node.Store), node.ReplicasLeaving, node.ReplicasCold, node.ReplicasEjected)
+	}
+	lines.end()
+	if len(status.Lagging)+len(status.Unreachable) > 0 {
+		fmt.Fprintln(to)
+	}
+	printBehind(to, status.Lagging, status.Unreachable)
+}
+
+func byPlace(a, b peer.NodeState) int {
+	return cmp.Or(
+		strings.Compare(a.Member.Place.Region, b.Member.Place.Region),
+		strings.Compare(a.Member.Place.Zone, b.Member.Place.Zone),
+		strings.Compare(a.Member.ID, b.Member.ID),
+	)
+}
+
+func phaseName(phase blackboard.Phase) string {
+	switch phase {
+	case blackboard.PhaseStarting:
+		return "starting"
+	case blackboard.PhaseServing:
+		return "serving"
+	case blackboard.PhaseDraining:
+		return "draining"
+	case blackboard.PhaseStopped:
+		return "stopped"
+	default:
+		return "unknown"
+	}
+}
+
+func storeText(store blackboard.StoreStatus) string {
+	switch {
+	case store.Since.IsZero():
+		return "unknown"
+	case store.Regressed:
+		return "regressed"
+	case store.Reachable:
+		return "reachable"
+	default:
+		return "out since " + store.Since.Format(time.RFC3339)
+	}
+}
