--- /dev/null
+++ b/internal/daemon/state.go
@@ -0,0 +1,79 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/doorpond/doorpond/client"
+	"github.com/doorpond/doorpond/internal/failure"
+	"github.com/doorpond/doorpond/internal/freshness"
+	"github.com/doorpond/doorpond/internal/gateway"
+	"github.com/doorpond/doorpond/internal/peer"
+	"github.com/doorpond/doorpond/internal/topology"
+)
+
+// state describes this daemon to operators and peers.
+func (d *Daemon) state() peer.NodeState {
+	state := peer.NodeState{Member: d.node.Self(), Version: Version, Phase: *d.board.Phase.Load()}
+	if table := d.board.Table.Load(); table != nil {
+		state.TableRevision = table.Table.Revision
+	}
+	if catalogue := d.board.Catalogue.Load(); catalogue != nil {
+		state.CatalogueRevision = catalogue.Revision
+	}
+	if status := d.board.Store.Load(); status != nil {
+		state.Store = *status
+	}
+	if members := d.board.Members.Load(); members != nil {
+		state.MembersKnown = len(members.Members)
+	}
+	d.countReplicas(&state)
+	return state
+}
+
+func (d *Daemon) countReplicas(state *peer.NodeState) {
+	replicas := d.board.Replicas.Load()
+	if replicas == nil {
+		return
+	}
+	for _, group := range replicas.Groups {
+		for i := range group {
+			switch group[i].State {
+			case topology.ReplicaLeaving:
+				state.ReplicasLeaving++
+			case topology.ReplicaCold:
+				state.ReplicasCold++
+			case topology.ReplicaServing:
+			}
+		}
+	}
+	for _, status := range d.pool.Statuses() {
+		if status.Ejected {
+			state.ReplicasEjected++
+		}
+	}
+}
+
+// encodedStatistics is what peers merge to compare policies.
+func (d *Daemon) encodedStatistics(since time.Duration) ([]byte, error) {
+	encoded, err := msgpack.Marshal(d.statistics.Snapshot(since))
+	return encoded, eris.Wrap(err, "encode statistics")
+}
+
+// freshSearcher refuses queries while the policy table may be stale after a
+// pause of the process.
+type freshSearcher struct {
+	monitor  *freshness.Monitor
+	searcher gateway.Searcher
+}
+
+// Search implements gateway.Searcher.
+func (s *freshSearcher) Search(ctx context.Context, query client.Query) (client.Answer, error) {
+	if !s.monitor.Fresh() {
+		return client.Answer{}, failure.New(failure.StaleTable, "the process was paused and has not confirmed its policy table yet")
+	}
+	return s.searcher.Search(ctx, query)
+}
--- a/internal/document/fetcher.go
+++ b/internal/document/fetcher.go
@@ -25,7 +25,7 @@
 	fetchTimeout  = 2 * time.Second
 	fetchAttempts = 4
 	fetchBackoff  = 200 * time.Millisecond
-	fetchQueue    = 256
+	fetchAgain    = time.Second
 )
 
 // announcement says which peer has which revision.
@@ -74,13 +74,17 @@
 	return found && current.Revision >= revision
 }
 
-// Run fetches until ctx ends, and returns nil then.
+// Run fetches until ctx ends, and returns nil then. A revision that nobody
+// gave is wanted again after a while, as its announcement is not repeated.
 func (f *Fetcher) Run(ctx context.Context) error {
+	again := time.NewTicker(fetchAgain)
+	defer again.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-f.arrivals:
+		case <-again.C:
 		}
 		for _, name := range Names {
 			f.satisfy(ctx, name)
@@ -89,23 +93,34 @@
 }
 
 // satisfy fetches the revision wanted of a document, from its announcer first
-// and from other peers after it. If none gives it, a later announcement or
-// digest brings it up again.
+// and from other peers after it.
 func (f *Fetcher) satisfy(ctx context.Context, name Name) {
-	f.mutex.Lock()
-	want, isWanted := f.wanted[name]
-	delete(f.wanted, name)
-	f.mutex.Unlock()
+	want, isWanted := f.want(name)
 	if !isWanted {
 		return
 	}
 	addresses := append([]string{want.address}, f.options.Peers()...)
 	for attempt := 0; attempt < min(fetchAttempts, len(addresses)); attempt++ {
-		if f.has(name, want.revision) || !pause(ctx, time.Duration(attempt)*fetchBackoff) {
+		if !pause(ctx, time.Duration(attempt)*fetchBackoff) {
 			return
 		}
 		f.FetchFrom(ctx, addresses[attempt], name)
+		if f.has(name, want.revision) {
+			return
+		}
+	}
+}
+
+// want returns the revision of a document that is wanted and not had yet.
+func (f *Fetcher) want(name Name) (want announcement, isWanted bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	want, isWanted = f.wanted[name]
+	if isWanted && f.has(name, want.revision) {
+		delete(f.wanted, name)
+		isWanted = false
 	}
+	return want, isWanted
 }
 
 // FetchFrom fetches a document from one peer and offers it. It tells whether
--- a/internal/document/storewatcher.go
+++ b/internal/document/storewatcher.go
@@ -279,14 +279,8 @@
 }
 
 func (w *StoreWatcher) offer(version Document) {
-	accepted, err := w.options.Register.Offer(version)
-	if err != nil {
+	if _, err := w.options.Register.Offer(version); err != nil {
 		w.options.Logger.Warn("a document in the store was rejected", slog.Any("error", err))
-		return
-	}
-	if accepted {
-		w.options.Logger.Info("document in force", slog.String("document", string(version.Name)),
-			slog.Uint64("revision", version.Revision))
 	}
 }
 
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -26,6 +26,7 @@
 	DeadlineExceeded     Kind = "deadline_exceeded"
 	Canceled             Kind = "canceled"
 	NoTable              Kind = "no_table"
+	StaleTable           Kind = "stale_table"
 	NoCatalogue          Kind = "no_catalogue"
 	StoreUnavailable     Kind = "store_unavailable"
 	StoreRegressed       Kind = "store_regressed"
--- a/internal/failure/table.go
+++ b/internal/failure/table.go
@@ -37,6 +37,7 @@
 	DeadlineExceeded:     {http.StatusGatewayTimeout, "The deadline passed", false, 0},
 	Canceled:             {statusClientClosedRequest, "The caller gave up", false, 0},
 	NoTable:              {http.StatusServiceUnavailable, "No policy table is known yet", true, mediumWait},
+	StaleTable:           {http.StatusServiceUnavailable, "The policy table is being confirmed after a pause", true, shortWait},
 	NoCatalogue:          {http.StatusServiceUnavailable, "No snapshot of the corpus is known yet", true, mediumWait},
 	StoreUnavailable:     {http.StatusServiceUnavailable, "The store cannot be reached", true, mediumWait},
 	StoreRegressed:       {http.StatusConflict, "The store holds an older table than the one in force", true, 0},
--- a/internal/operator/queries.go
+++ b/internal/operator/queries.go
@@ -71,10 +71,23 @@
 	return show(command, answer, func(to io.Writer) { printAnswer(to, answer) })
 }
 
+// latestCue is past the end of any subtitle file; a time beyond it is a Unix
+// time.
+const latestCue = 1000 * time.Hour
+
+// hitTime shows a cue's start in its file, or a record's date.
+func hitTime(hit client.Hit) string {
+	start := time.Duration(hit.TimeMilliseconds) * time.Millisecond
+	if start <= latestCue {
+		return start.String()
+	}
+	return time.UnixMilli(hit.TimeMilliseconds).UTC().Format(time.RFC3339)
+}
+
 func printAnswer(to io.Writer, answer client.Answer) {
 	hits := newGrid(to, "INDEX", "DOCUMENT", "TIME", "RANK", "TEXT")
 	for _, hit := range answer.Hits {
-		hits.row(hit.Index, hit.Document, time.Duration(hit.TimeMilliseconds)*time.Millisecond, fmt.Sprintf("%.3f", hit.Rank), hit.Text)
+		hits.row(hit.Index, hit.Document, hitTime(hit), fmt.Sprintf("%.3f", hit.Rank), hit.Text)
 	}
 	hits.end()
 	coverage := answer.Coverage
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,7 +3,11 @@
 // are refused with file, line, key and reason.
 package settings
 
-import "time"
+import (
+	"time"
+
+	"github.com/doorpond/doorpond/internal/certificates"
+)
 
 // Settings is everything that a daemon is told at its start.
 type Settings struct {
@@ -29,18 +33,24 @@
 	MaxInFlight   int           `yaml:"max_in_flight" validate:"gte=1,lte=1000000" help:"greatest number of queries in flight"`
 	HeaderTimeout time.Duration `yaml:"header_timeout" validate:"gte=10ms,lte=1m" help:"time allowed for a request's header"`
 	BodyTimeout   time.Duration `yaml:"body_timeout" validate:"gte=10ms,lte=5m" help:"time allowed for a whole request to be read"`
+	// TLS is used when any of its files is named.
+	TLS certificates.Files `yaml:"tls"`
 }
 
 // Peers is the port on which daemons talk to each other.
 type Peers struct {
 	Address string   `yaml:"address" validate:"hostname_port_ip" help:"IP:port for other daemons"`
 	Seeds   []string `yaml:"seeds" validate:"dive,hostname_port_ip" help:"IP:port of other daemons to join, besides those on the machine list"`
+	// TLS is used when any of its files is named.
+	TLS certificates.Files `yaml:"tls"`
 }
 
 // Administration is the port for operators, probes and metrics.
 type Administration struct {
 	Address   string `yaml:"address" validate:"hostname_port_ip" help:"IP:port for operators, probes and metrics"`
 	TokenFile string `yaml:"token_file" help:"file holding the token that changes must carry; empty: no token is asked for"`
+	// TLS is used when any of its files is named.
+	TLS certificates.Files `yaml:"tls"`
 }
 
 // Store is the platform's key-value service.
@@ -49,6 +59,8 @@
 	Timeout time.Duration `yaml:"timeout" validate:"gte=10ms,lte=1m" help:"time allowed for one request to the store"`
 	// WatchersPerZone is how many daemons of a zone follow the store.
 	WatchersPerZone int `yaml:"watchers_per_zone" validate:"gte=1,lte=100" help:"number of daemons in a zone that follow the store"`
+	// TLS is used when any of its files is named.
+	TLS certificates.Files `yaml:"tls"`
 }
 
 // Machines is the platform's machine list.
@@ -60,6 +72,8 @@
 // Backends says how back ends are reached.
 type Backends struct {
 	Protocol string `yaml:"protocol" validate:"oneof=http1 h2c" help:"protocol towards back ends: http1 or h2c"`
+	// TLS is used when any of its files is named.
+	TLS certificates.Files `yaml:"tls"`
 }
 
 // Membership tunes the protocol between daemons.
