--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -20,7 +20,9 @@
 	Address string
 
 	server *http.Server
-	done   chan error
+	// served is closed once serving has ended, with serveErr set.
+	served   chan struct{}
+	serveErr error
 }
 
 // Start serves a replica on an address such as "127.0.0.1:0".
@@ -33,14 +35,17 @@
 		Replica: replica,
 		Address: listener.Addr().String(),
 		server:  newHTTPServer(replica),
-		done:    make(chan error, 1),
+		served:  make(chan struct{}),
 	}
 	limited := &limitedListener{
 		Listener: listener,
 		limit:    int64(replica.options.ConnectionLimit),
 		counters: &replica.counters,
 	}
-	go func() { server.done <- server.server.Serve(limited) }()
+	go func() {
+		defer close(server.served)
+		server.serveErr = server.server.Serve(limited)
+	}()
 	return server, nil
 }
 
@@ -57,11 +62,12 @@
 }
 
 // Close ends the server and its connections at once, as a killed process
-// does, and waits for the listener to be gone.
+// does, and waits for the listener to be gone. It may be called more than once.
 func (s *Server) Close() error {
 	closing := s.server.Close()
-	if err := <-s.done; !errors.Is(err, http.ErrServerClosed) {
-		return eris.Wrap(err, "serve the replica")
+	<-s.served
+	if !errors.Is(s.serveErr, http.ErrServerClosed) {
+		return eris.Wrap(s.serveErr, "serve the replica")
 	}
 	return closing
 }
