--- a/cmd/doorpond-lab/platform.go
+++ b/cmd/doorpond-lab/platform.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
 
+	"github.com/doorpond/doorpond/internal/standin/backend"
 	"github.com/doorpond/doorpond/internal/standin/platform"
 	"github.com/doorpond/doorpond/testdata"
 )
@@ -18,6 +19,9 @@
 	flagSeed   = "seed"
 	flagReady  = "ready-file"
 	flagHollow = "hollow-shards"
+
+	flagHollowService    = "hollow-service-time"
+	flagHollowStragglers = "hollow-straggler-share"
 )
 
 // hollowReplicas is the number of replicas of each hollow shard.
@@ -37,6 +41,8 @@
 			&cli.StringFlag{Name: flagCorpus, Usage: "index the .srt and .csv files under `DIRECTORY` (default: the corpus built in)"},
 			&cli.Uint64Flag{Name: flagSeed, Value: 1, Usage: "seed of the service times"},
 			&cli.IntFlag{Name: flagHollow, Usage: "also run the corpus \"hollow\" of `NUMBER` shards that answer at once, two replicas each"},
+			&cli.DurationFlag{Name: flagHollowService, Usage: "mean service time of the hollow shards; half of it is constant"},
+			&cli.FloatFlag{Name: flagHollowStragglers, Usage: "share of the hollow shards' requests that take 20 times as long"},
 			&cli.StringFlag{Name: flagReady, Usage: "also write the line of JSON to `FILE`"},
 		},
 		Action: runPlatform,
@@ -47,7 +53,7 @@
 	config := platform.DefaultConfig(corpusFiles(command.String(flagCorpus)))
 	config.Seed = command.Uint64(flagSeed)
 	if shards := command.Int(flagHollow); shards > 0 {
-		config.Deployments = append(config.Deployments, platform.HollowDeployment(shards, hollowReplicas))
+		config.Deployments = append(config.Deployments, hollowDeployment(command, shards))
 	}
 	running, err := platform.Start(ctx, config)
 	if err != nil {
@@ -61,6 +67,19 @@
 	return running.Close()
 }
 
+// hollowStragglerFactor is how much longer a straggler takes.
+const hollowStragglerFactor = 20
+
+func hollowDeployment(command *cli.Command, shards int) platform.Deployment {
+	deployment := platform.HollowDeployment(shards, hollowReplicas)
+	mean := command.Duration(flagHollowService)
+	deployment.Timing = &backend.Timing{
+		Base: mean / 2, MeanExtra: mean / 2,
+		StragglerShare: command.Float(flagHollowStragglers), StragglerFactor: hollowStragglerFactor,
+	}
+	return deployment
+}
+
 // corpusFiles is a directory, or the corpus built in when none is named.
 func corpusFiles(directory string) fs.FS {
 	if directory == "" {
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -9,7 +9,8 @@
 //	POST /v1/restore               RestoreRequest -> EditResult
 //	GET  /v1/status                Status of all daemons
 //	GET  /v1/members               topology.Members
-//	GET  /v1/replicas              topology.Replicas
+//	GET  /v1/replicas              Replicas as this daemon sees them
+//	GET  /v1/compare?a=&b=         Comparison of two policies; ?group=, ?last=10m
 //
 // Errors are RFC 9457 problems.
 package admin
@@ -27,6 +28,7 @@
 	"github.com/doorpond/doorpond/internal/peer"
 	"github.com/doorpond/doorpond/internal/policy"
 	"github.com/doorpond/doorpond/internal/policytable"
+	"github.com/doorpond/doorpond/internal/replica"
 )
 
 // Editor changes the table; policytable.Editor is one.
@@ -40,6 +42,7 @@
 // Peers asks other daemons for their state; peer.Client is one.
 type Peers interface {
 	State(ctx context.Context, address string) (peer.NodeState, error)
+	Statistics(ctx context.Context, address string, since time.Duration) ([]byte, error)
 }
 
 // Options configure the handler. Board, Editor, Peers and State are needed.
@@ -49,6 +52,12 @@
 	Peers  Peers
 	// State is this daemon's own.
 	State func() peer.NodeState
+	// Statistics are this daemon's own, as a peer would send them; nil means
+	// none are kept.
+	Statistics peer.StatisticsSource
+	// Replicas are the replicas that this daemon may send requests to; nil
+	// means not known.
+	Replicas func() []replica.Status
 	// Token is needed in "Authorization: Bearer" for changes and profiles;
 	// empty means that none is.
 	Token string
@@ -95,6 +104,7 @@
 	routes.HandleFunc("GET /v1/status", h.status)
 	routes.HandleFunc("GET /v1/members", h.members)
 	routes.HandleFunc("GET /v1/replicas", h.replicas)
+	routes.HandleFunc("GET /v1/compare", h.compare)
 	routes.Handle("POST /v1/edits", h.guarded(h.edit))
 	routes.Handle("POST /v1/restore", h.guarded(h.restore))
 	for _, extra := range options.Extra {
@@ -138,6 +148,10 @@
 		return "stopping"
 	case h.options.Board.Table.Load() == nil:
 		return "no policy table is known yet"
+	case h.options.Board.Catalogue.Load() == nil:
+		return "no catalogue is known yet"
+	case h.options.Board.Replicas.Load() == nil:
+		return "the machine list was not read yet"
 	default:
 		return ""
 	}
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -13,13 +13,16 @@
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/doorpond/doorpond/client"
 	"github.com/doorpond/doorpond/internal/blackboard"
+	"github.com/doorpond/doorpond/internal/catalogue"
 	"github.com/doorpond/doorpond/internal/failure"
 	"github.com/doorpond/doorpond/internal/peer"
 	"github.com/doorpond/doorpond/internal/policy"
 	"github.com/doorpond/doorpond/internal/policytable"
+	"github.com/doorpond/doorpond/internal/statistics"
 	"github.com/doorpond/doorpond/internal/topology"
 )
 
@@ -60,12 +63,39 @@
 	return peer.NodeState{Member: topology.Member{ID: address}, TableRevision: revision}, nil
 }
 
+func (p *fakePeers) Statistics(_ context.Context, address string, _ time.Duration) ([]byte, error) {
+	if _, known := p.reachAt[address]; !known {
+		return nil, failure.New(failure.NoReplica, "gone")
+	}
+	return encodedStatistics(address), nil
+}
+
+// encodedStatistics are 40 queries of policy fast and 60 of policy old; those
+// of address "broken" do not decode.
+func encodedStatistics(address string) []byte {
+	if address == "broken" {
+		return []byte{0xc1}
+	}
+	recorder := statistics.New(nil)
+	for i := range 100 {
+		policy := "fast"
+		if i%5 > 1 {
+			policy = "old"
+		}
+		recorder.Record(policy, statistics.Sample{Group: "gate", Latency: time.Millisecond, Asked: 2, Answered: 2, Attempts: 3})
+	}
+	encoded, _ := msgpack.Marshal(recorder.Snapshot(time.Hour)) // cannot fail
+	return encoded
+}
+
 func fixture(editor *fakeEditor, peers *fakePeers) Options {
 	board := &blackboard.Board{}
 	serving := blackboard.PhaseServing
 	board.Phase.Publish(&serving)
 	board.Table.Publish(policy.NewIndex(&policy.Table{Revision: 8, Policies: []policy.Row{{Name: "fast"}}}))
 	members := []topology.Member{{ID: "a", PeerAddress: "a"}, {ID: "b", PeerAddress: "b"}, {ID: "c", PeerAddress: "c"}}
+	board.Catalogue.Publish(&catalogue.Catalogue{})
+	board.Replicas.Publish(&topology.Replicas{Groups: map[string][]topology.Replica{}})
 	board.Members.Publish(&topology.Members{Self: members[0], Members: members})
 	return Options{Board: board, Editor: editor, Peers: peers, Registerer: prometheus.NewRegistry(), Gatherer: prometheus.NewRegistry(),
 		State: func() peer.NodeState { return peer.NodeState{Member: members[0], TableRevision: 8} }}
@@ -101,6 +131,11 @@
 		{name: "history, bad limit", path: "/v1/history?limit=-1", status: 400, kind: failure.InvalidRequest},
 		{name: "members", path: "/v1/members", status: 200, contains: `"id":"b"`},
 		{name: "replicas", path: "/v1/replicas", status: 200, contains: `"groups":{}`},
+		{name: "compare", path: "/v1/compare?a=fast&b=fast&last=1m", status: 200, contains: `"group":""`},
+		{name: "compare, a policy missing", path: "/v1/compare?a=fast", status: 400, kind: failure.InvalidRequest},
+		{name: "compare, unknown policy", path: "/v1/compare?a=fast&b=none", status: 404, kind: failure.NotFound},
+		{name: "compare, time too long", path: "/v1/compare?a=fast&b=old&last=2h", status: 400, kind: failure.InvalidRequest},
+		{name: "compare, not a time", path: "/v1/compare?a=fast&b=old&last=soon", status: 400, kind: failure.InvalidRequest},
 		{name: "edit", method: "POST", path: "/v1/edits", body: `{"author":"ama"}`, token: "secret", status: 200, contains: `"revision":8`, applied: 1},
 		{name: "dry run", method: "POST", path: "/v1/edits?dry_run=true", body: `{}`, token: "secret", status: 200, contains: `"diff":["line"]`},
 		{name: "dry run misspelt", method: "POST", path: "/v1/edits?dry_run=ja", body: `{}`, token: "secret", status: 400, kind: failure.InvalidRequest},
@@ -154,15 +189,20 @@
 }
 
 func TestReadiness(t *testing.T) {
-	phase := func(phase blackboard.Phase) *blackboard.Board {
+	// knowing is a board with the first of table, catalogue and replicas.
+	knowing := func(phase blackboard.Phase, parts int) *blackboard.Board {
 		board := &blackboard.Board{}
 		board.Phase.Publish(&phase)
-		board.Table.Publish(policy.NewIndex(&policy.Table{}))
+		for _, publish := range []func(){
+			func() { board.Table.Publish(policy.NewIndex(&policy.Table{})) },
+			func() { board.Catalogue.Publish(&catalogue.Catalogue{}) },
+			func() { board.Replicas.Publish(&topology.Replicas{}) },
+		}[:parts] {
+			publish()
+		}
 		return board
 	}
-	withoutTable := &blackboard.Board{}
-	serving := blackboard.PhaseServing
-	withoutTable.Phase.Publish(&serving)
+	phase := func(phase blackboard.Phase) *blackboard.Board { return knowing(phase, 3) }
 	cases := []struct {
 		name   string
 		board  *blackboard.Board
@@ -171,7 +211,10 @@
 		{"nothing known", &blackboard.Board{}, 503},
 		{"starting", phase(blackboard.PhaseStarting), 503},
 		{"serving", phase(blackboard.PhaseServing), 200},
-		{"serving without table", withoutTable, 503},
+		{"serving without table", knowing(blackboard.PhaseServing, 0), 503},
+		{"serving without catalogue", knowing(blackboard.PhaseServing, 1), 503},
+		{"serving without machine list", knowing(blackboard.PhaseServing, 2), 503},
+		{"closing", phase(blackboard.PhaseClosing), 503},
 		{"draining", phase(blackboard.PhaseDraining), 503},
 	}
 	for _, test := range cases {
@@ -237,3 +280,26 @@
 		t.Errorf("got %+v", status)
 	}
 }
+
+func TestCompareAddsUpTheDaemonsThatAnswer(t *testing.T) {
+	peers := &fakePeers{reachAt: map[string]time.Duration{"b": 0, "broken": 0}}
+	options := fixture(&fakeEditor{}, peers)
+	options.Statistics = func(time.Duration) ([]byte, error) { return encodedStatistics("a"), nil }
+	members := []topology.Member{{ID: "a", PeerAddress: "a"}, {ID: "b", PeerAddress: "b"}, {ID: "broken", PeerAddress: "broken"}, {ID: "gone", PeerAddress: "gone"}}
+	options.Board.Members.Publish(&topology.Members{Self: members[0], Members: members})
+	var compared Comparison
+	answered := ask(New(options), http.MethodGet, "/v1/compare?a=fast&b=old&group=gate", "", "")
+	if err := json.Unmarshal(answered.Body.Bytes(), &compared); err != nil {
+		t.Fatal(err)
+	}
+	if compared.A.Queries != 80 || compared.B.Queries != 120 || compared.Daemons != 2 {
+		t.Errorf("%d and %d queries of %d daemons; want 80 and 120 of 2", compared.A.Queries, compared.B.Queries, compared.Daemons)
+	}
+	var unreachable []string
+	for _, one := range compared.Unreachable {
+		unreachable = append(unreachable, one.Member.ID)
+	}
+	if diff := cmp.Diff([]string{"broken", "gone"}, unreachable); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/admin/status.go
+++ b/internal/admin/status.go
@@ -1,14 +1,17 @@
 package admin
 
 import (
+	"cmp"
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"github.com/doorpond/doorpond/internal/failure"
 	"github.com/doorpond/doorpond/internal/peer"
+	"github.com/doorpond/doorpond/internal/replica"
 	"github.com/doorpond/doorpond/internal/topology"
 )
 
@@ -22,6 +25,17 @@
 	// Lagging names the daemons that are behind Revision.
 	Lagging     []Lagging     `json:"lagging"`
 	Unreachable []Unreachable `json:"unreachable"`
+	// Replicas are those that do not take their whole share, by address.
+	Replicas []Troubled `json:"replicas"`
+	// StoreOutSince is since when no daemon that follows the store reaches it;
+	// nil while one does, or none can say.
+	StoreOutSince *time.Time `json:"store_out_since,omitempty"`
+}
+
+// Troubled is a replica in trouble, and how many daemons see it so.
+type Troubled struct {
+	peer.TroubledReplica
+	SeenBy int `json:"seen_by"`
 }
 
 // Lagging is a daemon on which an older table is in force.
@@ -111,6 +125,7 @@
 		Nodes:       []peer.NodeState{},
 		Lagging:     []Lagging{},
 		Unreachable: []Unreachable{},
+		Replicas:    []Troubled{},
 	}
 	for i, got := range answers {
 		if got.err != nil {
@@ -125,9 +140,45 @@
 			status.Lagging = append(status.Lagging, laggingOf(node))
 		}
 	}
+	status.Replicas = troubledReplicas(status.Nodes)
+	status.StoreOutSince = storeOutSince(status.Nodes)
 	writeJSON(w, status)
 }
 
+// troubledReplicas merges what the daemons say of replicas.
+func troubledReplicas(nodes []peer.NodeState) []Troubled {
+	seen := make(map[peer.TroubledReplica]int)
+	for _, node := range nodes {
+		for _, one := range node.Troubled {
+			seen[one]++
+		}
+	}
+	merged := make([]Troubled, 0, len(seen))
+	for one, count := range seen {
+		merged = append(merged, Troubled{TroubledReplica: one, SeenBy: count})
+	}
+	slices.SortFunc(merged, func(a, b Troubled) int {
+		return cmp.Or(cmp.Compare(a.Address, b.Address), cmp.Compare(a.Incarnation, b.Incarnation), cmp.Compare(a.Trouble, b.Trouble))
+	})
+	return merged
+}
+
+// storeOutSince looks at the daemons that know the store's status.
+func storeOutSince(nodes []peer.NodeState) *time.Time {
+	var since *time.Time
+	for _, node := range nodes {
+		switch {
+		case node.Store.Since.IsZero():
+			continue
+		case node.Store.Reachable:
+			return nil
+		case since == nil || node.Store.Since.Before(*since):
+			since = &node.Store.Since
+		}
+	}
+	return since
+}
+
 func laggingOf(node peer.NodeState) Lagging {
 	return Lagging{ID: node.Member.ID, Place: node.Member.Place, Revision: node.TableRevision}
 }
@@ -212,10 +263,21 @@
 	writeJSON(w, known)
 }
 
+// Replicas is what one daemon knows of the replicas.
+type Replicas struct {
+	// Groups are all replicas listed.
+	Groups map[string][]topology.Replica `json:"groups"`
+	// Requests is how each replica that takes requests fares, by address.
+	Requests []replica.Status `json:"requests"`
+}
+
 func (h *handler) replicas(w http.ResponseWriter, _ *http.Request) {
-	known := h.options.Board.Replicas.Load()
-	if known == nil {
-		known = &topology.Replicas{Groups: map[string][]topology.Replica{}}
+	known := Replicas{Groups: map[string][]topology.Replica{}, Requests: []replica.Status{}}
+	if listed := h.options.Board.Replicas.Load(); listed != nil {
+		known.Groups = listed.Groups
+	}
+	if h.options.Replicas != nil {
+		known.Requests = h.options.Replicas()
 	}
 	writeJSON(w, known)
 }
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -1,5 +1,6 @@
 // Package admission decides at once whether a query may start: per policy, per
-// daemon by priority, and by whether its deadline can be met.
+// daemon by priority under a limit that adapts to what the back ends bear, and
+// by whether its deadline can be met.
 package admission
 
 import (
@@ -50,7 +51,8 @@
 
 // Options are what a Controller needs. Zero values take defaults.
 type Options struct {
-	// Total is the greatest number of queries in flight at this daemon.
+	// Total is the greatest number of queries in flight at this daemon; the
+	// adaptive limit starts there.
 	Total      int
 	Registerer prometheus.Registerer
 }
@@ -58,7 +60,7 @@
 // Controller counts the queries in flight. It takes no lock on the path of a
 // query.
 type Controller struct {
-	limits   [len(capacityShares)]int64
+	limit    adaptiveLimit
 	inFlight atomic.Int64
 	policies sync.Map // name -> *policyState
 	refused  *prometheus.CounterVec
@@ -77,14 +79,15 @@
 	controller := &Controller{refused: prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "doorpondd_queries_refused_total", Help: "Queries refused before anything was sent, by reason.",
 	}, []string{"reason"})}
-	for rank, share := range capacityShares {
-		controller.limits[rank] = max(1, int64(share*float64(options.Total)))
-	}
+	controller.limit.start(options.Total)
 	if options.Registerer != nil {
 		options.Registerer.MustRegister(controller.refused)
 		options.Registerer.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "doorpondd_queries_in_flight_count", Help: "Queries in flight.",
 		}, func() float64 { return float64(controller.inFlight.Load()) }))
+		options.Registerer.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "doorpondd_queries_limit_count", Help: "Queries in flight up to which critical ones are let in.",
+		}, func() float64 { return float64(controller.limit.units.Load()) / limitScale }))
 	}
 	return controller
 }
@@ -101,8 +104,13 @@
 	t.controller.inFlight.Add(-1)
 }
 
-// Answered records how long a whole answer took.
-func (t Ticket) Answered(now time.Time, took time.Duration) { t.policy.fastest.observe(now, took) }
+// Ended takes in what came of the query; it is called before Release.
+func (t Ticket) Ended(now time.Time, ended Ended) {
+	if ended.whole() {
+		t.policy.fastest.observe(now, ended.Took)
+	}
+	t.controller.limit.observe(now, t.controller.inFlight.Load(), &ended)
+}
 
 // Admit lets a query in or refuses it. Errors are *failure.Error of kinds
 // Overloaded and DeadlineUnreachable, with NotRun set and a time to come back.
@@ -117,7 +125,7 @@
 		return Ticket{}, c.refuse("policy", failure.Overloaded,
 			fmt.Sprintf("policy %s is at its limit of %d queries", row.Name, row.Limits.Concurrency))
 	}
-	limit := c.limits[rankOf(priority)]
+	limit := c.limit.forRank(rankOf(priority))
 	if c.inFlight.Add(1) > limit {
 		c.inFlight.Add(-1)
 		state.inFlight.Add(-1)
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	ticket.Answered(now, 5*time.Millisecond)
+	ticket.Ended(now, Ended{Took: 5 * time.Millisecond, Asked: 1, Answered: 1})
 	ticket.Release()
 	_, err = controller.Admit(row, client.PriorityNormal, now, time.Millisecond)
 	if known := failure.From(err); err == nil || known.Kind != failure.DeadlineUnreachable || !known.NotRun {
--- /dev/null
+++ b/internal/admission/limit.go
@@ -0,0 +1,105 @@
+package admission
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// The constants of the adaptive limit.
+const (
+	// limitScale is the number of limit units in one query.
+	limitScale = 1000
+	// limitCut is the part of the queries in flight that stays admitted after
+	// a sign of overload.
+	limitCut = 0.95
+	// limitRaise is by how many queries the limit grows over as many whole
+	// answers as it admits.
+	limitRaise = 1
+	// leastLimit keeps a trickle that shows when the overload is over.
+	leastLimit = 4
+	// cutPause is the least time between two cuts, so that the queries let in
+	// before a cut do not cause another.
+	cutPause = 50 * time.Millisecond
+	// calmAfter is the time since the last cut after which the limit grows by
+	// a query for each whole answer, and so doubles with each round.
+	calmAfter = 2 * time.Second
+)
+
+// adaptiveLimit finds how many queries in flight the back ends bear, by
+// additive increase and multiplicative decrease. Many shards answer one query,
+// so that a small share of refused sub-requests spoils most answers: it is
+// better to refuse whole queries early.
+type adaptiveLimit struct {
+	units     atomic.Int64
+	most      int64
+	cutAt     atomic.Int64  // Unix nanoseconds
+	lastShard atomic.Uint64 // hash of the shard of the last sign
+}
+
+func (l *adaptiveLimit) start(total int) {
+	l.most = int64(total) * limitScale
+	l.units.Store(l.most)
+}
+
+// forRank returns the number of queries up to which a rank is let in.
+func (l *adaptiveLimit) forRank(rank Rank) int64 {
+	return max(1, int64(capacityShares[rank]*float64(l.units.Load()))/limitScale)
+}
+
+// Ended is what came of a query that was let in.
+type Ended struct {
+	Took time.Duration
+	// Asked and Answered are numbers of shards; Refused is the number of those
+	// that no replica took for load.
+	Asked    int
+	Answered int
+	Refused  int
+	// RefusedShard names one of the refused shards.
+	RefusedShard string
+}
+
+func (e *Ended) whole() bool { return e.Answered == e.Asked }
+
+func (l *adaptiveLimit) observe(now time.Time, inFlight int64, ended *Ended) {
+	switch {
+	case ended.Refused > 0:
+		if l.signOfOverload(ended) {
+			l.cut(now, inFlight, ended.Took)
+		}
+	case ended.whole():
+		l.raise(now, inFlight)
+	}
+}
+
+// signOfOverload is false when the same shard alone is refused as the last
+// time: fewer queries would not help a single shard, and cost the others'
+// answers.
+func (l *adaptiveLimit) signOfOverload(ended *Ended) bool {
+	shard := xxhash.Sum64String(ended.RefusedShard)
+	return l.lastShard.Swap(shard) != shard || ended.Refused == ended.Asked
+}
+
+func (l *adaptiveLimit) cut(now time.Time, inFlight int64, took time.Duration) {
+	last := l.cutAt.Load()
+	pause := max(took, cutPause)
+	if now.UnixNano()-last < int64(pause) || !l.cutAt.CompareAndSwap(last, now.UnixNano()) {
+		return
+	}
+	held := min(l.units.Load(), inFlight*limitScale)
+	l.units.Store(max(leastLimit*limitScale, int64(limitCut*float64(held))))
+}
+
+// raise is only for a limit that is in use.
+func (l *adaptiveLimit) raise(now time.Time, inFlight int64) {
+	units := l.units.Load()
+	if units >= l.most || 2*inFlight*limitScale < units {
+		return
+	}
+	step := int64(limitRaise * limitScale * limitScale / float64(units))
+	if now.UnixNano()-l.cutAt.Load() > int64(calmAfter) {
+		step = limitScale
+	}
+	l.units.Store(min(units+step, l.most))
+}
--- /dev/null
+++ b/internal/admission/limit_test.go
@@ -0,0 +1,65 @@
+package admission
+
+import (
+	"testing"
+	"time"
+)
+
+func TestAdaptiveLimit(t *testing.T) {
+	refused := func(shard string) Ended { return Ended{Asked: 2, Answered: 1, Refused: 1, RefusedShard: shard} }
+	all := Ended{Asked: 1, Refused: 1, RefusedShard: "a"}
+	whole := Ended{Asked: 2, Answered: 2}
+	partial := Ended{Asked: 2, Answered: 1}
+	cases := []struct {
+		name     string
+		inFlight int64
+		ended    []Ended // one each 100 ms
+		want     int64   // for critical queries, of 100 at the start
+	}{
+		{"refused shards cut to less than what was in flight", 20, []Ended{refused("a")}, 19},
+		{"one shard refused again is no sign", 20, []Ended{refused("a"), refused("a"), refused("a")}, 19},
+		{"refused shards that differ cut again", 20, []Ended{refused("a"), refused("b")}, 18},
+		{"all shards refused cut again", 20, []Ended{all, all}, 18},
+		{"shards missing for another reason are no sign", 20, []Ended{partial}, 100},
+		{"the limit keeps a trickle", 1, []Ended{refused("a")}, leastLimit},
+		{"whole answers raise it", 20, append([]Ended{refused("a")}, many(whole, 20)...), 20},
+		{"a limit that is not in use is not raised", 1, append([]Ended{refused("a")}, many(whole, 19)...), leastLimit},
+		{"after calm it grows by each answer", 20, append([]Ended{refused("a")}, many(whole, 30)...), 30},
+		{"never over the start", 100, many(whole, 40), 100},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			limit := &adaptiveLimit{}
+			limit.start(100)
+			now := time.Unix(1000, 0)
+			for _, ended := range test.ended {
+				limit.observe(now, test.inFlight, &ended)
+				now = now.Add(100 * time.Millisecond)
+			}
+			if got := limit.forRank(3); got != test.want {
+				t.Errorf("limit %d, want %d", got, test.want)
+			}
+		})
+	}
+}
+
+func TestCutsPause(t *testing.T) {
+	limit := &adaptiveLimit{}
+	limit.start(100)
+	now := time.Unix(1000, 0)
+	for _, shard := range []string{"a", "b", "c"} {
+		limit.observe(now, 20, &Ended{Took: time.Second, Asked: 2, Refused: 1, RefusedShard: shard})
+		now = now.Add(100 * time.Millisecond)
+	}
+	if got := limit.forRank(3); got != 19 {
+		t.Errorf("limit %d, want 19: one cut for the queries let in before it", got)
+	}
+}
+
+func many(ended Ended, count int) []Ended {
+	all := make([]Ended, count)
+	for i := range all {
+		all[i] = ended
+	}
+	return all
+}
--- a/internal/blackboard/board.go
+++ b/internal/blackboard/board.go
@@ -15,7 +15,11 @@
 const (
 	PhaseStarting Phase = iota
 	PhaseServing
+	// PhaseDraining: others are told of the stop; requests are served as ever.
 	PhaseDraining
+	// PhaseClosing: the callers' port is closed; requests on the connections
+	// that are left are served, and each connection ends with its answer.
+	PhaseClosing
 	PhaseStopped
 )
 
--- a/internal/certificates/certificates.go
+++ b/internal/certificates/certificates.go
@@ -145,9 +145,9 @@
 	return config
 }
 
-// Client returns the configuration of outgoing connections. The server's
-// certificate must come from the authority as it is at that moment and name
-// the address that was dialled.
+// Client returns the configuration of outgoing connections, to be used by
+// DialTLS. The server's certificate must come from the authority as it is at
+// that moment and name the address that was dialled.
 func (s *Source) Client() *tls.Config {
 	return &tls.Config{
 		MinVersion: tls.VersionTLS13,
@@ -169,6 +169,9 @@
 	if len(state.PeerCertificates) == 0 {
 		return eris.New("the server showed no certificate")
 	}
+	if state.ServerName == "" {
+		return eris.New("the address that the server must name is not known")
+	}
 	intermediates := x509.NewCertPool()
 	for _, certificate := range state.PeerCertificates[1:] {
 		intermediates.AddCert(certificate)
--- a/internal/certificates/certificates_test.go
+++ b/internal/certificates/certificates_test.go
@@ -1,104 +1,58 @@
-package certificates
+package certificates_test
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
 	"io"
-	"math/big"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
-	"path/filepath"
 	"testing"
-	"time"
+
+	"github.com/doorpond/doorpond/internal/certificates"
+	"github.com/doorpond/doorpond/internal/certificates/certificatestest"
 )
 
-// authority issues certificates for 127.0.0.1.
+// authority issues certificates for tests.
 type authority struct {
-	certificate *x509.Certificate
-	key         *ecdsa.PrivateKey
-	serial      int64
+	*certificatestest.Authority
 }
 
 func newAuthority(t *testing.T) *authority {
 	t.Helper()
-	issuer := &authority{}
-	issuer.certificate, issuer.key, _ = issuer.sign(t, &x509.Certificate{IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign})
-	return issuer
-}
-
-// sign issues a certificate; the first one signs itself.
-func (a *authority) sign(t *testing.T, template *x509.Certificate) (*x509.Certificate, *ecdsa.PrivateKey, []byte) {
-	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	a.serial++
-	template.SerialNumber = big.NewInt(a.serial)
-	template.Subject = pkix.Name{CommonName: "test"}
-	template.NotBefore = time.Now().Add(-time.Hour)
-	template.NotAfter = time.Now().Add(time.Hour)
-	parent, signer := a.certificate, a.key
-	if parent == nil {
-		parent, signer = template, key
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, parent, &key.PublicKey, signer)
+	issuer, err := certificatestest.New()
 	if err != nil {
 		t.Fatal(err)
 	}
-	parsed, err := x509.ParseCertificate(der)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return parsed, key, der
+	return &authority{issuer}
 }
 
 // write puts a new certificate, its key and the authority into a directory.
-func (a *authority) write(t *testing.T, directory string) Files {
+func (a *authority) write(t *testing.T, directory string) certificates.Files {
 	t.Helper()
-	_, key, der := a.sign(t, &x509.Certificate{
-		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	})
-	keyBytes, err := x509.MarshalECPrivateKey(key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	files := Files{
-		Certificate: filepath.Join(directory, "certificate.pem"),
-		Key:         filepath.Join(directory, "key.pem"),
-		Authority:   filepath.Join(directory, "authority.pem"),
-	}
-	writePEM(t, files.Certificate, "CERTIFICATE", der)
-	writePEM(t, files.Key, "EC PRIVATE KEY", keyBytes)
-	writePEM(t, files.Authority, "CERTIFICATE", a.certificate.Raw)
-	return files
+	return a.writeFor(t, directory, net.IPv4(127, 0, 0, 1))
 }
 
-func writePEM(t *testing.T, path, kind string, content []byte) {
+// writeFor is write with a certificate that names another address.
+func (a *authority) writeFor(t *testing.T, directory string, address net.IP) certificates.Files {
 	t.Helper()
-	if err := os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: content}), 0o600); err != nil {
+	files, err := a.Write(directory, address)
+	if err != nil {
 		t.Fatal(err)
 	}
+	return files
 }
 
-func newSource(t *testing.T, files Files) *Source {
+func newSource(t *testing.T, files certificates.Files) *certificates.Source {
 	t.Helper()
-	source, err := NewSource(files)
+	source, err := certificates.NewSource(files)
 	if err != nil {
 		t.Fatal(err)
 	}
 	return source
 }
 
-func serve(t *testing.T, source *Source) *httptest.Server {
+func serve(t *testing.T, source *certificates.Source) *httptest.Server {
 	t.Helper()
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = io.WriteString(w, "ok")
@@ -122,7 +76,7 @@
 
 func newClient(t *testing.T, config *tls.Config) *http.Client {
 	t.Helper()
-	transport := &http.Transport{TLSClientConfig: config}
+	transport := &http.Transport{DialTLSContext: certificates.DialTLS(config, (&net.Dialer{}).DialContext)}
 	t.Cleanup(transport.CloseIdleConnections)
 	return &http.Client{Transport: transport}
 }
@@ -138,7 +92,7 @@
 	}{
 		{"certificate of the authority", newSource(t, trusted.write(t, t.TempDir())).Client(), true},
 		{"certificate of another authority", newSource(t, other.write(t, t.TempDir())).Client(), false},
-		{"no certificate", newSource(t, Files{Authority: trusted.write(t, t.TempDir()).Authority}).Client(), false},
+		{"no certificate", newSource(t, certificates.Files{Authority: trusted.write(t, t.TempDir()).Authority}).Client(), false},
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
@@ -193,3 +147,24 @@
 		t.Errorf("the material in use was lost: %v", err)
 	}
 }
+
+func TestServerMustNameTheAddressThatWasDialled(t *testing.T) {
+	issuer := newAuthority(t)
+	cases := []struct {
+		name    string
+		address net.IP
+		works   bool
+	}{
+		{"the address dialled", net.IPv4(127, 0, 0, 1), true},
+		{"another address", net.IPv4(127, 0, 0, 9), false},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			server := serve(t, newSource(t, issuer.writeFor(t, t.TempDir(), test.address)))
+			err := get(newClient(t, newSource(t, issuer.write(t, t.TempDir())).Client()), server.URL)
+			if (err == nil) != test.works {
+				t.Errorf("request error %v; wanted it to work: %v", err, test.works)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/comparison/comparison_test.go
@@ -0,0 +1,120 @@
+package comparison
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/doorpond/doorpond/internal/statistics"
+)
+
+func TestRanksEncloseTheQuantile(t *testing.T) {
+	cases := []struct {
+		name      string
+		samples   int64
+		quantile  float64
+		low, high int64
+		enough    bool
+	}{
+		// from tables of the binomial distribution
+		{"median of 10", 10, 0.5, 2, 9, true},
+		{"median of 100", 100, 0.5, 40, 61, true},
+		{"median of 5, too few", 5, 0.5, 0, 6, false},
+		{"p99 of 367, too few", 367, 0.99, 360, 368, false},
+		{"none", 0, 0.5, 0, 1, false},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			low, high, enough := ranks(test.samples, test.quantile)
+			if enough != test.enough || (test.enough && (low != test.low || high != test.high)) {
+				t.Errorf("got %d to %d, %t; want %d to %d, %t", low, high, enough, test.low, test.high, test.enough)
+			}
+		})
+	}
+}
+
+// TestIntervalsHoldTheTrueQuantile draws many samples of a known distribution
+// and counts how often the interval has the true quantile in it.
+func TestIntervalsHoldTheTrueQuantile(t *testing.T) {
+	const trials, samples = 400, 500
+	random := rand.New(rand.NewPCG(1, 1))
+	for _, quantile := range []float64{0.5, 0.95, 0.99} {
+		low, high, enough := ranks(samples, quantile)
+		if !enough {
+			t.Fatalf("%d samples are too few for %g", samples, quantile)
+		}
+		held := 0
+		for range trials {
+			below := int64(0)
+			for range samples {
+				if random.Float64() < quantile {
+					below++
+				}
+			}
+			if below >= low && below < high {
+				held++
+			}
+		}
+		if share := float64(held) / trials; share < 0.92 {
+			t.Errorf("the interval of quantile %g held in %.3f of the trials; want about 0.95", quantile, share)
+		}
+	}
+}
+
+func record(policy, group string, queries int, latency time.Duration, failed bool) []statistics.PolicyStatistics {
+	recorder := statistics.New(nil)
+	for i := range queries {
+		recorder.Record(policy, statistics.Sample{
+			Group: group, Latency: latency + time.Duration(i%10)*time.Microsecond,
+			Asked: 4, Answered: 4, Attempts: 5, Hedges: 1, Failed: failed,
+		})
+	}
+	return recorder.Snapshot(time.Hour)
+}
+
+func TestCompare(t *testing.T) {
+	many := append(record("fast", "gate", 5000, 10*time.Millisecond, false), record("slow", "gate", 5000, 30*time.Millisecond, false)...)
+	cases := []struct {
+		name     string
+		measured []statistics.PolicyStatistics
+		a, b     string
+		group    string
+		verdicts []Verdict
+		whole    Verdict
+		warnings int
+	}{
+		{"a clear difference", many, "fast", "slow", "", []Verdict{VerdictLower, VerdictLower, VerdictLower, VerdictLower}, VerdictUnclear, 0},
+		{"the other way round", many, "slow", "fast", "", []Verdict{VerdictHigher, VerdictHigher, VerdictHigher, VerdictHigher}, VerdictUnclear, 0},
+		{"a policy with itself", many, "fast", "fast", "", []Verdict{VerdictUnclear, VerdictUnclear, VerdictUnclear, VerdictUnclear}, VerdictUnclear, 0},
+		{"another group", many, "fast", "slow", "clerks", []Verdict{VerdictTooFew, VerdictTooFew, VerdictTooFew, VerdictTooFew}, VerdictTooFew, 2},
+		{"few", append(record("fast", "gate", 100, time.Millisecond, false), record("slow", "gate", 100, time.Second, false)...),
+			"fast", "slow", "gate", []Verdict{VerdictLower, VerdictLower, VerdictTooFew, VerdictTooFew}, VerdictUnclear, 2},
+		{"all failed", append(record("fast", "gate", 100, time.Millisecond, true), record("slow", "gate", 100, time.Second, false)...),
+			"fast", "slow", "", []Verdict{VerdictTooFew, VerdictTooFew, VerdictTooFew, VerdictTooFew}, VerdictLower, 2},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			report := Compare(test.measured, test.a, test.b, test.group)
+			var verdicts []Verdict
+			for _, row := range report.Latency {
+				verdicts = append(verdicts, row.Verdict)
+			}
+			if diff := cmp.Diff(test.verdicts, verdicts); diff != "" {
+				t.Error(diff)
+			}
+			if report.Whole.Verdict != test.whole || len(report.Warnings) != test.warnings {
+				t.Errorf("whole %q, warnings %q", report.Whole.Verdict, report.Warnings)
+			}
+		})
+	}
+}
+
+func TestCompareCountsOverGroups(t *testing.T) {
+	measured := append(record("fast", "gate", 30, time.Millisecond, false), record("fast", "clerks", 20, time.Millisecond, false)...)
+	want := Side{Policy: "fast", Queries: 50, Coverage: 1, ExtraLoad: 0.25, Subrequests: 250, Hedges: 50}
+	if diff := cmp.Diff(want, Compare(measured, "fast", "none", "").A); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -46,6 +46,7 @@
 	settings settings.Settings
 	logger   *slog.Logger
 	id       string
+	started  time.Time
 	token    string
 	registry *prometheus.Registry
 	security security
@@ -60,6 +61,7 @@
 	node       *membership.Node
 	fetcher    *document.Fetcher
 	watcher    *document.StoreWatcher
+	election   *document.Election
 	editor     *policytable.Editor
 	calls      *once.Service
 	queries    *query.Service
@@ -75,6 +77,7 @@
 		settings:   options.Settings,
 		logger:     options.Logger,
 		id:         ulid.Make().String(),
+		started:    time.Now(),
 		registry:   prometheus.NewRegistry(),
 		board:      &blackboard.Board{},
 		register:   document.NewRegister(),
@@ -82,6 +85,7 @@
 	}
 	d.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	d.enter(blackboard.PhaseStarting)
+	d.registerStateMetrics()
 	if err := d.readSecrets(); err != nil {
 		return nil, err
 	}
@@ -146,6 +150,7 @@
 }
 
 func (d *Daemon) assembleReplicas(place topology.Place) {
+	d.peers = peer.NewClient(peer.ClientOptions{TLS: d.security.peersClient(), Registerer: d.registry})
 	d.seeds = newSeedLister(d.settings)
 	d.tracker = replica.NewTracker(replica.TrackerOptions{
 		Lister:     d.seeds,
@@ -158,6 +163,7 @@
 		Board:      d.board,
 		Self:       place,
 		Tracker:    d.tracker,
+		Peers:      d.peers,
 		Protocol:   replica.Protocol(d.settings.Backends.Protocol),
 		TLS:        d.security.backends(),
 		Registerer: d.registry,
@@ -165,7 +171,6 @@
 }
 
 func (d *Daemon) assembleMembership(place topology.Place) {
-	d.peers = peer.NewClient(peer.ClientOptions{TLS: d.security.peersClient(), Registerer: d.registry})
 	d.node = membership.NewNode(membership.NodeOptions{
 		Self:       topology.Member{ID: d.id, PeerAddress: d.listeners.peers.Addr().String(), Place: place},
 		Seeds:      d.seeds.addresses,
@@ -179,6 +184,9 @@
 }
 
 func (d *Daemon) assembleDocuments() {
+	d.election = document.NewElection(document.ElectionOptions{
+		PerZone: d.settings.Store.WatchersPerZone, HasSeeds: d.seeds.mayHaveSeeds,
+	})
 	d.register.OnAccept(document.Table, policytable.Publish(d.board))
 	d.register.OnAccept(document.Catalogue, policytable.PublishCatalogue(d.board))
 	d.fetcher = document.NewFetcher(document.FetcherOptions{
@@ -200,7 +208,7 @@
 
 // elected tells whether this daemon follows the store.
 func (d *Daemon) elected() bool {
-	return document.Elected(d.board.Members.Load(), d.settings.Store.WatchersPerZone)
+	return d.election.Elected(time.Since(d.started), d.board.Members.Load())
 }
 
 func (d *Daemon) enter(phase blackboard.Phase) { d.board.Phase.Publish(&phase) }
--- a/internal/daemon/gossip.go
+++ b/internal/daemon/gossip.go
@@ -129,3 +129,9 @@
 	}
 	return addresses
 }
+
+// mayHaveSeeds tells whether other daemons may exist: some are known, or the
+// machine list has not been read yet.
+func (s *seedLister) mayHaveSeeds() bool {
+	return s.listed.Load() == nil || len(s.addresses()) > 0
+}
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -10,8 +10,10 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/doorpond/doorpond/internal/admin"
+	"github.com/doorpond/doorpond/internal/drain"
 	"github.com/doorpond/doorpond/internal/gateway"
 	"github.com/doorpond/doorpond/internal/peer"
+	"github.com/doorpond/doorpond/internal/replica"
 	"github.com/doorpond/doorpond/internal/settings"
 )
 
@@ -23,10 +25,13 @@
 
 // listeners are the three ports of a daemon and their servers.
 type listeners struct {
-	callers        net.Listener
-	peers          net.Listener
+	callers        *drain.Listener
+	peers          *drain.Listener
 	administration net.Listener
 
+	// callersOpen are the connections of callers.
+	callersOpen drain.Connections
+
 	callersServer        *http.Server
 	peersServer          *http.Server
 	administrationServer *http.Server
@@ -34,14 +39,14 @@
 
 // openListeners opens all three ports or none.
 func openListeners(chosen settings.Settings) (*listeners, error) {
-	var opened []net.Listener
+	var opened []*drain.Listener
 	for _, address := range []string{chosen.Callers.Address, chosen.Peers.Address, chosen.Administration.Address} {
-		listener, err := net.Listen("tcp", address)
+		listener, err := drain.Listen(address)
 		if err != nil {
 			for _, other := range opened {
 				_ = other.Close()
 			}
-			return nil, eris.Wrapf(err, "listen on %s", address)
+			return nil, err
 		}
 		opened = append(opened, listener)
 	}
@@ -56,6 +61,7 @@
 			Calls:        d.calls,
 			Board:        d.board,
 			MaxBodyBytes: d.settings.Callers.MaxBodyBytes,
+			WriteTimeout: d.settings.Callers.WriteTimeout,
 			Registerer:   d.registry,
 		}),
 		ReadHeaderTimeout: d.settings.Callers.HeaderTimeout,
@@ -68,6 +74,7 @@
 			Document:   d.register.Current,
 			State:      d.state,
 			Statistics: d.encodedStatistics,
+			Forwarder:  replica.NewForwardServer(d.pool, d.registry),
 			Registerer: d.registry,
 		}),
 		Protocols:         peer.ServerProtocols(),
@@ -81,6 +88,8 @@
 			Editor:     d.editor,
 			Peers:      d.peers,
 			State:      d.state,
+			Statistics: d.encodedStatistics,
+			Replicas:   d.pool.Statuses,
 			Token:      d.token,
 			Gatherer:   d.registry,
 			Registerer: d.registry,
@@ -88,9 +97,15 @@
 		ReadHeaderTimeout: d.settings.Callers.HeaderTimeout,
 		TLSConfig:         d.security.administrationServer(),
 	}
-	for _, server := range []*http.Server{l.callersServer, l.peersServer, l.administrationServer} {
+	l.callersOpen.Follow(l.callersServer)
+	failures := newConnectionErrors(d.registry)
+	report := func(text string) { d.logger.Error("a handler panicked", "error", text) }
+	for port, server := range map[string]*http.Server{
+		"callers": l.callersServer, "peers": l.peersServer, "administration": l.administrationServer,
+	} {
 		server.MaxHeaderBytes = maxHeaderBytes
 		server.IdleTimeout = idleTimeout
+		server.ErrorLog = failures.logger(port, report)
 	}
 }
 
@@ -108,7 +123,7 @@
 	} else {
 		err = server.Serve(listener)
 	}
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return eris.Wrapf(err, "serve on %s", listener.Addr())
--- a/internal/daemon/security.go
+++ b/internal/daemon/security.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"log/slog"
+	"net"
 	"net/http"
 	"time"
 
@@ -11,12 +12,16 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/doorpond/doorpond/internal/certificates"
+	"github.com/doorpond/doorpond/internal/replica"
 	"github.com/doorpond/doorpond/internal/settings"
 )
 
 // reloadInterval between two readings of the TLS files.
 const reloadInterval = 10 * time.Second
 
+// dialTimeout bounds the opening of a connection to the store.
+const dialTimeout = 2 * time.Second
+
 // The protocols that a listener offers by TLS.
 const (
 	protocolHTTP2 = "h2"
@@ -49,6 +54,9 @@
 		if !side.files.Enabled() {
 			continue
 		}
+		if side.name == "backends" && replica.Protocol(chosen.Backends.Protocol) != replica.ProtocolHTTP1 {
+			return s, &settings.Error{Source: "settings", Key: "backends.protocol", Reason: "must be http1 where back ends speak TLS"}
+		}
 		source, err := certificates.NewSource(side.files)
 		if err != nil {
 			return s, eris.Wrapf(err, "TLS of %s", side.name)
@@ -85,7 +93,7 @@
 		return nil
 	}
 	transport := http.DefaultTransport.(*http.Transport).Clone()
-	transport.TLSClientConfig = s.storeSource.Client()
+	transport.DialTLSContext = certificates.DialTLS(s.storeSource.Client(), (&net.Dialer{Timeout: dialTimeout}).DialContext, protocolHTTP1)
 	return &http.Client{Transport: transport}
 }
 
--- a/internal/daemon/state.go
+++ b/internal/daemon/state.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -34,29 +36,50 @@
 	return state
 }
 
+// countReplicas counts and names the replicas that do not take their whole
+// share.
 func (d *Daemon) countReplicas(state *peer.NodeState) {
-	replicas := d.board.Replicas.Load()
-	if replicas == nil {
-		return
-	}
-	for _, group := range replicas.Groups {
-		for i := range group {
-			switch group[i].State {
-			case topology.ReplicaLeaving:
-				state.ReplicasLeaving++
-			case topology.ReplicaCold:
-				state.ReplicasCold++
-			case topology.ReplicaServing:
+	if replicas := d.board.Replicas.Load(); replicas != nil {
+		for _, name := range slices.Sorted(maps.Keys(replicas.Groups)) {
+			for _, replica := range replicas.Groups[name] {
+				countReplica(state, replica)
 			}
 		}
 	}
 	for _, status := range d.pool.Statuses() {
 		if status.Ejected {
 			state.ReplicasEjected++
+			addTroubled(state, peer.TroubledReplica{
+				Address: status.Address, Incarnation: status.Incarnation, Group: status.Group, Place: status.Place,
+				Trouble: peer.TroubleEjected,
+			})
 		}
 	}
 }
 
+func countReplica(state *peer.NodeState, replica topology.Replica) {
+	troubled := peer.TroubledReplica{
+		Address: replica.Address, Incarnation: replica.Incarnation, Group: replica.Group, Place: replica.Place,
+	}
+	switch replica.State {
+	case topology.ReplicaLeaving:
+		state.ReplicasLeaving++
+		troubled.Trouble = peer.TroubleLeaving
+	case topology.ReplicaCold:
+		state.ReplicasCold++
+		troubled.Trouble = peer.TroubleCold
+	case topology.ReplicaServing:
+		return
+	}
+	addTroubled(state, troubled)
+}
+
+func addTroubled(state *peer.NodeState, replica peer.TroubledReplica) {
+	if len(state.Troubled) < peer.MaxTroubled {
+		state.Troubled = append(state.Troubled, replica)
+	}
+}
+
 // encodedStatistics is what peers merge to compare policies.
 func (d *Daemon) encodedStatistics(since time.Duration) ([]byte, error) {
 	encoded, err := msgpack.Marshal(d.statistics.Snapshot(since))
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -2,18 +2,20 @@
 
 import (
 	"context"
-	"net/http"
+	"errors"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/doorpond/doorpond/internal/blackboard"
 )
 
-// stop is the planned stop. The order matters: others are told first, then
-// requests are still taken for a while with "Connection: close", so that
-// callers on kept-alive connections move away by themselves; only then are
-// the listeners closed, and idle connections ended last. What is in flight is
+// stop is the planned stop. The order matters: others are told first, and
+// requests are still taken for the grace time. Then the ports are closed, and
+// requests on the connections that are left are still served, with
+// "Connection: close", so that callers move away by themselves; connections
+// idle for as long as the grace time are closed last. What is in flight is
 // waited for, also what peers have forwarded.
 func (d *Daemon) stop(hurry context.Context) {
 	d.logger.Info("draining", "grace", d.settings.Stop.Grace, "timeout", d.settings.Stop.Timeout)
@@ -32,19 +34,35 @@
 	d.finish(hurry)
 }
 
-// finish waits for the requests in flight, as long as the settings allow.
+// finish closes the ports and waits for the requests in flight, as long as the
+// settings allow.
 func (d *Daemon) finish(hurry context.Context) {
 	bounded, cancel := context.WithTimeout(hurry, d.settings.Stop.Timeout)
 	defer cancel()
 	var group errgroup.Group
-	for name, server := range map[string]*http.Server{"callers": d.listeners.callersServer, "peers": d.listeners.peersServer} {
-		group.Go(func() error {
-			if err := server.Shutdown(bounded); err != nil {
-				d.logger.Error("requests in flight were cut off", "listener", name, "error", err)
-			}
-			return nil
-		})
+	group.Go(func() error { return d.finishCallers(bounded) })
+	group.Go(func() error { return d.finishPeers(bounded) })
+	if err := group.Wait(); err != nil {
+		d.logger.Error("the stop did not go as planned", "error", err)
 	}
-	_ = group.Wait() // each failure is logged above
 	d.enter(blackboard.PhaseStopped)
 }
+
+// finishCallers lets callers' connections end by themselves before it shuts
+// the server down.
+func (d *Daemon) finishCallers(bounded context.Context) error {
+	l := d.listeners
+	closed := l.callers.TurnOff()
+	d.enter(blackboard.PhaseClosing)
+	_ = l.callersOpen.AwaitQuiet(bounded, d.settings.Stop.Grace) // Shutdown reports the end of bounded
+	cutOff := eris.Wrap(l.callersServer.Shutdown(bounded), "requests of callers were cut off")
+	return errors.Join(closed, cutOff)
+}
+
+// finishPeers relies on HTTP/2, which tells the other side which requests are
+// still served; membership messages may be lost.
+func (d *Daemon) finishPeers(bounded context.Context) error {
+	closed := d.listeners.peers.TurnOff()
+	cutOff := eris.Wrap(d.listeners.peersServer.Shutdown(bounded), "requests of peers were cut off")
+	return errors.Join(closed, cutOff)
+}
--- a/internal/decision/budget.go
+++ b/internal/decision/budget.go
@@ -9,8 +9,10 @@
 type Budget interface {
 	// Deposit is called once for each first attempt.
 	Deposit()
-	// Withdraw asks for one more attempt.
+	// Withdraw asks for a retry.
 	Withdraw() bool
+	// WithdrawHedge asks for a hedge.
+	WithdrawHedge() bool
 }
 
 // tokenScale is the number of budget units in one attempt.
@@ -52,11 +54,22 @@
 	}
 }
 
+// hedgeReserve is the part of the burst that is left to retries: a retry saves
+// a shard's answer, a hedge only its time.
+const hedgeReserve = 0.5
+
 // Withdraw takes one token if there is one.
-func (b *TokenBudget) Withdraw() bool {
+func (b *TokenBudget) Withdraw() bool { return b.withdraw(0) }
+
+// WithdrawHedge takes one token if there are more than retries may need.
+func (b *TokenBudget) WithdrawHedge() bool {
+	return b.withdraw(int64(hedgeReserve * float64(b.burst.Load())))
+}
+
+func (b *TokenBudget) withdraw(reserve int64) bool {
 	for {
 		units := b.units.Load()
-		if units < tokenScale {
+		if units < tokenScale+reserve {
 			return false
 		}
 		if b.units.CompareAndSwap(units, units-tokenScale) {
--- a/internal/decision/choice.go
+++ b/internal/decision/choice.go
@@ -20,7 +20,10 @@
 	// Warmth grows from 0 for a replica just started to 1.
 	Warmth  float64
 	Ejected bool
-	Tried   bool
+	// BackingOff is true until the time to come back that the replica named
+	// when it last refused for load.
+	BackingOff bool
+	Tried      bool
 	// ConnectionAvailable is false when the connection budget is used up.
 	ConnectionAvailable bool
 }
@@ -30,29 +33,57 @@
 // NoCandidate is what ChooseReplica returns when none can be used.
 const NoCandidate = -1
 
-// ChooseReplica picks by power of two choices in the nearest ring that has
-// room; it spills to farther rings when the near replicas are saturated,
-// then to saturated, and last to ejected replicas.
+// ChooseReplica picks by power of two choices in each ring of distance, and
+// prefers the nearer ring's pick until it is expected to take as many times
+// longer as the rings' weights are apart. Replicas that are saturated, then
+// ones that refused for load, and then ejected ones are taken only when no
+// other is left, so that ejection never empties a group.
 func ChooseReplica(candidates []Candidate, weights policy.Replicas, random uint64) int {
-	for pass := passRoom; pass <= passAny; pass++ {
-		for ring := topology.SameZone; ring <= topology.OtherRegion; ring++ {
-			if ringWeight(weights, ring) == 0 {
-				continue
-			}
-			if chosen := chooseInRing(candidates, ring, pass, random); chosen != NoCandidate {
-				return chosen
-			}
+	return chooseUpTo(passEjected, candidates, weights, random)
+}
+
+// ChooseAnother picks as ChooseReplica does for a hedge or a retry, which is
+// not sent to replicas that refuse or are ejected: it would most likely be
+// wasted, and multiply the load of an outage.
+func ChooseAnother(candidates []Candidate, weights policy.Replicas, random uint64) int {
+	return chooseUpTo(passSaturated, candidates, weights, random)
+}
+
+func chooseUpTo(last pass, candidates []Candidate, weights policy.Replicas, random uint64) int {
+	for pass := passRoom; pass <= last; pass++ {
+		if chosen := chooseInPass(candidates, weights, pass, random); chosen != NoCandidate {
+			return chosen
 		}
 	}
 	return NoCandidate
 }
 
+// chooseInPass compares the picks of the rings.
+func chooseInPass(candidates []Candidate, weights policy.Replicas, p pass, random uint64) int {
+	best, least := NoCandidate, 0.0
+	for ring := topology.SameZone; ring <= topology.OtherRegion; ring++ {
+		weight := ringWeight(weights, ring)
+		if weight == 0 {
+			continue
+		}
+		chosen := chooseInRing(candidates, ring, p, random)
+		if chosen == NoCandidate {
+			continue
+		}
+		if weighed := candidates[chosen].expected() / weight; best == NoCandidate || weighed < least {
+			best, least = chosen, weighed
+		}
+	}
+	return best
+}
+
 type pass int
 
 const (
 	passRoom pass = iota
 	passSaturated
-	passAny
+	passBackingOff
+	passEjected
 )
 
 func ringWeight(weights policy.Replicas, ring topology.Distance) float64 {
@@ -72,8 +103,10 @@
 	}
 	switch p {
 	case passRoom:
-		return !c.Ejected && c.InFlight < c.Limit
+		return !c.Ejected && !c.BackingOff && c.InFlight < c.Limit
 	case passSaturated:
+		return !c.Ejected && !c.BackingOff
+	case passBackingOff:
 		return !c.Ejected
 	default:
 		return true
@@ -119,9 +152,25 @@
 // few requests that warm it.
 const leastWarmth = 0.1
 
-// cost is the expected wait: the load a slot has, times the usual latency.
+// leastLatency stands for a latency that is not known yet.
+const leastLatency = time.Millisecond
+
+// cost orders the replicas of one ring: the load a slot has, times the usual
+// latency.
 func (c *Candidate) cost() float64 {
-	load := float64(1+c.InFlight+c.ReportedLoad) / float64(max(1, c.Slots))
-	latency := float64(max(c.LatencyEWMA, time.Millisecond))
-	return load * latency / max(c.Warmth, leastWarmth)
+	load := float64(1+c.load()) / float64(max(1, c.Slots))
+	return load * c.latency()
+}
+
+// expected is the expected time of a request, in nanoseconds, by which rings
+// are compared. Load counts only once it exceeds the slots.
+func (c *Candidate) expected() float64 {
+	load := float64(1+c.load()) / float64(max(1, c.Slots))
+	return max(1, load) * c.latency()
+}
+
+func (c *Candidate) load() int { return c.InFlight + c.ReportedLoad }
+
+func (c *Candidate) latency() float64 {
+	return float64(max(c.LatencyEWMA, leastLatency)) / max(c.Warmth, leastWarmth)
 }
--- a/internal/decision/query.go
+++ b/internal/decision/query.go
@@ -186,6 +186,11 @@
 	return budget != nil && budget.Withdraw()
 }
 
+func (q *Query) withdrawHedge(shard int) bool {
+	budget := q.plan.Shards[shard].Budget
+	return budget != nil && budget.WithdrawHedge()
+}
+
 func (q *Query) succeed(now time.Duration, shard int) {
 	state := &q.shards[shard]
 	state.status = ShardStatus{Answered: true}
@@ -223,8 +228,12 @@
 			continue
 		}
 		state.hedgeAt = never
-		if q.mayAttempt(now, i) && q.withdraw(i) {
+		switch {
+		case !q.mayAttempt(now, i):
+		case q.withdrawHedge(i):
 			q.send(now, i, true)
+		default:
+			state.hedgeAt = now + q.plan.Shards[i].HedgeDelay // the budget may be better off then
 		}
 	}
 }
--- a/internal/decision/query_test.go
+++ b/internal/decision/query_test.go
@@ -115,7 +115,21 @@
 			},
 			events: []timedEvent{timer(10 * ms), timer(100 * ms)},
 			want: []string{
-				"0s send 0/0 in 100ms", "0s timer 10ms", "10ms timer 100ms", "100ms cancel 0/0", "100ms finish 2",
+				"0s send 0/0 in 100ms", "0s timer 10ms", "10ms timer 20ms", "100ms cancel 0/0", "100ms finish 2",
+			},
+			status: []ShardStatus{{Reason: client.MissingTimeout}},
+		},
+		{
+			name: "a hedge without budget is asked for again", shards: 1,
+			change: func(plan *Plan, row *policy.Row) {
+				hedged(plan, row)
+				plan.Shards[0].Budget = &lateBudget{refusals: 1}
+				plan.Shards[0].Expected = 75 * ms
+			},
+			events: []timedEvent{timer(10 * ms), timer(20 * ms), timer(30 * ms), timer(100 * ms)},
+			want: []string{
+				"0s send 0/0 in 100ms", "0s timer 10ms", "10ms timer 20ms", "20ms hedge 0/1 in 80ms", "20ms timer 30ms",
+				"30ms timer 100ms", "100ms cancel 0/0", "100ms cancel 0/1", "100ms finish 2",
 			},
 			status: []ShardStatus{{Reason: client.MissingTimeout}},
 		},
@@ -198,6 +212,30 @@
 	}
 }
 
+// lateBudget refuses a number of hedges and then grants them.
+type lateBudget struct{ refusals int }
+
+func (b *lateBudget) Deposit()       {}
+func (b *lateBudget) Withdraw() bool { return true }
+func (b *lateBudget) WithdrawHedge() bool {
+	b.refusals--
+	return b.refusals < 0
+}
+
+func TestHedgesLeaveHalfTheBurstToRetries(t *testing.T) {
+	budget := NewTokenBudget(0, 4)
+	hedges, retries := 0, 0
+	for budget.WithdrawHedge() {
+		hedges++
+	}
+	for budget.Withdraw() {
+		retries++
+	}
+	if hedges != 2 || retries != 2 {
+		t.Errorf("%d hedges and %d retries, want 2 and 2", hedges, retries)
+	}
+}
+
 func TestTokenBudget(t *testing.T) {
 	budget := NewTokenBudget(0.25, 2)
 	taken := 0
--- a/internal/decision/selection_test.go
+++ b/internal/decision/selection_test.go
@@ -121,12 +121,19 @@
 	unconnected := with(near, func(c *Candidate) { c.ConnectionAvailable = false })
 	slow := with(near, func(c *Candidate) { c.LatencyEWMA = 20 * time.Millisecond })
 	cold := with(near, func(c *Candidate) { c.Warmth = 0 })
+	backing := with(near, func(c *Candidate) { c.BackingOff = true })
+	busy := with(near, func(c *Candidate) { c.ReportedLoad = 9 })
 	cases := []struct {
 		name       string
 		candidates []Candidate
 		want       int
 	}{
 		{"none", nil, NoCandidate},
+		{"refusing spills to the region", []Candidate{backing, region}, 1},
+		{"saturated before refusing", []Candidate{backing, saturated}, 1},
+		{"refusing before ejected", []Candidate{ejected, backing}, 1},
+		{"slow spills to the region", []Candidate{slow, region}, 1},
+		{"queueing spills to the region", []Candidate{busy, region}, 1},
 		{"nearest first", []Candidate{region, near}, 1},
 		{"saturated spills to the region", []Candidate{saturated, region}, 1},
 		{"ejected spills to the region", []Candidate{ejected, region}, 1},
@@ -148,3 +155,44 @@
 		})
 	}
 }
+
+func TestChooseAnother(t *testing.T) {
+	weights := policy.Replicas{ZoneWeight: 1}
+	near := Candidate{Limit: 2, Slots: 2, Warmth: 1, ConnectionAvailable: true}
+	cases := []struct {
+		name   string
+		change func(*Candidate)
+		want   int
+	}{
+		{"with room", func(*Candidate) {}, 0},
+		{"saturated", func(c *Candidate) { c.InFlight = 2 }, 0},
+		{"refusing", func(c *Candidate) { c.BackingOff = true }, NoCandidate},
+		{"ejected", func(c *Candidate) { c.Ejected = true }, NoCandidate},
+		{"tried", func(c *Candidate) { c.Tried = true }, NoCandidate},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			candidate := near
+			test.change(&candidate)
+			if got := ChooseAnother([]Candidate{candidate}, weights, 0); got != test.want {
+				t.Errorf("chose %d, want %d", got, test.want)
+			}
+		})
+	}
+}
+
+func TestRingsAreWeighed(t *testing.T) {
+	near := Candidate{Limit: 2, Slots: 2, Warmth: 1, ConnectionAvailable: true, LatencyEWMA: 30 * time.Millisecond}
+	region := near
+	region.Distance = topology.SameRegion
+	region.LatencyEWMA = 10 * time.Millisecond
+	for _, test := range []struct {
+		zoneWeight float64
+		want       int
+	}{{4, 0}, {2, 1}} {
+		weights := policy.Replicas{ZoneWeight: test.zoneWeight, RegionWeight: 1}
+		if got := ChooseReplica([]Candidate{near, region}, weights, 0); got != test.want {
+			t.Errorf("with zone weight %g, a near replica 3 times slower: chose %d, want %d", test.zoneWeight, got, test.want)
+		}
+	}
+}
--- a/internal/document/election.go
+++ b/internal/document/election.go
@@ -1,14 +1,95 @@
 package document
 
 import (
-	"cmp"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/doorpond/doorpond/internal/topology"
 )
 
+// The defaults of ElectionOptions.
+const (
+	defaultSettle  = 2 * time.Second
+	defaultLongest = 10 * time.Second
+)
+
+// growthShare is the growth of the membership, as a share of it, that counts
+// as not settled.
+const growthShare = 0.02
+
+// ElectionOptions configure an Election.
+type ElectionOptions struct {
+	// PerZone is how many daemons of a zone follow the store.
+	PerZone int
+	// HasSeeds tells whether other daemons may exist; nil means that they may.
+	// A daemon without seeds need not wait for others.
+	HasSeeds func() bool
+	// Settle is how long the membership must not have grown; 0 means 2 s.
+	Settle time.Duration
+	// Longest bounds the wait after the start; 0 means 10 s.
+	Longest time.Duration
+}
+
+// Election decides whether this daemon follows the store. A daemon that has
+// just started knows few others and would always find itself elected; when
+// all daemons start at once, all would read the store. So it is withheld until
+// the membership has stopped growing, or a longest time has passed. Use it
+// from one goroutine.
+type Election struct {
+	options ElectionOptions
+	started time.Duration
+	grownAt time.Duration
+	known   int
+	running bool
+	settled bool
+}
+
+// NewElection returns an Election that starts at its first use.
+func NewElection(options ElectionOptions) *Election {
+	orDefault(&options.Settle, defaultSettle)
+	orDefault(&options.Longest, defaultLongest)
+	return &Election{options: options}
+}
+
+// Elected tells whether this daemon follows the store at a time, which may
+// count from any start and never goes back.
+func (e *Election) Elected(now time.Duration, members *topology.Members) bool {
+	if members == nil {
+		return false
+	}
+	return e.hasSettled(now, len(members.Members)) && Elected(members, e.options.PerZone)
+}
+
+// Settled tells whether the wait after the start is over, from when on only a
+// change of the members changes the outcome.
+func (e *Election) Settled() bool { return e.settled }
+
+func (e *Election) hasSettled(now time.Duration, known int) bool {
+	if e.settled {
+		return true
+	}
+	if !e.running {
+		e.running = true
+		e.started, e.grownAt = now, now
+	}
+	if float64(known) > float64(e.known)*(1+growthShare) {
+		e.grownAt = now
+		e.known = known
+	}
+	alone := known <= 1
+	switch {
+	case alone && e.options.HasSeeds != nil && !e.options.HasSeeds():
+		e.settled = true
+	case now-e.started >= e.options.Longest:
+		e.settled = true
+	case !alone && now-e.grownAt >= e.options.Settle:
+		e.settled = true
+	}
+	return e.settled
+}
+
 // Elected tells whether this daemon is one of the few of its zone that follow
 // the store: the perZone live ones with the highest rendezvous hash. Daemons
 // may differ for a while on who is elected; two or none do no harm.
@@ -23,7 +104,7 @@
 		if other.ID == members.Self.ID || other.Place != members.Self.Place || !mayFollow(other.State) {
 			continue
 		}
-		if cmp.Compare(rendezvous(other.ID), own) > 0 {
+		if rendezvous(other.ID) > own {
 			ahead++
 		}
 	}
--- a/internal/document/election_test.go
+++ b/internal/document/election_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/doorpond/doorpond/internal/topology"
 )
@@ -49,3 +50,40 @@
 		t.Error("a daemon without a membership is elected")
 	}
 }
+
+func TestElectionWaitsUntilTheMembershipHasSettled(t *testing.T) {
+	const step = 500 * time.Millisecond
+	cases := []struct {
+		name string
+		// known is the number of daemons seen at each step; the last one stays.
+		known    []int
+		hasSeeds bool
+		want     time.Duration
+	}{
+		{"alone without seeds", []int{1}, false, 0},
+		{"alone with seeds", []int{1}, true, defaultLongest},
+		{"among others from the start", []int{2}, true, defaultSettle},
+		{"a membership that grows", []int{1, 1, 10, 100, 200, 225}, true, 5*step + defaultSettle},
+		{"small growth is no reason to wait", []int{220, 221, 222, 223}, true, defaultSettle},
+		{"a loss is no reason to wait", []int{220, 110, 30}, true, defaultSettle},
+		{"endless growth", []int{1, 2, 4, 8, 16, 32, 64, 128, 256, 512, 1024, 2048, 4096, 8192, 9999, 11111, 13333, 15555, 18888, 22222, 25555}, true, defaultLongest},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			election := NewElection(ElectionOptions{PerZone: 30000, HasSeeds: func() bool { return test.hasSeeds }})
+			for i := 0; ; i++ {
+				now := time.Duration(i) * step
+				members := zoneOf(test.known[min(i, len(test.known)-1)], 0)
+				if election.Elected(now, &topology.Members{Self: members[0], Members: members}) {
+					if now != test.want {
+						t.Errorf("elected after %v, want %v", now, test.want)
+					}
+					return
+				}
+				if now > 2*defaultLongest {
+					t.Fatal("never elected")
+				}
+			}
+		})
+	}
+}
--- a/internal/document/storewatcher.go
+++ b/internal/document/storewatcher.go
@@ -72,6 +72,9 @@
 	status   blackboard.StoreStatus
 	known    bool
 	failures int
+	// delivered is the store's revision up to which the reading that opened
+	// the watch, and the watch since, have told everything.
+	delivered int64
 }
 
 // NewStoreWatcher returns a StoreWatcher.
@@ -153,39 +156,48 @@
 	}
 }
 
+// reading is what one reading of the documents found.
+type reading struct {
+	// revision is the store's, newest that of the document changed last.
+	revision, newest int64
+}
+
 // follow reads the documents, then watches them from the next revision on.
 func (w *StoreWatcher) follow(ctx context.Context) error {
-	revision, err := w.read(ctx)
+	found, err := w.read(ctx)
 	if err != nil {
 		return err
 	}
+	w.delivered = found.revision
 	group, groupContext := errgroup.WithContext(ctx)
 	batches := make(chan store.WatchBatch)
-	group.Go(func() error { return w.watch(groupContext, revision+1, batches) })
+	group.Go(func() error { return w.watch(groupContext, found.revision+1, batches) })
 	group.Go(func() error { return w.consume(groupContext, batches) })
 	return group.Wait()
 }
 
 // read lists the documents once.
-func (w *StoreWatcher) read(ctx context.Context) (int64, error) {
+func (w *StoreWatcher) read(ctx context.Context) (reading, error) {
 	// The revisions in force are taken before the reading: a reading that
 	// began later and is lower proves that the store went back.
 	inForce := w.options.Register.Revisions()
 	w.requests.WithLabelValues("list").Inc()
 	values, revision, err := w.options.Store.List(ctx, KeyPrefix, 0)
 	if err != nil {
-		return 0, eris.Wrap(err, "read the documents")
+		return reading{}, eris.Wrap(err, "read the documents")
 	}
 	w.setReachable(true, nil)
 	held := make(map[Name]uint64, len(values))
+	found := reading{revision: revision}
 	for _, value := range values {
+		found.newest = max(found.newest, value.ModRevision)
 		if version, ok := w.decode(value); ok {
 			held[version.Name] = version.Revision
 			w.offer(version)
 		}
 	}
 	w.checkRegressed(inForce, held)
-	return revision, nil
+	return found, nil
 }
 
 func (w *StoreWatcher) checkRegressed(inForce []Revision, held map[Name]uint64) {
@@ -213,8 +225,8 @@
 // consume takes batches, reads again now and then, and ends when the daemon
 // is no longer elected.
 func (w *StoreWatcher) consume(ctx context.Context, batches <-chan store.WatchBatch) error {
-	reading := time.NewTicker(w.options.ReadInterval)
-	defer reading.Stop()
+	readAgain := time.NewTicker(w.options.ReadInterval)
+	defer readAgain.Stop()
 	election := time.NewTicker(w.options.ElectionInterval)
 	defer election.Stop()
 	for {
@@ -225,11 +237,10 @@
 			if err := w.take(batch); err != nil {
 				return err
 			}
-		case <-reading.C:
-			if _, err := w.read(ctx); err != nil {
+		case <-readAgain.C:
+			if err := w.readBesideWatch(ctx); err != nil {
 				return err
 			}
-			w.failures = 0
 		case <-election.C:
 			if !w.options.Elected() {
 				return errNotElected
@@ -238,11 +249,27 @@
 	}
 }
 
+// readBesideWatch reads again. A document that is newer than what the watch
+// has told shows that the watch is dead without a sign, as after a half-open
+// connection: it must be opened anew.
+func (w *StoreWatcher) readBesideWatch(ctx context.Context) error {
+	found, err := w.read(ctx)
+	if err != nil {
+		return err
+	}
+	w.failures = 0
+	if found.newest > w.delivered {
+		return errReadAgain
+	}
+	return nil
+}
+
 // take offers the versions of one batch. A lower version than the one in
 // force, or a deletion, may be old news of a lagging watch: only a new
 // reading can tell.
 func (w *StoreWatcher) take(batch store.WatchBatch) error {
 	w.failures = 0
+	w.delivered = max(w.delivered, batch.Revision)
 	for _, event := range batch.Events {
 		if event.Deleted {
 			return errReadAgain
--- a/internal/document/storewatcher_test.go
+++ b/internal/document/storewatcher_test.go
@@ -26,6 +26,8 @@
 	changed  chan struct{}
 	lists    int
 	watches  int
+	// dead is the number of watches, from the first on, that deliver nothing.
+	dead int
 }
 
 func newFakeStore(table uint64) *fakeStore {
@@ -69,11 +71,12 @@
 func (s *fakeStore) Watch(ctx context.Context, _ string, from int64, deliver func(store.WatchBatch) error) error {
 	s.mutex.Lock()
 	s.watches++
+	dead := s.watches <= s.dead
 	s.mutex.Unlock()
 	for {
 		s.mutex.Lock()
 		changed, err := s.changed, s.watchErr
-		ready := s.revision >= from && !s.silent
+		ready := s.revision >= from && !s.silent && !dead
 		batch := store.WatchBatch{Revision: s.revision, Events: []store.Event{{KeyValue: s.valueLocked()}}}
 		from = max(from, s.revision+1)
 		s.mutex.Unlock()
@@ -197,6 +200,22 @@
 	}
 }
 
+// A reading that finds what the watch has not told opens a new watch.
+func TestStoreWatcherReplacesDeadWatch(t *testing.T) {
+	held := newFakeStore(3)
+	held.dead = 1
+	watch(t, held, func(w *watched) {
+		held.change(func() { held.table = 4 })
+		time.Sleep(16 * time.Second) // virtual; a reading and the wait after it
+		synctest.Wait()
+		held.change(func() { held.table = 5 })
+		synctest.Wait()
+		if _, watches := held.requests(); watches != 2 || w.revision() != 5 {
+			t.Errorf("%d watches, revision %d, want 2 and 5", watches, w.revision())
+		}
+	})
+}
+
 func TestStoreWatcherAsksNothingUnlessElected(t *testing.T) {
 	held := newFakeStore(3)
 	watch(t, held, func(w *watched) {
--- a/internal/endtoend/endtoend_test.go
+++ b/internal/endtoend/endtoend_test.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -137,6 +138,19 @@
 	}
 }
 
+// awaitReady waits until a daemon says that it is ready for queries.
+func awaitReady(t *testing.T, addresses daemon.Addresses) {
+	t.Helper()
+	await(t, "the daemon to be ready", func() bool {
+		response, err := http.Get("http://" + addresses.Administration + "/readyz")
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	})
+}
+
 // operate runs the operators' command line and returns its output.
 func operate(t *testing.T, built programs, addresses daemon.Addresses, arguments ...string) (string, int) {
 	t.Helper()
@@ -170,6 +184,8 @@
 		return code == 0 && strings.Contains(output, "2 daemons answer")
 	})
 	mustOperate(t, built, firstAddresses, "apply", "-f", filepath.Join(moduleRoot, "examples", "policies.yaml"), "--wait", "30s")
+	awaitReady(t, firstAddresses)
+	awaitReady(t, secondAddresses)
 	records, err := corpus.Load(testdata.Corpus)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -26,8 +27,11 @@
 	CallPath  = "/v1/call"
 )
 
-// defaultMaxBodyBytes bounds a request's body.
-const defaultMaxBodyBytes = 1 << 20
+const (
+	// defaultMaxBodyBytes bounds a request's body.
+	defaultMaxBodyBytes = 1 << 20
+	defaultWriteTimeout = 30 * time.Second
+)
 
 // Searcher answers queries.
 type Searcher interface {
@@ -46,6 +50,9 @@
 	Board  *blackboard.Board
 	// MaxBodyBytes bounds a request's body; 0 means 1 MiB.
 	MaxBodyBytes int64
+	// WriteTimeout bounds the time in which a caller takes its answer; 0 means
+	// 30 s.
+	WriteTimeout time.Duration
 	Registerer   prometheus.Registerer
 }
 
@@ -59,6 +66,9 @@
 	if options.MaxBodyBytes <= 0 {
 		options.MaxBodyBytes = defaultMaxBodyBytes
 	}
+	if options.WriteTimeout <= 0 {
+		options.WriteTimeout = defaultWriteTimeout
+	}
 	g := &gateway{options: options, requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "doorpondd_gateway_requests_total", Help: "Callers' requests, by path and error kind or ok.",
 	}, []string{"path", "kind"})}
@@ -81,9 +91,17 @@
 }
 
 func (g *gateway) unknown(w http.ResponseWriter, r *http.Request) {
+	g.limitWriting(w)
 	failure.WriteProblem(w, failure.New(failure.NotFound, "there is no path "+r.URL.Path))
 }
 
+// limitWriting keeps a caller that does not read from holding a connection. It
+// is called when the answer is there, as working it out may take longer.
+func (g *gateway) limitWriting(w http.ResponseWriter) {
+	// it fails only for a writer that is not a connection
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(g.options.WriteTimeout))
+}
+
 const okLabel = "ok"
 
 // serve reads one request, has it handled and writes the answer whole.
@@ -93,6 +111,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	answer, err := exchange(g, w, r, err, handle)
+	g.limitWriting(w)
 	if err != nil {
 		g.requests.WithLabelValues(path, string(failure.KindOf(err))).Inc()
 		failure.WriteProblem(w, err)
@@ -123,15 +142,16 @@
 }
 
 // admit looks at the daemon's phase. While it drains, requests are still
-// served, on connections that close after them.
+// served; once its port is closed, on connections that end after them. Ending
+// them earlier would make callers open new ones to a port about to close.
 func (g *gateway) admit() (closing bool, err error) {
 	phase := g.options.Board.Phase.Load()
 	switch {
 	case phase == nil || *phase == blackboard.PhaseStarting:
 		return false, failure.New(failure.NoTable, "the daemon is starting")
-	case *phase == blackboard.PhaseServing:
+	case *phase == blackboard.PhaseServing, *phase == blackboard.PhaseDraining:
 		return false, nil
-	case *phase == blackboard.PhaseDraining:
+	case *phase == blackboard.PhaseClosing:
 		return true, nil
 	default:
 		return true, failure.New(failure.Draining, "the daemon has stopped taking requests")
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -75,7 +75,8 @@
 		{name: "overloaded", path: QueryPath, body: `{"group":"overloaded"}`, status: 429, kind: failure.Overloaded, notRun: true},
 		{name: "error of no kind", path: CallPath, body: `{}`, status: 500, kind: failure.Internal},
 		{name: "starting", phase: blackboard.PhaseStarting, path: QueryPath, body: `{}`, status: 503, kind: failure.NoTable, notRun: true},
-		{name: "draining still serves", phase: blackboard.PhaseDraining, path: QueryPath, body: `{}`, status: 200, closed: true},
+		{name: "draining still serves and keeps the connection", phase: blackboard.PhaseDraining, path: QueryPath, body: `{}`, status: 200},
+		{name: "closing still serves and ends the connection", phase: blackboard.PhaseClosing, path: QueryPath, body: `{}`, status: 200, closed: true},
 		{name: "stopped", phase: blackboard.PhaseStopped, path: QueryPath, body: `{}`, status: 503, kind: failure.Draining, notRun: true, closed: true},
 	}
 	for _, test := range cases {
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -50,7 +50,10 @@
 	// news has the changed records and goes first; rumors has the members.
 	news   *rumors
 	rumors *rumors
-	seeds  []string
+	// allowance has the bytes of rumors about members that may be sent now.
+	allowance   float64
+	allowanceAt time.Duration
+	seeds       []string
 	// order is the shuffled round of probes; inRound has the same IDs.
 	order   []string
 	inRound map[string]bool
@@ -76,6 +79,8 @@
 
 	now   time.Duration
 	ready Ready
+	// synchronizing is true while entries of a synchronization are merged.
+	synchronizing bool
 }
 
 // NewCore makes the core of a daemon that knows only itself.
@@ -92,6 +97,7 @@
 		occupants: make(map[string]string),
 	}
 	c.self = options.Self
+	c.allowance = float64(allowanceMessages * c.timing.RumorBytes)
 	c.store(options.Self)
 	return c
 }
@@ -105,6 +111,14 @@
 	return c.registry.members(func(member topology.Member) bool { return Live(member.State) })
 }
 
+// Live returns the number of live members, this daemon included.
+func (c *Core) Live() int { return c.registry.live }
+
+// AppendMembers appends the live members in no order.
+func (c *Core) AppendMembers(to []topology.Member) []topology.Member {
+	return c.registry.appendLive(to)
+}
+
 // Member returns what is believed of one member, dead ones included.
 func (c *Core) Member(id string) (topology.Member, bool) { return c.registry.member(id) }
 
@@ -114,7 +128,7 @@
 	if held == nil {
 		return Record{}, false
 	}
-	return held.record, true
+	return *held.record, true
 }
 
 // Records returns the number of records held.
@@ -122,7 +136,7 @@
 
 // Spreading tells whether there is news that few members were told of.
 func (c *Core) Spreading() bool {
-	limit := freshLimit(c.registry.live)
+	limit := transmitLimit(c.registry.live)
 	return c.registry.live > 1 && (c.news.fresh(limit) || c.rumors.fresh(limit))
 }
 
@@ -155,8 +169,8 @@
 	}
 	c.probeIndirectly()
 	if c.now >= c.nextGossip && c.Spreading() {
-		c.gossip()
 		c.nextGossip = c.now + c.timing.GossipInterval
+		c.gossip()
 	}
 	if c.now >= c.nextSync {
 		c.registry.expire(c.now, c.timing)
@@ -223,35 +237,36 @@
 // addRumors fills the message up to the bound for rumors.
 func (c *Core) addRumors(message *Message) {
 	left := c.timing.RumorBytes
-	left -= c.addFrom(c.news, message, left*newsPart/newsWhole)
-	c.addFrom(c.rumors, message, left)
+	left -= c.addFrom(c.news, message, left*newsPart/newsWhole, newsLimit(c.registry.live))
+	c.refillAllowance()
+	if c.allowance >= leastRumorBytes {
+		left = min(left, int(c.allowance))
+		c.allowance -= float64(c.addFrom(c.rumors, message, left, transmitLimit(c.registry.live)))
+	}
+}
+
+// refillAllowance lets the allowance grow with time, up to a few messages.
+func (c *Core) refillAllowance() {
+	grown := float64(c.timing.RumorRate) * (c.now - c.allowanceAt).Seconds()
+	c.allowance = min(c.allowance+grown, float64(allowanceMessages*c.timing.RumorBytes))
+	c.allowanceAt = c.now
 }
 
 // addFrom adds rumors of one queue and returns their size.
-func (c *Core) addFrom(queue *rumors, message *Message, bytes int) int {
+func (c *Core) addFrom(queue *rumors, message *Message, bytes, limit int) int {
 	added := 0
-	limit := transmitLimit(c.registry.live)
-	taken := queue.take(bytes, limit, func(key entryKey) (int, bool) {
-		return entrySize(c.registry.get(key))
-	})
-	for _, key := range taken {
-		held := c.registry.get(key)
-		size, _ := entrySize(held)
-		added += size
+	for _, held := range queue.take(bytes, limit) {
+		added += entrySize(held)
 		c.addEntry(message, held)
 	}
 	return added
 }
 
-func entrySize(held *entry) (int, bool) {
-	switch {
-	case held == nil:
-		return 0, false
-	case held.isMember():
-		return memberSize(held.member), true
-	default:
-		return recordSize(held.record), true
+func entrySize(held *entry) int {
+	if held.isMember() {
+		return memberSize(held.member)
 	}
+	return recordSize(*held.record)
 }
 
 func (c *Core) addEntry(message *Message, held *entry) {
@@ -259,7 +274,7 @@
 		message.Members = append(message.Members, held.member)
 		return
 	}
-	record := held.record
+	record := *held.record
 	if record.Kind == RecordReplicaLeaving {
 		record.AgeSeconds = uint32((c.now - held.since) / time.Second)
 	}
--- a/internal/membership/core_test.go
+++ b/internal/membership/core_test.go
@@ -263,3 +263,76 @@
 		t.Errorf("too slow: join %v, record %v, failure %v", joined, spread, detected)
 	}
 }
+
+// coreOfMany makes a core that has just been told of many members.
+func coreOfMany(members int) *Core {
+	core := NewCore(CoreOptions{Self: topology.Member{ID: "self", PeerAddress: "self:1"}})
+	told := Message{Kind: MessageGossip, From: topology.Member{ID: "b", PeerAddress: "b:1"}}
+	for i := range members {
+		told.Members = append(told.Members, topology.Member{ID: fmt.Sprintf("node-%04d", i), PeerAddress: address(i)})
+	}
+	core.Step(0, Received{told})
+	return core
+}
+
+func TestNewsEndsWhereARandomPeerKnowsAll(t *testing.T) {
+	const old = 20 * time.Second
+	cases := []struct {
+		name   string
+		at     time.Duration
+		digest func(own []uint64) []uint64
+		want   bool
+	}{
+		{"old news, and the peer knows all", old, func(own []uint64) []uint64 { return own }, false},
+		{"old news, and the peer does not know all", old, func(own []uint64) []uint64 { return make([]uint64, len(own)) }, true},
+		{"fresh news, and the peer knows all", time.Second, func(own []uint64) []uint64 { return own }, true},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			core := coreOfMany(100)
+			asked := Message{Kind: MessageSync, From: topology.Member{ID: "b", PeerAddress: "b:1"}, Digest: test.digest(core.registry.digest())}
+			core.Step(test.at, Received{asked})
+			if core.Spreading() != test.want {
+				t.Errorf("spreading %v, want %v", core.Spreading(), test.want)
+			}
+		})
+	}
+}
+
+func TestRumorRateDoesNotHoldUpDocuments(t *testing.T) {
+	const rounds, messages = 5, 100
+	core := coreOfMany(1000)
+	core.Step(0, Announced{Record{Kind: RecordDocument, Key: "table", Version: 4}})
+	members, records := 0, 0
+	for round := range rounds {
+		for range messages {
+			asked := Received{Message{Kind: MessagePing, From: topology.Member{ID: "b", PeerAddress: "b:1"}}}
+			reply := core.Step(time.Duration(round)*time.Second, asked).Reply
+			records += len(reply.Records)
+			for _, member := range reply.Members {
+				members += memberSize(member)
+			}
+		}
+	}
+	if most := allowanceMessages*core.timing.RumorBytes + rounds*core.timing.RumorRate; members > most || members == 0 {
+		t.Errorf("%d bytes of rumors were sent in %d s, want at most %d", members, rounds, most)
+	}
+	if want := newsLimit(core.Live()); records != want {
+		t.Errorf("the document was told of %d times, want %d", records, want)
+	}
+}
+
+func TestDocumentIsAnnouncedByThoseWhoHaveIt(t *testing.T) {
+	core := NewCore(CoreOptions{Self: topology.Member{ID: "a", PeerAddress: "a:1"}})
+	record := Record{Kind: RecordDocument, Key: "table", Version: 4}
+	told := Received{Message{Kind: MessageGossip, From: topology.Member{ID: "b", PeerAddress: "b:1"}, Records: []Record{record}}}
+	for range 2 { // reported until the document is had
+		if ready := core.Step(0, told); len(ready.Learned) != 1 || len(ready.Reply.Records) != 0 {
+			t.Errorf("learned %v and passed on %v before the document was fetched", ready.Learned, ready.Reply.Records)
+		}
+	}
+	core.Step(0, Announced{record})
+	if ready := core.Step(0, told); len(ready.Learned) != 0 || len(ready.Reply.Records) != 1 {
+		t.Errorf("learned %v and passed on %v after it was announced", ready.Learned, ready.Reply.Records)
+	}
+}
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -1,8 +1,6 @@
 package membership
 
 import (
-	"time"
-
 	"github.com/doorpond/doorpond/internal/topology"
 )
 
@@ -14,7 +12,7 @@
 	}
 	c.merge(message.From, false)
 	c.reached(message.From.ID)
-	c.mergeAll(message, message.Kind == MessagePush)
+	c.mergeRequest(message)
 	switch message.Kind {
 	case MessageSync:
 		reply = c.answerSync(message.Digest)
@@ -29,6 +27,21 @@
 	return reply
 }
 
+func (c *Core) mergeRequest(message Message) {
+	if message.Kind == MessagePush {
+		c.mergeSynchronized(message)
+		return
+	}
+	c.mergeAll(message, false)
+}
+
+// mergeSynchronized takes entries of a digest exchange.
+func (c *Core) mergeSynchronized(message Message) {
+	c.synchronizing = true
+	c.mergeAll(message, true)
+	c.synchronizing = false
+}
+
 // contradict tells a member what is believed of it where that is worse than
 // what it says, so that it can refute.
 func (c *Core) contradict(reply *Message, claimed topology.Member) bool {
@@ -171,9 +184,9 @@
 // store replaces what is believed of a member and starts to spread it.
 func (c *Core) store(member topology.Member) {
 	before, known := c.registry.member(member.ID)
-	key := entryKey{key: member.ID}
-	c.registry.put(&entry{key: key, member: member, since: c.now})
-	c.rumors.add(key)
+	changed := &entry{key: entryKey{key: member.ID}, member: member, since: c.now}
+	c.registry.put(changed)
+	c.rumors.add(changed, c.alreadySent())
 	if member.ID == c.self.ID {
 		c.self = member
 	} else {
@@ -184,6 +197,14 @@
 	}
 }
 
+// alreadySent is how often a changed member counts as sent.
+func (c *Core) alreadySent() int {
+	if c.synchronizing {
+		return transmitLimit(c.registry.live) - oldNewsTransmits
+	}
+	return 0
+}
+
 // follow keeps the round of probes and the suspicion timers in step.
 func (c *Core) follow(member topology.Member) {
 	if Live(member.State) {
@@ -205,34 +226,53 @@
 	c.keepRecord(record)
 }
 
+// mergeRecord takes a record that a peer tells of. One of a document is only
+// reported: this daemon announces it itself once it has the document, so that
+// who announces a revision can always give it. Until then each message that
+// tells of it reports it again.
 func (c *Core) mergeRecord(record Record, from string) {
-	if c.keepRecord(record) {
+	isNew := false
+	if record.Kind == RecordDocument {
+		isNew = c.acceptable(record)
+	} else {
+		isNew = c.keepRecord(record)
+	}
+	if isNew {
 		c.ready.Learned = append(c.ready.Learned, Learned{Record: record, From: from})
 	}
 }
 
-// keepRecord stores a record that is newer than the one held.
-func (c *Core) keepRecord(record Record) bool {
+// acceptable tells whether a record is valid, newer than the one held, and
+// not expired.
+func (c *Core) acceptable(record Record) bool {
 	if record.Kind != RecordDocument && record.Kind != RecordReplicaLeaving {
 		return false
 	}
 	if recordSize(record) > maximumRecordBytes {
 		return false
 	}
-	key := entryKey{kind: record.Kind, key: record.Key}
-	held := c.registry.get(key)
-	if held != nil && held.record.Version >= record.Version {
+	held := c.registry.get(entryKey{kind: record.Kind, key: record.Key})
+	switch {
+	case held != nil && held.record.Version >= record.Version:
 		return false
-	}
-	if held == nil && c.registry.records >= maximumRecords {
+	case held == nil && c.registry.records >= maximumRecords:
 		return false
+	default:
+		return !expired(c.entryOf(record), record.age(), c.timing)
 	}
-	born := c.now - time.Duration(record.AgeSeconds)*time.Second
-	kept := &entry{key: key, record: record, since: born}
-	if expired(kept, c.now-born, c.timing) {
+}
+
+func (c *Core) entryOf(record Record) *entry {
+	return &entry{key: entryKey{kind: record.Kind, key: record.Key}, record: &record, since: c.now - record.age()}
+}
+
+// keepRecord stores a record that is newer than the one held.
+func (c *Core) keepRecord(record Record) bool {
+	if !c.acceptable(record) {
 		return false
 	}
+	kept := c.entryOf(record)
 	c.registry.put(kept)
-	c.news.add(key)
+	c.news.add(kept, 0)
 	return true
 }
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -1,6 +1,10 @@
 package membership
 
-import "github.com/doorpond/doorpond/internal/topology"
+import (
+	"time"
+
+	"github.com/doorpond/doorpond/internal/topology"
+)
 
 // RecordKind says what a Record is about.
 type RecordKind uint8
@@ -25,6 +29,8 @@
 	AgeSeconds uint32 `msgpack:"g,omitempty"`
 }
 
+func (r Record) age() time.Duration { return time.Duration(r.AgeSeconds) * time.Second }
+
 // MessageKind says what a Message asks or answers.
 type MessageKind uint8
 
--- a/internal/membership/node_test.go
+++ b/internal/membership/node_test.go
@@ -64,6 +64,7 @@
 			node := NewNode(NodeOptions{Self: topology.Member{ID: id, PeerAddress: address(i)}, Transport: wires, Board: boards[i],
 				Seeds: func() []string { return []string{address(0)} }, RandomSeed: uint64(i), Registerer: prometheus.NewRegistry()})
 			node.OnRecord(func(record Record, from string) {
+				node.Announce(record) // as if its document was fetched
 				mutex.Lock()
 				defer mutex.Unlock()
 				if from != "" && record.Version == 9 {
--- a/internal/membership/options.go
+++ b/internal/membership/options.go
@@ -28,6 +28,9 @@
 	RecordRetention time.Duration
 	// RumorBytes bounds the rumors in one message; 1200.
 	RumorBytes int
+	// RumorRate bounds the bytes of rumors about members that a daemon sends in
+	// a second; 6144. What does not fit comes by synchronization.
+	RumorRate int
 	// SyncBytes bounds the entries in one synchronization message; 16384.
 	SyncBytes int
 }
@@ -35,8 +38,8 @@
 const (
 	indirectProbes       = 3
 	gossipFanout         = 3
-	leastFreshTransmits  = 6
-	transmitMultiplier   = 3
+	leastTransmits       = 6
+	newsMultiplier       = 3
 	suspicionMultiplier  = 4
 	resumePeriods        = 5
 	joinFanout           = 3
@@ -44,6 +47,20 @@
 	maximumRecordBytes   = 1 << 10
 	maximumExchangesOpen = 256
 
+	// allowanceMessages full messages of rumors may be saved up.
+	allowanceMessages = 8
+	// leastRumorBytes of the allowance are needed for a rumor.
+	leastRumorBytes = 150
+	// gossipWorth bytes of allowance are worth a round without news.
+	gossipWorth = 600
+	// busySyncChanges members that a synchronization changed make another one
+	// worth while at once.
+	busySyncChanges = 4
+
+	// oldNewsTransmits is how often a member is told of that was learned by
+	// synchronization, which is rarely news to others.
+	oldNewsTransmits = 2
+
 	// records take up to newsPart/newsWhole of the rumors of a message
 	newsPart  = 3
 	newsWhole = 4
@@ -61,6 +78,9 @@
 	if t.RumorBytes == 0 {
 		t.RumorBytes = 1200
 	}
+	if t.RumorRate == 0 {
+		t.RumorRate = 6 << 10
+	}
 	if t.SyncBytes == 0 {
 		t.SyncBytes = 16 << 10
 	}
@@ -80,13 +100,13 @@
 	return time.Duration(suspicionMultiplier * scale * float64(t.Period))
 }
 
-// freshLimit is how often one rumor is sent in quick rounds. A rumor that
-// each of n daemons sends k times to random others misses about n/e^k.
-func freshLimit(members int) int {
-	return max(leastFreshTransmits, int(math.Ceil(math.Log2(float64(members+1)))))
-}
+// newsLimit is how often one daemon sends a record: first in quick rounds, up
+// to transmitLimit, then on the messages that go out anyhow.
+func newsLimit(members int) int { return newsMultiplier * transmitLimit(members) }
 
-// transmitLimit is how often one rumor is sent by one daemon.
+// transmitLimit is how often one rumor about a member is sent by one daemon.
+// A rumor that each of n daemons sends k times to random others misses about
+// n/e^k; these learn of it by synchronization.
 func transmitLimit(members int) int {
-	return transmitMultiplier * int(math.Ceil(math.Log2(float64(members+1))))
+	return max(leastTransmits, int(math.Ceil(math.Log2(float64(members+1)))))
 }
--- a/internal/membership/probing.go
+++ b/internal/membership/probing.go
@@ -135,8 +135,13 @@
 	}
 }
 
-// gossip tells a few members the fresh news.
+// gossip tells a few members the fresh news. While the allowance is spent,
+// rumors about members wait for other messages.
 func (c *Core) gossip() {
+	c.refillAllowance()
+	if c.allowance < gossipWorth && !c.news.fresh(transmitLimit(c.registry.live)) {
+		return
+	}
 	for _, peer := range c.randomPeers(gossipFanout, "") {
 		c.send(peer.PeerAddress, peer.ID, Message{Kind: MessageGossip})
 	}
--- a/internal/membership/registry.go
+++ b/internal/membership/registry.go
@@ -17,11 +17,11 @@
 	key  string
 }
 
+// kindSpread sets the hashes of the kinds apart.
+const kindSpread = 0x9e3779b97f4a7c15
+
 func (k entryKey) hash() uint64 {
-	digest := xxhash.New()
-	_, _ = digest.Write([]byte{byte(k.kind)})
-	_, _ = digest.WriteString(k.key)
-	return digest.Sum64()
+	return xxhash.Sum64String(k.key) ^ uint64(k.kind)*kindSpread
 }
 
 func compareKeys(a, b entryKey) int {
@@ -35,19 +35,29 @@
 type entry struct {
 	key    entryKey
 	member topology.Member
-	record Record
+	record *Record // nil for a member
 	since  time.Duration
+	// rumor is the newest rumor of the entry, nil once it was passed on often.
+	rumor *rumor
+	// hash covers key and version; it is kept by the registry, as are bucket
+	// and position, which is negative for an entry that is not held any more.
+	hash             uint64
+	bucket, position int32
 }
 
-func (e *entry) isMember() bool { return e.key.kind == 0 }
+const notHeld = -1
+
+func (e *entry) isMember() bool { return e.record == nil }
+
+func (e *entry) held() bool { return e.position != notHeld }
 
 // digested tells whether the entry counts in the digest. Tombstones do not,
 // as daemons forget them at different times.
 func (e *entry) digested() bool { return !e.isMember() || Live(e.member.State) }
 
-func (e *entry) hash() uint64 {
+func (e *entry) versionHash(keyHash uint64) uint64 {
 	var version [24]byte
-	binary.LittleEndian.PutUint64(version[0:], e.key.hash())
+	binary.LittleEndian.PutUint64(version[0:], keyHash)
 	if e.isMember() {
 		binary.LittleEndian.PutUint64(version[8:], e.member.Incarnation)
 		version[16] = byte(e.member.State)
@@ -62,32 +72,31 @@
 
 type bucket struct {
 	digest  uint64
-	entries map[entryKey]*entry
+	entries []*entry
 }
 
 // registry holds all members and records, in the buckets of the digest.
 type registry struct {
-	buckets [DigestBuckets]bucket
-	live    int
-	records int
+	memberEntries map[string]*entry
+	recordEntries map[entryKey]*entry
+	buckets       [DigestBuckets]bucket
+	live          int
+	records       int
 }
 
 func newRegistry() *registry {
-	r := &registry{}
-	for i := range r.buckets {
-		r.buckets[i].entries = make(map[entryKey]*entry)
-	}
-	return r
+	return &registry{memberEntries: make(map[string]*entry), recordEntries: make(map[entryKey]*entry)}
 }
 
-func (r *registry) bucketOf(key entryKey) *bucket {
-	return &r.buckets[key.hash()%DigestBuckets]
+func (r *registry) get(key entryKey) *entry {
+	if key.kind == 0 {
+		return r.memberEntries[key.key]
+	}
+	return r.recordEntries[key]
 }
 
-func (r *registry) get(key entryKey) *entry { return r.bucketOf(key).entries[key] }
-
 func (r *registry) member(id string) (topology.Member, bool) {
-	found := r.get(entryKey{key: id})
+	found := r.memberEntries[id]
 	if found == nil {
 		return topology.Member{}, false
 	}
@@ -97,24 +106,43 @@
 // put replaces an entry and keeps the digest and the counts.
 func (r *registry) put(changed *entry) {
 	r.remove(changed.key)
-	into := r.bucketOf(changed.key)
-	into.entries[changed.key] = changed
-	r.count(into, changed, 1)
+	keyHash := changed.key.hash()
+	changed.hash = changed.versionHash(keyHash)
+	changed.bucket = int32(keyHash % DigestBuckets)
+	into := &r.buckets[changed.bucket]
+	changed.position = int32(len(into.entries))
+	into.entries = append(into.entries, changed)
+	if changed.isMember() {
+		r.memberEntries[changed.key.key] = changed
+	} else {
+		r.recordEntries[changed.key] = changed
+	}
+	r.count(changed, 1)
 }
 
 func (r *registry) remove(key entryKey) {
-	from := r.bucketOf(key)
-	old := from.entries[key]
+	old := r.get(key)
 	if old == nil {
 		return
 	}
-	delete(from.entries, key)
-	r.count(from, old, -1)
+	from := &r.buckets[old.bucket]
+	last := len(from.entries) - 1
+	from.entries[old.position] = from.entries[last]
+	from.entries[old.position].position = old.position
+	from.entries[last] = nil
+	from.entries = from.entries[:last]
+	old.position = notHeld
+	if old.isMember() {
+		delete(r.memberEntries, key.key)
+	} else {
+		delete(r.recordEntries, key)
+	}
+	r.count(old, -1)
 }
 
-func (r *registry) count(within *bucket, changed *entry, by int) {
+func (r *registry) count(changed *entry, by int) {
 	if changed.digested() {
-		within.digest ^= changed.hash()
+		r.buckets[changed.bucket].digest ^= changed.hash
 	}
 	switch {
 	case !changed.isMember():
@@ -134,10 +162,7 @@
 
 // sorted returns a bucket's entries in the order of their keys.
 func (b *bucket) sorted() []*entry {
-	entries := make([]*entry, 0, len(b.entries))
-	for _, held := range b.entries {
-		entries = append(entries, held)
-	}
+	entries := slices.Clone(b.entries)
 	slices.SortFunc(entries, func(a, b *entry) int { return compareKeys(a.key, b.key) })
 	return entries
 }
@@ -156,12 +181,23 @@
 	return found
 }
 
+func (r *registry) appendLive(to []topology.Member) []topology.Member {
+	for i := range r.buckets {
+		for _, held := range r.buckets[i].entries {
+			if held.isMember() && Live(held.member.State) {
+				to = append(to, held.member)
+			}
+		}
+	}
+	return to
+}
+
 // expire forgets tombstones and records of leaving replicas that are old.
 func (r *registry) expire(now time.Duration, timing Timing) {
 	for i := range r.buckets {
-		for key, held := range r.buckets[i].entries {
+		for _, held := range slices.Clone(r.buckets[i].entries) {
 			if expired(held, now-held.since, timing) {
-				r.remove(key)
+				r.remove(held.key)
 			}
 		}
 	}
--- a/internal/membership/rumors.go
+++ b/internal/membership/rumors.go
@@ -1,29 +1,53 @@
 package membership
 
+import (
+	"slices"
+	"time"
+)
+
 // rumor is an entry that is still being passed on.
 type rumor struct {
-	key entryKey
+	entry *entry
 }
 
+// current tells whether the entry is held and this is its newest rumor.
+func (r *rumor) current() bool { return r.entry.held() && r.entry.rumor == r }
+
 // rumors is the queue of changed entries. Those sent least often go first,
 // and of these the newest.
 type rumors struct {
-	// queued has the newest rumor of each entry.
-	queued map[entryKey]*rumor
 	// levels[n] is a stack of the rumors sent n times. A rumor that is no
-	// longer in queued is stale and is dropped when it comes up.
+	// longer current is dropped when it comes up.
 	levels [][]*rumor
 }
 
 func newRumors() *rumors {
-	return &rumors{queued: make(map[entryKey]*rumor), levels: make([][]*rumor, 1)}
+	return &rumors{levels: make([][]*rumor, 1)}
+}
+
+// add queues a changed entry, or starts it afresh, as one that was sent so
+// many times.
+func (q *rumors) add(changed *entry, sent int) {
+	added := &rumor{entry: changed}
+	changed.rumor = added
+	for len(q.levels) <= sent {
+		q.levels = append(q.levels, nil)
+	}
+	q.levels[sent] = append(q.levels[sent], added)
 }
 
-// add queues a changed entry, or starts it afresh.
-func (q *rumors) add(key entryKey) {
-	added := &rumor{key: key}
-	q.queued[key] = added
-	q.levels[0] = append(q.levels[0], added)
+// dropBefore drops the rumors of entries that are as they are since before a
+// time.
+func (q *rumors) dropBefore(limit time.Duration) {
+	for level, queued := range q.levels {
+		q.levels[level] = slices.DeleteFunc(queued, func(r *rumor) bool {
+			old := r.entry.since < limit
+			if old && r.entry.rumor == r {
+				r.entry.rumor = nil
+			}
+			return old
+		})
+	}
 }
 
 // fresh tells whether some rumor has been sent less often than a limit.
@@ -40,7 +64,7 @@
 func (q *rumors) top(level int) *rumor {
 	for len(q.levels[level]) > 0 {
 		last := q.levels[level][len(q.levels[level])-1]
-		if q.queued[last.key] == last {
+		if last.current() {
 			return last
 		}
 		q.pop(level)
@@ -56,23 +80,19 @@
 
 // take chooses rumors up to a size, at least one, and counts them as sent;
 // limit is the number of times after which a rumor is dropped.
-func (q *rumors) take(bytes, limit int, size func(entryKey) (int, bool)) []entryKey {
-	var taken []entryKey
+func (q *rumors) take(bytes, limit int) []*entry {
+	var taken []*entry
 	sent := make([][]*rumor, len(q.levels))
 	defer func() { q.raise(sent, limit) }()
 	for level := range q.levels {
 		for next := q.top(level); next != nil; next = q.top(level) {
-			needed, exists := size(next.key)
-			if exists && needed > bytes && len(taken) > 0 {
+			needed := entrySize(next.entry)
+			if needed > bytes && len(taken) > 0 {
 				return taken
 			}
 			q.pop(level)
-			if !exists {
-				delete(q.queued, next.key)
-				continue
-			}
 			bytes -= needed
-			taken = append(taken, next.key)
+			taken = append(taken, next.entry)
 			sent[level] = append(sent[level], next)
 		}
 	}
@@ -99,6 +119,6 @@
 
 func (q *rumors) drop(done []*rumor) {
 	for _, ended := range done {
-		delete(q.queued, ended.key)
+		ended.entry.rumor = nil
 	}
 }
--- a/internal/membership/simulated_test.go
+++ b/internal/membership/simulated_test.go
@@ -88,6 +88,11 @@
 	for _, send := range ready.Sends {
 		w.carry(at, core, send)
 	}
+	for _, learned := range ready.Learned { // documents are fetched in no time
+		if learned.Record.Kind == RecordDocument {
+			w.step(at, Announced{learned.Record})
+		}
+	}
 	w.schedule(at, core)
 	return ready
 }
--- a/internal/membership/step.go
+++ b/internal/membership/step.go
@@ -53,7 +53,8 @@
 	Message  Message
 }
 
-// Learned is a record that a peer told of and that was not known.
+// Learned is a record that a peer told of and that is not held. A record of a
+// document is held once it is Announced.
 type Learned struct {
 	Record Record
 	// From is the peer's address.
--- a/internal/membership/synchronize.go
+++ b/internal/membership/synchronize.go
@@ -43,14 +43,10 @@
 // strangers returns the addresses of seeds and dead members at which no live
 // member is known, sorted.
 func (c *Core) strangers() []string {
-	known := make(map[string]bool, c.registry.live)
-	for _, member := range c.Members() {
-		known[member.PeerAddress] = true
-	}
 	var found []string
 	add := func(address string) {
-		if address != "" && !known[address] {
-			known[address] = true
+		_, occupied := c.occupants[address]
+		if address != "" && address != c.self.PeerAddress && !occupied {
 			found = append(found, address)
 		}
 	}
@@ -61,7 +57,7 @@
 		add(dead.PeerAddress)
 	}
 	slices.Sort(found)
-	return found
+	return slices.Compact(found)
 }
 
 // answerSync sends whole buckets that differ from the asker's digest, from a
@@ -71,6 +67,7 @@
 	if len(digest) != DigestBuckets {
 		return reply
 	}
+	c.agreed(reply.Digest, digest)
 	start := c.random.IntN(DigestBuckets)
 	size := 0
 	for i := range DigestBuckets {
@@ -89,6 +86,15 @@
 	return reply
 }
 
+// agreed ends the spreading of older news where a peer, which is a random one,
+// knows all that this daemon knows: then most others do too. It matters when
+// many daemons have started at once.
+func (c *Core) agreed(own, other []uint64) {
+	if slices.Equal(own, other) {
+		c.rumors.dropBefore(c.now - c.timing.SyncInterval)
+	}
+}
+
 func (c *Core) addBucket(message *Message, at int) {
 	message.Buckets = append(message.Buckets, at)
 	for _, held := range c.registry.buckets[at].sorted() {
@@ -99,7 +105,8 @@
 // finishSync takes the peer's buckets, sends back what it lacks of them, and
 // goes on later where more differs.
 func (c *Core) finishSync(done exchange, reply Message) {
-	c.mergeAll(reply, true)
+	c.agreed(c.registry.digest(), reply.Digest)
+	c.mergeSynchronized(reply)
 	push := c.missingFrom(reply)
 	if len(push.Members)+len(push.Records) > 0 {
 		c.send(done.address, reply.From.ID, push)
@@ -108,6 +115,8 @@
 		c.syncAddress = done.address
 		c.syncID = reply.From.ID
 		c.nextSync = min(c.nextSync, c.now+c.timing.SyncChunkInterval)
+	} else if len(c.ready.Transitions) >= busySyncChanges {
+		c.nextSync = min(c.nextSync, c.now+c.jitter(c.timing.Period))
 	}
 }
 
@@ -122,7 +131,7 @@
 		}
 		for _, held := range c.registry.buckets[at].sorted() {
 			hash, has := theirs[held.key]
-			if (!has && held.digested()) || (has && hash != held.hash()) {
+			if (!has && held.digested()) || (has && hash != held.hash) {
 				c.addEntry(&push, held)
 			}
 		}
@@ -134,11 +143,11 @@
 	hashes := make(map[entryKey]uint64, len(message.Members)+len(message.Records))
 	for _, member := range message.Members {
 		held := entry{key: entryKey{key: member.ID}, member: member}
-		hashes[held.key] = held.hash()
+		hashes[held.key] = held.versionHash(held.key.hash())
 	}
 	for _, record := range message.Records {
-		held := entry{key: entryKey{kind: record.Kind, key: record.Key}, record: record}
-		hashes[held.key] = held.hash()
+		held := entry{key: entryKey{kind: record.Kind, key: record.Key}, record: &record}
+		hashes[held.key] = held.versionHash(held.key.hash())
 	}
 	return hashes
 }
--- a/internal/once/flight.go
+++ b/internal/once/flight.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"math/rand/v2"
 	"sync"
@@ -115,42 +114,17 @@
 	f.mutex.Lock()
 	f.lease = lease
 	f.mutex.Unlock()
-	value, err := json.Marshal(f.record)
+	transaction, err := ClaimTransaction(f.record, lease)
 	if err != nil {
 		cause := failure.Wrap(err, failure.Internal, "encode the claim").WithNotRun(true)
 		f.step(Event{Kind: EventNotApplied, Failure: cause})
 		return store.Transaction{}, false
 	}
-	return store.Transaction{
-		Compares: []store.Compare{{Key: f.storeKey, Absent: true}},
-		Writes:   []store.Write{{Key: f.storeKey, Value: value, Lease: lease}},
-	}, true
+	return transaction, true
 }
 
 func (f *flight) finishClaim(outcome store.Outcome, err error) {
-	switch {
-	case errors.Is(err, store.ErrNotApplied):
-		f.step(Event{Kind: EventNotApplied, Failure: storeFailure(err)})
-	case err != nil:
-		f.step(Event{Kind: EventUnclear})
-	case outcome.Applied:
-		f.step(Event{Kind: EventClaimed, ModRevision: outcome.Revision})
-	default:
-		f.step(heldEvent(outcome))
-	}
-}
-
-// heldEvent reads who holds the key; a claim that cannot be read is not ours
-// to judge, so it is an unclear outcome.
-func heldEvent(outcome store.Outcome) Event {
-	if len(outcome.Current) != 1 {
-		return Event{Kind: EventUnclear}
-	}
-	held, err := decodeRecord(outcome.Current[0].Value)
-	if err != nil {
-		return Event{Kind: EventUnclear}
-	}
-	return Event{Kind: EventHeld, Record: held, ModRevision: outcome.Current[0].ModRevision}
+	f.step(ClaimEvent(outcome, err))
 }
 
 // dispatch calls the back end. The call goes on when the caller leaves, so
@@ -171,22 +145,5 @@
 		TimeoutMilliseconds:      left.Milliseconds(),
 		NotAfterUnixMilliseconds: f.record.NotAfterUnixMilliseconds,
 	})
-	f.step(f.dispatchEvent(reply, err))
-}
-
-func (f *flight) dispatchEvent(reply backendapi.CallReply, err error) Event {
-	if err == nil && reply.Key != f.call.Key {
-		err = failure.New(failure.OutcomeUnknown, "the reply is for another key")
-	}
-	if err == nil {
-		return Event{Kind: EventReplied, Result: reply.Result}
-	}
-	known := failure.From(err)
-	if known.NotRun {
-		return Event{Kind: EventRefused, Failure: known}
-	}
-	if known.Kind != failure.OutcomeUnknown {
-		known = failure.Wrap(err, failure.OutcomeUnknown, "dispatch the call")
-	}
-	return Event{Kind: EventFailed, Failure: known}
+	f.step(DispatchEvent(f.call.Key, reply, err))
 }
--- a/internal/once/record.go
+++ b/internal/once/record.go
@@ -72,9 +72,9 @@
 	return buffer.Bytes()
 }
 
-// done returns the record of a finished call; a result over maxResult bytes
+// Done returns the record of a finished call; a result over maxResult bytes
 // is left out.
-func (r Record) done(result json.RawMessage, maxResult int, unixMilliseconds int64) Record {
+func (r Record) Done(result json.RawMessage, maxResult int, unixMilliseconds int64) Record {
 	r.State = RecordDone
 	r.TimeUnixMilliseconds = unixMilliseconds
 	if len(result) > maxResult {
--- a/internal/once/settle.go
+++ b/internal/once/settle.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
 	"math/rand/v2"
 	"time"
@@ -66,20 +65,16 @@
 // record writes the result over the claim.
 func (s *Service) record(f *flight, action Action) {
 	work := s.newSettling(f, "record")
-	finished := f.record.done(action.Result, s.options.MaxResultBytes, s.options.Now().UnixMilli())
-	value, err := json.Marshal(finished)
+	finished := f.record.Done(action.Result, s.options.MaxResultBytes, s.options.Now().UnixMilli())
+	f.mutex.Lock()
+	lease := f.lease
+	f.mutex.Unlock()
+	transaction, err := ResultTransaction(finished, action.ModRevision, lease)
 	if err != nil {
 		// The back end's result is not JSON; that the call ran is still kept.
 		finished.Result = nil
 		finished.ResultBytes = max(1, len(action.Result))
-		value, _ = json.Marshal(finished)
-	}
-	f.mutex.Lock()
-	lease := f.lease
-	f.mutex.Unlock()
-	transaction := store.Transaction{
-		Compares: []store.Compare{{Key: f.storeKey, ModRevision: action.ModRevision}},
-		Writes:   []store.Write{{Key: f.storeKey, Value: value, Lease: lease}},
+		transaction, _ = ResultTransaction(finished, action.ModRevision, lease)
 	}
 	work.attempt = func() { work.submit(transaction) }
 	work.attempt()
@@ -89,7 +84,7 @@
 func (s *Service) release(f *flight, action Action) {
 	work := s.newSettling(f, "release")
 	if action.ModRevision > 0 {
-		transaction := deletion(f.storeKey, action.ModRevision)
+		transaction := ReleaseTransaction(f.storeKey, action.ModRevision)
 		work.attempt = func() { work.submit(transaction) }
 		work.attempt()
 		return
@@ -98,13 +93,6 @@
 	go work.attempt()
 }
 
-func deletion(key string, modRevision int64) store.Transaction {
-	return store.Transaction{
-		Compares: []store.Compare{{Key: key, ModRevision: modRevision}},
-		Writes:   []store.Write{{Key: key, Delete: true}},
-	}
-}
-
 // find looks for a claim that may have been written. One that is not there
 // may still arrive, so it is looked for again for a while.
 func (t *settling) find() {
@@ -116,10 +104,9 @@
 		t.again(err)
 		return
 	}
-	held, err := decodeRecord(value.Value)
-	if err != nil || held.ClaimID != t.flight.record.ClaimID || held.State != RecordClaimed {
+	if !OwnClaim(value.Value, t.flight.record.ClaimID) {
 		t.end()
 		return
 	}
-	t.submit(deletion(t.flight.storeKey, value.ModRevision))
+	t.submit(ReleaseTransaction(t.flight.storeKey, value.ModRevision))
 }
--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -25,6 +25,8 @@
 	base  string
 	token string
 	http  *http.Client
+	// unusable is why no request can be made, such as a bad certificate.
+	unusable error
 }
 
 const (
@@ -33,16 +35,22 @@
 	maxReplyBytes  = 64 << 20
 )
 
-// NewAPI makes a client of an administration port, given as host:port or URL.
+// NewAPI makes a client of an administration port without TLS, given as
+// host:port or URL.
 func NewAPI(address, token string) *API {
-	return &API{base: baseURL(address), token: token, http: &http.Client{}}
+	return &API{base: baseURL(address, plainScheme), token: token, http: &http.Client{}}
 }
 
-func baseURL(address string) string {
+const (
+	plainScheme  = "http://"
+	secureScheme = "https://"
+)
+
+func baseURL(address, scheme string) string {
 	if strings.Contains(address, "://") {
 		return strings.TrimSuffix(address, "/")
 	}
-	return "http://" + address
+	return scheme + address
 }
 
 // Table returns the table in force on the daemon.
@@ -69,6 +77,14 @@
 	return status, a.get(ctx, "/v1/status", status)
 }
 
+// Compare sets two policies side by side over the last while; an empty group
+// means all groups.
+func (a *API) Compare(ctx context.Context, first, second, group string, last time.Duration) (*admin.Comparison, error) {
+	compared := &admin.Comparison{}
+	query := url.Values{"a": {first}, "b": {second}, "group": {group}, "last": {last.String()}}
+	return compared, a.get(ctx, "/v1/compare?"+query.Encode(), compared)
+}
+
 // Edit applies an edit and waits up to a time for it to be in force.
 func (a *API) Edit(ctx context.Context, edit policytable.Edit, wait time.Duration) (*admin.EditResult, error) {
 	result := &admin.EditResult{}
@@ -100,6 +116,9 @@
 }
 
 func (a *API) do(ctx context.Context, method, path string, timeout time.Duration, body []byte, into any) error {
+	if a.unusable != nil {
+		return a.unusable
+	}
 	bounded, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(bounded, method, a.base+path, bytes.NewReader(body))
--- a/internal/operator/command.go
+++ b/internal/operator/command.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"io"
+	"net/http"
+	"os/user"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -23,6 +25,10 @@
 	flagToken  = "token"
 	flagOutput = "output"
 	flagAuthor = "author"
+
+	flagAuthority   = "ca"
+	flagCertificate = "certificate"
+	flagKey         = "certificate-key"
 )
 
 // The values of --output.
@@ -39,6 +45,7 @@
    doorpond assign gate fast=90 careful=10
    doorpond diff -f table.yaml && doorpond apply -f table.yaml --wait 5s
    doorpond status
+   doorpond compare fast careful --group clerks --last 10m
    doorpond query --group gate --corpus cards --card 4000123412341234
 
 Exit codes: 0 done; 1 failed; 2 the command line or a value is not valid;
@@ -64,7 +71,7 @@
 		Action:         needCommand,
 		Commands: []*cli.Command{
 			policyCommand(), assignCommand(), applyCommand(), diffCommand(), restoreCommand(),
-			statusCommand(), queryCommand(), callCommand(),
+			statusCommand(), compareCommand(), queryCommand(), callCommand(),
 		},
 	}
 }
@@ -76,6 +83,9 @@
 		&cli.StringFlag{Name: flagDaemon, Value: "127.0.0.1:7070", Sources: cli.EnvVars("DOORPOND_DAEMON"),
 			Usage: "`ADDRESS` of a daemon's callers' port, for query and call"},
 		&cli.StringFlag{Name: flagToken, Sources: cli.EnvVars("DOORPOND_TOKEN"), Usage: "operator's `TOKEN`, for changes"},
+		&cli.StringFlag{Name: flagAuthority, Sources: cli.EnvVars("DOORPOND_CA"), Usage: "PEM `FILE` of the authorities that a daemon's certificate must come from; with it or --certificate, TLS is used"},
+		&cli.StringFlag{Name: flagCertificate, Sources: cli.EnvVars("DOORPOND_CERTIFICATE"), Usage: "PEM `FILE` of the operator's certificate, for daemons that ask for one"},
+		&cli.StringFlag{Name: flagKey, Sources: cli.EnvVars("DOORPOND_KEY"), Usage: "PEM `FILE` of the certificate's private key"},
 		&cli.StringFlag{Name: flagOutput, Aliases: []string{"o"}, Value: outputTable, Usage: "`FORMAT` table or json"},
 	}
 }
@@ -97,8 +107,16 @@
 	return cli.ShowSubcommandHelp(command)
 }
 
+// api makes the client that the flags ask for. A certificate that cannot be
+// used is reported by the first request.
 func api(command *cli.Command) *API {
-	return NewAPI(command.String(flagAdmin), command.String(flagToken))
+	through, scheme, err := transportOf(command)
+	return &API{
+		base:     baseURL(command.String(flagAdmin), scheme),
+		token:    command.String(flagToken),
+		http:     &http.Client{Transport: through},
+		unusable: err,
+	}
 }
 
 // arguments checks the number of arguments; most of -1 means any number.
@@ -128,7 +146,20 @@
 }
 
 func authorFlag() cli.Flag {
-	return &cli.StringFlag{Name: flagAuthor, Sources: cli.EnvVars("DOORPOND_AUTHOR", "USER"), Usage: "`NAME` recorded with the change"}
+	return &cli.StringFlag{Name: flagAuthor, Sources: cli.EnvVars("DOORPOND_AUTHOR", "USER"),
+		Usage: "`NAME` recorded with the change; by default the system's user"}
+}
+
+// authorOf returns who makes a change.
+func authorOf(command *cli.Command) (string, error) {
+	if given := command.String(flagAuthor); given != "" {
+		return given, nil
+	}
+	known, err := user.Current()
+	if err != nil {
+		return "", usage("--author is needed, as the system does not know the user: %w", err)
+	}
+	return known.Username, nil
 }
 
 const longestWait = time.Minute
--- a/internal/operator/edits.go
+++ b/internal/operator/edits.go
@@ -14,9 +14,10 @@
 
 // submit sends an edit, or shows what it would change on a dry run.
 func submit(ctx context.Context, command *cli.Command, edit policytable.Edit) error {
-	edit.Author = command.String(flagAuthor)
-	if edit.Author == "" {
-		return usage("--author is needed, as $USER is not set")
+	var err error
+	edit.Author, err = authorOf(command)
+	if err != nil {
+		return err
 	}
 	if command.Bool(flagDryRun) {
 		return preview(ctx, command, edit)
@@ -116,7 +117,11 @@
 			if _, err := arguments(command, 0, 0); err != nil {
 				return err
 			}
-			result, err := api(command).Restore(ctx, command.String(flagAuthor), command.Duration(flagWait))
+			author, err := authorOf(command)
+			if err != nil {
+				return err
+			}
+			result, err := api(command).Restore(ctx, author, command.Duration(flagWait))
 			if err != nil {
 				return coded(err, true)
 			}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -7,15 +7,19 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/url"
 	"os"
+	"os/user"
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/doorpond/doorpond/client"
 	"github.com/doorpond/doorpond/internal/admin"
+	"github.com/doorpond/doorpond/internal/comparison"
 	"github.com/doorpond/doorpond/internal/failure"
 	"github.com/doorpond/doorpond/internal/policy"
 	"github.com/doorpond/doorpond/internal/policytable"
@@ -39,6 +43,19 @@
 		Assignments: []policy.Assignment{{Group: "gate", Shares: []policy.Share{{Policy: "fast", Weight: 1}}}}}
 }
 
+func testComparison(query url.Values) admin.Comparison {
+	last, _ := time.ParseDuration(query.Get("last")) // zero shows in the test
+	known := comparison.Estimate{Value: 10, Low: 9, High: 11, Enough: true}
+	return admin.Comparison{
+		Group: query.Get("group"), LastSeconds: int64(last / time.Second), Daemons: 2,
+		Report: comparison.Report{
+			A: comparison.Side{Policy: query.Get("a")}, B: comparison.Side{Policy: query.Get("b")}, Warnings: []string{"few"},
+			Latency: []comparison.LatencyRow{{Quantile: 0.999, A: known, B: comparison.Estimate{Value: 3}, Verdict: comparison.VerdictTooFew}},
+		},
+		Unreachable: []admin.Unreachable{{Member: topology.Member{ID: "node-b"}, Reason: "gone"}},
+	}
+}
+
 func (d *daemon) handler() http.Handler {
 	routes := http.NewServeMux()
 	answer := func(w http.ResponseWriter, value any) { _ = json.NewEncoder(w).Encode(value) }
@@ -51,6 +68,7 @@
 		answer(w, admin.History{Changes: []policy.Change{{Revision: 7, Author: "ama\x1b[2J", Summary: []string{"did"}}}})
 	})
 	routes.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) { answer(w, admin.Status{Revision: 7}) })
+	routes.HandleFunc("GET /v1/compare", func(w http.ResponseWriter, r *http.Request) { answer(w, testComparison(r.URL.Query())) })
 	routes.HandleFunc("POST /v1/edits", d.edit)
 	routes.HandleFunc("POST /v1/restore", func(w http.ResponseWriter, _ *http.Request) {
 		answer(w, admin.EditResult{Change: &policy.Change{Revision: 9}})
@@ -274,3 +292,50 @@
 		})
 	}
 }
+
+func TestCompletionKnowsPoliciesAndGroups(t *testing.T) {
+	cases := []struct{ name, line, want string }{
+		{"policies to compare", "compare", "fast"},
+		{"groups to assign", "assign", "gate"},
+		{"policies for a group", "assign gate", "old"},
+		{"policies to change", "policy set", "fast"},
+		{"policies to show", "policy get", "old"},
+		{"policies to delete", "policy delete", "old"},
+		{"commands", "policy", "history"},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			got := run(t, &daemon{}, "", append(strings.Fields(test.line), "--generate-shell-completion")...)
+			if !strings.Contains(got.out, test.want) {
+				t.Errorf("%q is not offered:\n%s%s", test.want, got.out, got.err)
+			}
+		})
+	}
+}
+
+func TestCompareShowsBothSides(t *testing.T) {
+	got := run(t, &daemon{}, "", "compare", "fast", "old", "--group", "gate", "--last", "5m")
+	for _, want := range []string{"fast against old, gate, last 5m0s, 2 daemons", "p99.9 latency", "10.00 ms (9.00 to 11.00)", "(too few samples)", "warning: few", "not counted: node-b"} {
+		if !strings.Contains(got.out, want) {
+			t.Errorf("no %q in:\n%s%s", want, got.out, got.err)
+		}
+	}
+	for _, line := range []string{"compare fast", "compare fast old --interval 1ms --watch"} {
+		if got := run(t, &daemon{}, "", strings.Fields(line)...); got.code != ExitUsage {
+			t.Errorf("%s: code %d, want %d: %s", line, got.code, ExitUsage, got.err)
+		}
+	}
+}
+
+func TestTheAuthorIsTheSystemsUserByDefault(t *testing.T) {
+	t.Setenv("USER", "")
+	t.Setenv("DOORPOND_AUTHOR", "")
+	known, err := user.Current()
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &daemon{}
+	if got := run(t, d, "", "policy", "set", "fast", "priority=high"); got.code != ExitOK || d.edits[0].Author != known.Username {
+		t.Errorf("code %d, edits %+v; want the author %s", got.code, d.edits, known.Username)
+	}
+}
--- a/internal/operator/policies.go
+++ b/internal/operator/policies.go
@@ -25,7 +25,7 @@
 		Action: needCommand,
 		Commands: []*cli.Command{
 			{Name: "list", Usage: "list the policies and assignments in force", Action: listPolicies},
-			{Name: "get", Usage: "show one policy", ArgsUsage: "NAME", Action: getPolicy},
+			{Name: "get", Usage: "show one policy", ArgsUsage: "NAME", ShellComplete: completePolicies, Action: getPolicy},
 			{Name: "set", Usage: "change fields of a policy, or make a new one", ArgsUsage: "NAME FIELD=VALUE...",
 				Description: `Fields are named as "doorpond policy get NAME" shows them; a new policy starts
 from the defaults.
@@ -34,8 +34,9 @@
    doorpond policy set fast wait.timeout=60ms completeness.target=0.95
    doorpond policy set fast shards.index_weights.cards-west=2 --dry-run
    doorpond policy set fast priority=high --wait 5s`,
-				Flags: changeFlags(), Action: setPolicy},
-			{Name: "delete", Usage: "delete policies", ArgsUsage: "NAME...", Flags: changeFlags(), Action: deletePolicies},
+				Flags: changeFlags(), ShellComplete: completePolicies, Action: setPolicy},
+			{Name: "delete", Usage: "delete policies", ArgsUsage: "NAME...", Flags: changeFlags(),
+				ShellComplete: completePolicies, Action: deletePolicies},
 			{Name: "history", Usage: "show the last changes: who, when, what",
 				Flags:  []cli.Flag{&cli.IntFlag{Name: "limit", Value: 20, Usage: "the greatest `NUMBER` of changes"}},
 				Action: showHistory},
@@ -159,9 +160,10 @@
 
 func assignCommand() *cli.Command {
 	return &cli.Command{
-		Name:      "assign",
-		Usage:     "assign a caller group to a policy, or split it over several",
-		ArgsUsage: "GROUP POLICY[=WEIGHT]...",
+		Name:          "assign",
+		ShellComplete: completeAssignment,
+		Usage:         "assign a caller group to a policy, or split it over several",
+		ArgsUsage:     "GROUP POLICY[=WEIGHT]...",
 		Description: `A split sends each caller of the group to one policy by a hash of its name, in
 proportion to the weights. The group "default" is for callers of no other.
 
--- a/internal/operator/queries.go
+++ b/internal/operator/queries.go
@@ -15,8 +15,12 @@
 
 const defaultGroup = "default"
 
-func callersClient(command *cli.Command) *client.Client {
-	return client.New(baseURL(command.String(flagDaemon)), &http.Client{Timeout: requestTimeout})
+func callersClient(command *cli.Command) (*client.Client, error) {
+	through, scheme, err := transportOf(command)
+	if err != nil {
+		return nil, err
+	}
+	return client.New(baseURL(command.String(flagDaemon), scheme), &http.Client{Timeout: requestTimeout, Transport: through}), nil
 }
 
 func callerFlags() []cli.Flag {
@@ -64,7 +68,11 @@
 	if (query.Phrase == "") == (query.Card == "") {
 		return usage("give either a phrase or --card")
 	}
-	answer, err := callersClient(command).Query(ctx, query)
+	callers, err := callersClient(command)
+	if err != nil {
+		return err
+	}
+	answer, err := callers.Query(ctx, query)
 	if err != nil {
 		return coded(err, false)
 	}
@@ -148,7 +156,11 @@
 		Service: command.String("service"), Operation: command.String("operation"), Payload: json.RawMessage(payload),
 		DeadlineMilliseconds: command.Duration("deadline").Milliseconds(),
 	}
-	result, err := callersClient(command).Call(ctx, call)
+	callers, err := callersClient(command)
+	if err != nil {
+		return err
+	}
+	result, err := callers.Call(ctx, call)
 	if err != nil {
 		return coded(err, true)
 	}
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -21,6 +21,11 @@
 	return &cli.Command{
 		Name:  "status",
 		Usage: "show every daemon, the table in force on it, and who lags",
+		Description: `Asks one daemon, which asks all others. A daemon lags when an older table is in
+force on it; replicas that are leaving, cold or ejected are named below.
+
+   doorpond status
+   doorpond --output json status | jq '.lagging'`,
 		Action: func(ctx context.Context, command *cli.Command) error {
 			if _, err := arguments(command, 0, 0); err != nil {
 				return err
@@ -35,8 +40,12 @@
 }
 
 func printStatus(to io.Writer, status *admin.Status) {
-	fmt.Fprintf(to, "table revision %d; %d daemons answer, %d lag, %d do not answer\n\n",
+	fmt.Fprintf(to, "table revision %d; %d daemons answer, %d lag, %d do not answer\n",
 		status.Revision, len(status.Nodes), len(status.Lagging), len(status.Unreachable))
+	if status.StoreOutSince != nil {
+		fmt.Fprintln(to, "the store has been out of reach since", status.StoreOutSince.Format(time.RFC3339))
+	}
+	fmt.Fprintln(to)
 	nodes := slices.Clone(status.Nodes)
 	slices.SortStableFunc(nodes, byPlace)
 	lines := newGrid(to, "REGION", "ZONE", "DAEMON", "ADDRESS", "MEMBER", "PHASE", "TABLE", "CATALOGUE", "STORE", "LEAVING", "COLD", "EJECTED")
@@ -46,12 +55,27 @@
 			storeText(node.Store), node.ReplicasLeaving, node.ReplicasCold, node.ReplicasEjected)
 	}
 	lines.end()
+	printReplicas(to, status)
 	if len(status.Lagging)+len(status.Unreachable) > 0 {
 		fmt.Fprintln(to)
 	}
 	printBehind(to, status.Lagging, status.Unreachable)
 }
 
+// printReplicas names the replicas that do not take their whole share.
+func printReplicas(to io.Writer, status *admin.Status) {
+	if len(status.Replicas) == 0 {
+		return
+	}
+	fmt.Fprintln(to)
+	lines := newGrid(to, "REPLICA", "GROUP", "REGION", "ZONE", "STATE", "SEEN BY")
+	for _, one := range status.Replicas {
+		lines.row(one.Address, one.Group, one.Place.Region, one.Place.Zone, one.Trouble,
+			fmt.Sprintf("%d of %d", one.SeenBy, len(status.Nodes)))
+	}
+	lines.end()
+}
+
 func byPlace(a, b peer.NodeState) int {
 	return cmp.Or(
 		strings.Compare(a.Member.Place.Region, b.Member.Place.Region),
@@ -68,6 +92,8 @@
 		return "serving"
 	case blackboard.PhaseDraining:
 		return "draining"
+	case blackboard.PhaseClosing:
+		return "closing"
 	case blackboard.PhaseStopped:
 		return "stopped"
 	default:
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rotisserie/eris"
 
+	"github.com/doorpond/doorpond/internal/certificates"
 	"github.com/doorpond/doorpond/internal/document"
 	"github.com/doorpond/doorpond/internal/failure"
 	"github.com/doorpond/doorpond/internal/membership"
@@ -95,11 +96,19 @@
 		ResponseHeaderTimeout: maximumForwardTime,
 	}
 	if c.options.TLS != nil {
-		transport.TLSClientConfig = c.options.TLS.Clone()
+		transport.DialTLSContext = certificates.DialTLS(c.options.TLS, dialer.DialContext, applicationProtocol(protocols))
 	}
 	return &http.Client{Transport: transport}
 }
 
+// applicationProtocol is what TLS negotiates.
+func applicationProtocol(protocols *http.Protocols) string {
+	if protocols.HTTP2() {
+		return "h2"
+	}
+	return "http/1.1"
+}
+
 // Close ends idle connections.
 func (c *Client) Close() {
 	c.membership.CloseIdleConnections()
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -55,6 +55,30 @@
 	ReplicasEjected int `msgpack:"e" json:"replicas_ejected"`
 	// Version is the program's.
 	Version string `msgpack:"v" json:"version"`
+	// Troubled names the replicas counted above, at most MaxTroubled of them.
+	Troubled []TroubledReplica `msgpack:"x,omitempty" json:"replicas_troubled"`
+}
+
+// MaxTroubled bounds the replicas named in a NodeState.
+const MaxTroubled = 64
+
+// Trouble is why a replica does not take its whole share.
+type Trouble string
+
+// The troubles.
+const (
+	TroubleLeaving Trouble = "leaving"
+	TroubleCold    Trouble = "cold"
+	TroubleEjected Trouble = "ejected"
+)
+
+// TroubledReplica is a replica that does not take its whole share.
+type TroubledReplica struct {
+	Address     string         `msgpack:"a" json:"address"`
+	Incarnation string         `msgpack:"n" json:"incarnation"`
+	Group       string         `msgpack:"g" json:"group"`
+	Place       topology.Place `msgpack:"p" json:"place"`
+	Trouble     Trouble        `msgpack:"t" json:"trouble"`
 }
 
 // StatisticsRequest asks for the statistics of the last while.
@@ -74,11 +98,18 @@
 	// TimeoutMilliseconds is the time left to the asker.
 	TimeoutMilliseconds int64                    `msgpack:"t"`
 	Search              backendapi.SearchRequest `msgpack:"s"`
+	// Call, where it is set, is a call that may not be repeated, and Search is
+	// not looked at.
+	Call *backendapi.CallRequest `msgpack:"c,omitempty"`
 }
 
-// ForwardReply is the replica's reply, unchanged.
+// ForwardReply is the replica's reply, unchanged: one of Refusal, Call and
+// Search.
 type ForwardReply struct {
 	Search backendapi.SearchReply `msgpack:"s"`
+	// Refusal is the replica's proof that it did not run the sub-request.
+	Refusal *backendapi.Refusal   `msgpack:"r,omitempty"`
+	Call    *backendapi.CallReply `msgpack:"c,omitempty"`
 	// Address is the replica's.
 	Address string `msgpack:"a"`
 }
--- a/internal/policy/default.go
+++ b/internal/policy/default.go
@@ -10,19 +10,20 @@
 const DefaultName = "default"
 
 // DefaultRow returns a policy of sensible weights and limits: every shard
-// asked, the caller's zone preferred, hedges after the 95th percentile within
-// a budget of 5% of the first attempts.
+// asked, the caller's zone preferred up to four times the expected time of a
+// far replica, hedges after the 95th percentile within a budget of 7% of the
+// first attempts. docs/MEASUREMENTS.md shows what they give.
 func DefaultRow(name string) Row {
 	return Row{
 		Name:     name,
 		Shards:   Shards{Selection: SelectAll, Fraction: 1},
-		Replicas: Replicas{ZoneWeight: 100, RegionWeight: 10, FarWeight: 1},
+		Replicas: Replicas{ZoneWeight: 4, RegionWeight: 2, FarWeight: 1},
 		Wait: Wait{
 			Timeout:       Duration(time.Second),
 			HedgeQuantile: 0.95,
 			HedgeFloor:    Duration(5 * time.Millisecond),
 		},
-		Retry:        Retry{Attempts: 3, BudgetRatio: 0.05, BudgetBurst: 100},
+		Retry:        Retry{Attempts: 3, BudgetRatio: 0.07, BudgetBurst: 40},
 		Completeness: Completeness{Target: 1, Grace: Duration(0), Least: 0},
 		Limits:       Limits{Concurrency: 256, Hits: 1000},
 		Priority:     client.PriorityNormal,
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -51,7 +51,9 @@
 // Replicas are the weights of replica choice.
 type Replicas struct {
 	// ZoneWeight, RegionWeight and FarWeight weigh replicas of the caller's
-	// zone, of its region, and of other regions; 0 means never.
+	// zone, of its region, and of other regions: a nearer replica is preferred
+	// until it is expected to take as many times longer as the weights are
+	// apart. 0 means never.
 	ZoneWeight   float64 `json:"zone_weight" yaml:"zone_weight" validate:"gte=0,lte=1000"`
 	RegionWeight float64 `json:"region_weight" yaml:"region_weight" validate:"gte=0,lte=1000"`
 	FarWeight    float64 `json:"far_weight" yaml:"far_weight" validate:"gte=0,lte=1000"`
--- a/internal/policytable/commit.go
+++ b/internal/policytable/commit.go
@@ -86,7 +86,7 @@
 // comparison is tried again, of which only one can succeed; if the table has
 // moved on, the unclear write can no longer take effect.
 func (e *Editor) change(ctx context.Context, id string, build func(context.Context, *stored) (*policy.Table, error)) (policy.Change, error) {
-	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, e.timeout)
 	defer cancel()
 	trying := &attempt{editor: e, id: id, build: build}
 	for {
@@ -94,7 +94,7 @@
 		if done && err == nil {
 			return change, nil
 		}
-		if done || !pause(ctx, trying.tries) {
+		if done || !e.pause(ctx, waitLimit(trying.tries)) {
 			return policy.Change{}, trying.final(err)
 		}
 	}
@@ -206,10 +206,12 @@
 	}
 }
 
-// pause waits before another try, longer each time with full jitter; it is
-// false when ctx ends first.
-func pause(ctx context.Context, tries int) bool {
-	limit := min(longestWait, firstWait<<min(tries, 10))
+// waitLimit is the greatest wait before another try.
+func waitLimit(tries int) time.Duration { return min(longestWait, firstWait<<min(tries, 10)) }
+
+// pause waits before another try, with full jitter; it is false when ctx ends
+// first.
+func pause(ctx context.Context, limit time.Duration) bool {
 	timer := time.NewTimer(rand.N(limit))
 	defer timer.Stop()
 	select {
--- a/internal/policytable/editor.go
+++ b/internal/policytable/editor.go
@@ -36,6 +36,13 @@
 	// Now is the wall clock; nil means time.Now.
 	Now    func() time.Time
 	Logger *slog.Logger
+	// NewID names a change; nil means a ULID.
+	NewID func() string
+	// Pause waits for a random time of up to limit before another try, and
+	// is false when ctx ended; nil means a timer of the real clock.
+	Pause func(ctx context.Context, limit time.Duration) bool
+	// ChangeTimeout bounds one change with its retries; 0 means 15 s.
+	ChangeTimeout time.Duration
 }
 
 // Editor changes the table in the store. It is safe for concurrent use, and
@@ -46,6 +53,9 @@
 	board    *blackboard.Board
 	now      func() time.Time
 	logger   *slog.Logger
+	newID    func() string
+	pause    func(ctx context.Context, limit time.Duration) bool
+	timeout  time.Duration
 }
 
 // NewEditor returns an Editor.
@@ -56,6 +66,18 @@
 		board:    options.Board,
 		now:      options.Now,
 		logger:   options.Logger,
+		newID:    options.NewID,
+		pause:    options.Pause,
+		timeout:  options.ChangeTimeout,
+	}
+	if editor.newID == nil {
+		editor.newID = func() string { return ulid.Make().String() }
+	}
+	if editor.pause == nil {
+		editor.pause = pause
+	}
+	if editor.timeout <= 0 {
+		editor.timeout = changeTimeout
 	}
 	if editor.now == nil {
 		editor.now = time.Now
@@ -76,6 +98,9 @@
 // StoreRegressed, OutcomeUnknown (the change may have been written; apply the
 // same ID again).
 func (e *Editor) Apply(ctx context.Context, edit Edit) (policy.Change, error) {
+	if edit.ID == "" {
+		edit.ID = e.newID()
+	}
 	if err := checkEdit(&edit); err != nil {
 		return policy.Change{}, err
 	}
@@ -86,9 +111,6 @@
 }
 
 func checkEdit(edit *Edit) error {
-	if edit.ID == "" {
-		edit.ID = ulid.Make().String()
-	}
 	switch {
 	case edit.Author == "":
 		return failure.New(failure.InvalidRequest, "edit the table: the author is missing")
@@ -134,7 +156,7 @@
 	if author == "" {
 		return policy.Change{}, failure.New(failure.InvalidRequest, "restore the table: the author is missing")
 	}
-	id := ulid.Make().String()
+	id := e.newID()
 	build := func(_ context.Context, current *stored) (*policy.Table, error) {
 		return e.buildRestore(id, author, current)
 	}
--- /dev/null
+++ b/internal/proofs/proofs_test.go
@@ -0,0 +1,98 @@
+package proofs
+
+import (
+	"context"
+	"flag"
+	"os"
+	"testing"
+	"time"
+)
+
+// The size of the proof of the planned stop; the measurement of 100,000 is
+// made by: go test ./internal/proofs -run PlannedStop -requests 100000 -stops 12
+var (
+	requests = flag.Int64("requests", 3000, "requests sent while daemons are stopped")
+	stops    = flag.Int("stops", 2, "daemons stopped under load")
+	keys     = flag.Int("keys", 600, "operations that may not be repeated")
+	rounds   = flag.Int("rounds", 1, "how often each fault comes while they are called")
+	limit    = flag.Duration("limit", 4*time.Minute, "longest time of one proof")
+)
+
+// program is the doorpondd that the tests run.
+var program string
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	directory, err := os.MkdirTemp("", "doorpond-proofs")
+	if err != nil {
+		panic(err)
+	}
+	defer os.RemoveAll(directory)
+	program, err = Build(context.Background(), directory)
+	if err != nil {
+		panic(err)
+	}
+	return m.Run()
+}
+
+func startCluster(t *testing.T, arguments ...string) (context.Context, *Cluster) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), *limit)
+	t.Cleanup(cancel)
+	cluster, err := Start(ctx, ClusterOptions{Program: program, Directory: t.TempDir(), Daemons: 3, Arguments: arguments})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = cluster.Close() })
+	return ctx, cluster
+}
+
+func TestPlannedStopCutsOffNoRequest(t *testing.T) {
+	ctx, cluster := startCluster(t, "--stop-grace", "300ms")
+	report, err := PlannedStop(ctx, cluster, PlannedStopOptions{
+		Requests: *requests, Callers: 40, Pause: time.Millisecond, Stops: *stops,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Log(report)
+	if report.CutOff != 0 || report.Failed != 0 || report.Stops != *stops {
+		t.Error(report)
+	}
+}
+
+func TestCallsRunAtMostOnce(t *testing.T) {
+	ctx, cluster := startCluster(t, "--stop-grace", "100ms")
+	report, err := AtMostOnce(ctx, cluster, AtMostOnceOptions{
+		Keys: *keys, Callers: 16, Attempts: 8, Rounds: *rounds, Seed: 1,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Log(report)
+	for _, violation := range report.Violations {
+		t.Error(violation)
+	}
+	if report.Results == 0 || report.NotRun == 0 || report.Unknown == 0 || report.Repeated == 0 {
+		t.Errorf("%s: the faults had no effect", report)
+	}
+}
+
+func TestAcceptedChangesStayInForce(t *testing.T) {
+	ctx, cluster := startCluster(t)
+	report, err := Table(ctx, cluster, TableOptions{Operators: 4, Rounds: *rounds, Edits: 20})
+	t.Log(report)
+	if err != nil {
+		t.Error(err)
+	}
+	for _, violation := range report.Violations {
+		t.Error(violation)
+	}
+	if report.Accepted == 0 || report.Conflicts == 0 || report.Repeated == 0 {
+		t.Errorf("%s: the faults had no effect", report)
+	}
+}
--- /dev/null
+++ b/internal/query/driver.go
@@ -0,0 +1,115 @@
+package query
+
+import (
+	"context"
+	"time"
+
+	"github.com/doorpond/doorpond/internal/replica"
+)
+
+// Driver gives a Service its time and concurrency, so that the same Service
+// runs on goroutines in the daemon and on a virtual clock in simulation.
+type Driver interface {
+	// Start runs one sub-request beside its query.
+	Start(work func())
+	// WithTimeout and WithCancel are as in package context.
+	WithTimeout(parent context.Context, timeout time.Duration) (context.Context, context.CancelFunc)
+	WithCancel(parent context.Context) (context.Context, context.CancelFunc)
+	// NewInbox makes the inbox of a run that starts now.
+	NewInbox(capacity int) Inbox
+}
+
+// Inbox is where one run waits for what happens next. Only Deliver may be
+// called by others than the run.
+type Inbox interface {
+	// Elapsed is the time since the run's start.
+	Elapsed() time.Duration
+	// SetTimer replaces the timer; at counts from the run's start.
+	SetTimer(at time.Duration)
+	// Deliver hands a result to the run; after Close it has no effect.
+	Deliver(result AttemptResult)
+	// Next waits for a result, the timer, or the end of ctx.
+	Next(ctx context.Context) (AttemptResult, Woken)
+	// Close ends the run: later results find nowhere to go.
+	Close()
+}
+
+// AttemptResult is the result of one sub-request of a run.
+type AttemptResult struct {
+	Shard   int
+	Attempt int
+	Result  replica.SearchResult
+}
+
+// Woken says why Next returned.
+type Woken int
+
+// The reasons for which Next returns.
+const (
+	WokenByResult Woken = iota
+	WokenByTimer
+	WokenByCaller
+)
+
+// goroutines is the Driver of the daemon.
+type goroutines struct{}
+
+func (goroutines) Start(work func()) { go work() }
+
+func (goroutines) WithTimeout(parent context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(parent, timeout)
+}
+
+func (goroutines) WithCancel(parent context.Context) (context.Context, context.CancelFunc) {
+	return context.WithCancel(parent)
+}
+
+func (goroutines) NewInbox(capacity int) Inbox {
+	return &channelInbox{
+		started: time.Now(),
+		results: make(chan AttemptResult, capacity),
+		over:    make(chan struct{}),
+	}
+}
+
+// channelInbox is an Inbox of channels.
+type channelInbox struct {
+	started time.Time
+	results chan AttemptResult
+	over    chan struct{}
+	timer   *time.Timer
+}
+
+func (i *channelInbox) Elapsed() time.Duration { return time.Since(i.started) }
+
+func (i *channelInbox) SetTimer(at time.Duration) {
+	wait := at - i.Elapsed()
+	if i.timer == nil {
+		i.timer = time.NewTimer(wait)
+		return
+	}
+	i.timer.Reset(wait)
+}
+
+func (i *channelInbox) Deliver(result AttemptResult) {
+	select {
+	case i.results <- result:
+	case <-i.over:
+	}
+}
+
+func (i *channelInbox) Next(ctx context.Context) (AttemptResult, Woken) {
+	select {
+	case result := <-i.results:
+		return result, WokenByResult
+	case <-i.timer.C:
+		return AttemptResult{}, WokenByTimer
+	case <-ctx.Done():
+		return AttemptResult{}, WokenByCaller
+	}
+}
+
+func (i *channelInbox) Close() {
+	close(i.over)
+	i.timer.Stop()
+}
--- a/internal/query/run.go
+++ b/internal/query/run.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/doorpond/doorpond/client"
+	"github.com/doorpond/doorpond/internal/admission"
 	"github.com/doorpond/doorpond/internal/backendapi"
 	"github.com/doorpond/doorpond/internal/catalogue"
 	"github.com/doorpond/doorpond/internal/decision"
@@ -20,12 +21,9 @@
 	snapshot *catalogue.Snapshot
 	selected decision.Selected
 	core     *decision.Query
-	started  time.Time
 	context  context.Context
-	results  chan attemptResult
-	over     chan struct{}
+	inbox    Inbox
 	shards   []shardRun
-	timer    *time.Timer
 	reason   decision.FinishReason
 	counts   runCounts
 }
@@ -46,80 +44,56 @@
 	reply   *backendapi.SearchReply
 }
 
-type attemptResult struct {
-	shard   int
-	attempt int
-	result  replica.SearchResult
-}
-
 // newRun plans a run; deadline is the time left from now on.
 func (s *Service) newRun(request *request, snapshot *catalogue.Snapshot, deadline time.Duration) *run {
 	selected := decision.SelectShards(snapshot, request.row, &request.query, request.id)
 	for i := range selected.Asked {
-		s.planShard(&selected.Asked[i], request)
+		s.options.Pool.Plan(&selected.Asked[i], request.row)
 	}
 	return &run{
 		service: s, request: request, snapshot: snapshot, selected: selected,
-		core:    decision.New(decision.Plan{Shards: selected.Asked, Policy: request.row, Deadline: deadline}),
-		results: make(chan attemptResult, len(selected.Asked)),
-		over:    make(chan struct{}),
-		shards:  make([]shardRun, len(selected.Asked)),
+		core:   decision.New(decision.Plan{Shards: selected.Asked, Policy: request.row, Deadline: deadline}),
+		inbox:  s.options.Driver.NewInbox(len(selected.Asked)),
+		shards: make([]shardRun, len(selected.Asked)),
 	}
 }
 
-// expectedQuantile of a group's latency is the least that an attempt is taken
-// to need.
-const expectedQuantile = 0.5
-
-func (s *Service) planShard(shard *decision.ShardPlan, request *request) {
-	wait := request.row.Wait
-	shard.Budget = s.options.Pool.Budget(shard.Group, request.row.Retry)
-	if wait.HedgeQuantile > 0 {
-		usual := s.options.Pool.LatencyQuantile(shard.Group, wait.HedgeQuantile)
-		if usual > 0 {
-			shard.HedgeDelay = max(usual, time.Duration(wait.HedgeFloor))
-		}
-	}
-	shard.Expected = s.options.Pool.LatencyQuantile(shard.Group, expectedQuantile)
-}
-
 // execute runs until the core finishes.
 func (r *run) execute(ctx context.Context, deadline time.Duration) {
-	r.started = time.Now()
-	sub, cancel := context.WithTimeout(ctx, deadline)
+	sub, cancel := r.service.options.Driver.WithTimeout(ctx, deadline)
 	defer cancel()
-	defer close(r.over)
+	defer r.inbox.Close()
 	r.context = sub
-	r.timer = time.NewTimer(deadline)
-	defer r.timer.Stop()
+	r.inbox.SetTimer(deadline)
 	finished := r.step(decision.Event{Kind: decision.Started})
 	for !finished {
-		select {
-		case result := <-r.results:
+		result, woken := r.inbox.Next(ctx)
+		switch woken {
+		case WokenByResult:
 			finished = r.step(r.take(result))
-		case <-r.timer.C:
+		case WokenByTimer:
 			finished = r.step(decision.Event{Kind: decision.TimerFired})
-		case <-ctx.Done():
+		case WokenByCaller:
 			finished = r.step(decision.Event{Kind: decision.GaveUp})
 		}
 	}
 }
 
 // take notes a result and turns it into an event.
-func (r *run) take(result attemptResult) decision.Event {
-	outcome := result.result.Outcome
-	if result.result.NotRun {
+func (r *run) take(result AttemptResult) decision.Event {
+	outcome := result.Result.Outcome
+	if result.Result.NotRun {
 		r.counts.proven++
-		r.counts.retryAfter = max(r.counts.retryAfter, result.result.RetryAfter)
+		r.counts.retryAfter = max(r.counts.retryAfter, result.Result.RetryAfter)
 	}
-	shard := &r.shards[result.shard]
+	shard := &r.shards[result.Shard]
 	if outcome == decision.Success && shard.reply == nil {
-		shard.reply = result.result.Reply
+		shard.reply = result.Result.Reply
 	}
-	shard.cancels[result.attempt]()
+	shard.cancels[result.Attempt]()
 	event := decision.Event{
-		Kind: decision.Replied, Shard: result.shard, Attempt: result.attempt,
-		Outcome: outcome, RetryAfter: result.result.RetryAfter,
+		Kind: decision.Replied, Shard: result.Shard, Attempt: result.Attempt,
+		Outcome: outcome, RetryAfter: result.Result.RetryAfter,
 	}
 	if outcome == decision.SnapshotNotHeld && r.request.restarts > 0 {
 		event.OtherSnapshot = r.service.otherSnapshot(&r.request.query, r.snapshot.ID) != nil
@@ -134,7 +108,7 @@
 // are fed back after all actions, as the core reuses their memory.
 func (r *run) step(event decision.Event) (finished bool) {
 	var unsent []noReplica
-	for _, action := range r.core.Step(time.Since(r.started), event) {
+	for _, action := range r.core.Step(r.inbox.Elapsed(), event) {
 		switch action.Kind {
 		case decision.Send:
 			if !r.send(action) {
@@ -143,7 +117,7 @@
 		case decision.Cancel:
 			r.cancel(action)
 		case decision.SetTimer:
-			r.timer.Reset(action.At - time.Since(r.started))
+			r.inbox.SetTimer(action.At)
 		case decision.Finish:
 			r.reason = action.Reason
 			return true
@@ -173,7 +147,7 @@
 		shard.cancels = append(shard.cancels, func() {})
 		return false
 	}
-	attempt, cancel := context.WithCancel(r.context)
+	attempt, cancel := r.service.options.Driver.WithCancel(r.context)
 	shard.tried = append(shard.tried, handle)
 	shard.cancels = append(shard.cancels, cancel)
 	r.counts.dispatched++
@@ -181,7 +155,7 @@
 		r.counts.hedges++
 	}
 	message := r.message(plan, action)
-	go r.search(attempt, handle, message, action.Shard)
+	r.service.options.Driver.Start(func() { r.search(attempt, handle, message, action.Shard) })
 	return true
 }
 
@@ -197,10 +171,19 @@
 
 func (r *run) search(ctx context.Context, handle *replica.Handle, message *backendapi.SearchRequest, shard int) {
 	result := r.service.options.Pool.Search(ctx, handle, message)
-	select {
-	case r.results <- attemptResult{shard: shard, attempt: message.Attempt, result: result}:
-	case <-r.over:
+	r.inbox.Deliver(AttemptResult{Shard: shard, Attempt: message.Attempt, Result: result})
+}
+
+// ended is what admission learns from the run.
+func (r *run) ended(took time.Duration) admission.Ended {
+	ended := admission.Ended{Took: took, Asked: len(r.selected.Asked), Answered: r.core.Answered()}
+	for i := range r.selected.Asked {
+		if r.core.Status(i).Reason == client.MissingShed {
+			ended.Refused++
+			ended.RefusedShard = r.selected.Asked[i].Group
+		}
 	}
+	return ended
 }
 
 // hits merges the replies; truncated is true when more hits matched.
--- a/internal/query/service.go
+++ b/internal/query/service.go
@@ -33,6 +33,9 @@
 	Now        func() time.Time
 	// NewID names a query; it must be unique over all daemons.
 	NewID func() string
+	// Driver defaults to goroutines and the real clock; a simulation brings
+	// its own.
+	Driver Driver
 }
 
 // Service answers queries. It is safe for concurrent use.
@@ -49,6 +52,9 @@
 	if options.NewID == nil {
 		options.NewID = func() string { return ulid.Make().String() }
 	}
+	if options.Driver == nil {
+		options.Driver = goroutines{}
+	}
 	if options.Statistics == nil {
 		options.Statistics = statistics.New(options.Now)
 	}
@@ -179,12 +185,10 @@
 	took := s.options.Now().Sub(request.started)
 	answer.TookMicroseconds = took.Microseconds()
 	s.record(request, finished, took, err)
+	ticket.Ended(s.options.Now(), finished.ended(took))
 	if err != nil {
 		return client.Answer{}, err
 	}
-	if answer.Coverage.Answered == answer.Coverage.Asked {
-		ticket.Answered(s.options.Now(), took)
-	}
 	return answer, nil
 }
 
--- a/internal/replica/call.go
+++ b/internal/replica/call.go
@@ -28,7 +28,7 @@
 		if deadlinePassed(p, ctx, request) {
 			return backendapi.CallReply{}, failure.New(failure.DeadlineExceeded, "deadline passed before the call was sent").WithNotRun(true)
 		}
-		handle := p.Acquire(service, callWeights, tried)
+		handle := p.acquire(service, callWeights, tried, decision.ChooseReplica)
 		if handle == nil {
 			break
 		}
@@ -57,13 +57,20 @@
 
 func (p *Pool) callOnce(ctx context.Context, handle *Handle, request backendapi.CallRequest) (backendapi.CallReply, *failure.Error) {
 	defer handle.release()
-	exchanged := p.post(ctx, handle, handle.urls.call, request)
-	defer exchanged.free()
-	reply, err := p.classifyCall(handle, request, &exchanged)
+	reply, err := p.exchangeCall(ctx, handle, request)
 	p.learnCall(ctx, handle, err)
 	return reply, err
 }
 
+func (p *Pool) exchangeCall(ctx context.Context, handle *Handle, request backendapi.CallRequest) (backendapi.CallReply, *failure.Error) {
+	if handle.peer {
+		return p.forwardCall(ctx, handle, request)
+	}
+	exchanged := p.post(ctx, handle, handle.urls.call, request)
+	defer exchanged.free()
+	return p.classifyCall(handle, request, &exchanged)
+}
+
 func (p *Pool) classifyCall(handle *Handle, request backendapi.CallRequest, exchanged *exchange) (backendapi.CallReply, *failure.Error) {
 	if exchanged.err != nil {
 		return backendapi.CallReply{}, callFailure(exchanged)
@@ -99,7 +106,7 @@
 		err = err.WithRetryAfter(refused.RetryAfter)
 	}
 	if refused.Outcome == decision.Shed {
-		handle.cutLimit()
+		handle.observe(p.options.Now(), Ended{Outcome: decision.Shed, RetryAfter: refused.RetryAfter})
 	}
 	return err
 }
@@ -116,6 +123,6 @@
 	}
 	broken := err != nil && ctx.Err() == nil && err.Kind == failure.OutcomeUnknown
 	if broken {
-		handle.failed(p.options.Now())
+		handle.observe(p.options.Now(), Ended{Outcome: decision.Failed})
 	}
 }
--- a/internal/replica/connections.go
+++ b/internal/replica/connections.go
@@ -1,72 +1,287 @@
 package replica
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/doorpond/doorpond/internal/topology"
 )
 
-// connectionReserve is the part of a replica's limit that is left free for
-// daemons that are not known yet.
-const connectionReserve = 0.1
-
-// ConnectionBudget returns how many connections one daemon may hold to a
-// replica, so that all daemons together stay under the replica's limit. With
-// more daemons than connections, a subset of the daemons gets one each: the
-// nearest to the replica, in order of a rendezvous hash. 0 means that this
-// daemon must not connect. Every daemon with the same members gets the same
-// shares.
-func ConnectionBudget(members topology.Members, replica topology.Replica) int {
-	usable := max(1, int(float64(replica.ConnectionLimit)*(1-connectionReserve)))
-	daemons := 1
-	for i := range members.Members {
-		member := &members.Members[i]
+// The constants of the connection budget.
+const (
+	// connectionReserve is the part of a replica's limit that is left free for
+	// daemons that are not known yet.
+	connectionReserve = 0.1
+	// mostCopies is how many replicas of a group a daemon may connect to when
+	// not all daemons can connect to all.
+	mostCopies = 4
+)
+
+// ConnectionPlan divides the connections of replicas among the daemons. It is
+// a pure function of the members: daemons with the same members make the same
+// plan, each with itself as the point of view.
+type ConnectionPlan struct {
+	self     topology.Member
+	selfZone int
+	selfRank int // among the daemons of its own zone
+	zones    []planZone
+	daemons  int
+}
+
+// planZone has the daemons of one zone in the order of a hash.
+type planZone struct {
+	place   topology.Place
+	daemons []topology.Member
+}
+
+// NewConnectionPlan sorts the daemons that may hold connections by zone.
+func NewConnectionPlan(members topology.Members) *ConnectionPlan {
+	holders := []topology.Member{members.Self}
+	for _, member := range members.Members {
 		if holdsConnections(member) && member.ID != members.Self.ID {
-			daemons++
+			holders = append(holders, member)
 		}
 	}
-	if daemons <= usable {
-		return usable / daemons
-	}
-	if nearerDaemons(members, replica, usable) < usable {
-		return 1
-	}
-	return 0
+	plan := &ConnectionPlan{self: members.Self, daemons: len(holders)}
+	plan.zones = zonesOf(holders)
+	plan.selfZone = slices.IndexFunc(plan.zones, func(zone planZone) bool { return zone.place == members.Self.Place })
+	own := plan.zones[plan.selfZone].daemons
+	plan.selfRank = slices.IndexFunc(own, func(m topology.Member) bool { return m.ID == members.Self.ID })
+	return plan
 }
 
 // holdsConnections is true for a member that may still have connections.
-func holdsConnections(member *topology.Member) bool {
+func holdsConnections(member topology.Member) bool {
 	return member.State < topology.MemberDead
 }
 
-// nearerDaemons counts the daemons that go before this one, up to enough.
-func nearerDaemons(members topology.Members, replica topology.Replica, enough int) int {
-	self := members.Self
-	selfDistance := self.Place.DistanceTo(replica.Place)
-	selfHash := rendezvousHash(self.ID, replica.Address)
-	nearer := 0
-	for i := range members.Members {
-		member := &members.Members[i]
-		if !holdsConnections(member) || member.ID == self.ID {
-			continue
+func zonesOf(holders []topology.Member) []planZone {
+	byPlace := make(map[topology.Place][]topology.Member)
+	for _, member := range holders {
+		byPlace[member.Place] = append(byPlace[member.Place], member)
+	}
+	zones := make([]planZone, 0, len(byPlace))
+	for place, daemons := range byPlace {
+		zones = append(zones, planZone{place: place, daemons: sortedByHash(daemons)})
+	}
+	slices.SortFunc(zones, func(a, b planZone) int { return comparePlaces(a.place, b.place) })
+	return zones
+}
+
+func sortedByHash(daemons []topology.Member) []topology.Member {
+	hashes := make(map[string]uint64, len(daemons))
+	for i := range daemons {
+		hashes[daemons[i].ID] = xxhash.Sum64String(daemons[i].ID)
+	}
+	slices.SortFunc(daemons, func(a, b topology.Member) int {
+		return cmp.Or(cmp.Compare(hashes[a.ID], hashes[b.ID]), cmp.Compare(a.ID, b.ID))
+	})
+	return daemons
+}
+
+func comparePlaces(a, b topology.Place) int {
+	return cmp.Or(cmp.Compare(a.Region, b.Region), cmp.Compare(a.Zone, b.Zone))
+}
+
+// usableConnections is the part of a replica's limit that is divided.
+func usableConnections(replica topology.Replica) int {
+	return max(1, int(float64(replica.ConnectionLimit)*(1-connectionReserve)))
+}
+
+// GroupConnections says who connects to each replica of one group.
+type GroupConnections struct {
+	plan   *ConnectionPlan
+	shares []replicaShare
+}
+
+// replicaShare divides one replica's connections. Where all daemons can
+// connect, everyone is the number each has. Otherwise the daemons in the
+// windows get one each.
+type replicaShare struct {
+	everyone int
+	left     int // connections not given yet
+	windows  []window
+}
+
+// window is a run of daemons of one zone, from start on and around the end.
+type window struct {
+	zone, start, count int
+}
+
+// Group divides the connections of a group's replicas, which must be all that
+// take new work, in the order of their addresses. With more daemons than
+// connections, each daemon gets one replica before any gets a second, from the
+// nearest zone that has connections left.
+func (p *ConnectionPlan) Group(name string, replicas []topology.Replica) *GroupConnections {
+	division := &division{
+		plan: p, replicas: replicas, shares: make([]replicaShare, len(replicas)),
+		cursors: make([]int, len(p.zones)),
+	}
+	scarce := division.start()
+	if scarce {
+		first := int(xxhash.Sum64String(name) % uint64(p.daemons))
+		for at := range division.cursors {
+			division.cursors[at] = first
+		}
+		for copies := range mostCopies {
+			division.giveOneEach(copies)
+		}
+	}
+	return &GroupConnections{plan: p, shares: division.shares}
+}
+
+// division is the work of dividing the connections of one group.
+type division struct {
+	plan     *ConnectionPlan
+	replicas []topology.Replica
+	shares   []replicaShare
+	// cursors say by zone which daemon is served next.
+	cursors []int
+}
+
+// start gives the connections of replicas that all daemons can reach; scarce
+// is true when there are others.
+func (d *division) start() (scarce bool) {
+	for i, replica := range d.replicas {
+		share := &d.shares[i]
+		usable := usableConnections(replica)
+		switch {
+		case replica.ConnectionLimit <= 0:
+			share.everyone = unlimitedConnections
+		case d.plan.daemons <= usable:
+			share.everyone = usable / d.plan.daemons
+		default:
+			share.left = usable
+			scarce = true
 		}
-		distance := member.Place.DistanceTo(replica.Place)
-		if distance > selfDistance {
-			continue
+	}
+	return scarce
+}
+
+// giveOneEach gives each daemon one more replica, nearest first, as far as
+// there are connections left.
+func (d *division) giveOneEach(turn int) {
+	needs := make([]int, len(d.plan.zones))
+	for at := range needs {
+		needs[at] = len(d.plan.zones[at].daemons)
+	}
+	for distance := topology.SameZone; distance <= topology.OtherRegion; distance++ {
+		for at := range needs {
+			needs[at] -= d.serve(at, needs[at], distance, turn)
 		}
-		if distance < selfDistance || rendezvousHash(member.ID, replica.Address) < selfHash {
-			nearer++
+	}
+}
+
+// serve gives so many daemons of a zone one connection each to the replicas at
+// a distance, in equal parts, and returns how many were served.
+func (d *division) serve(zone, needed int, distance topology.Distance, turn int) (served int) {
+	if needed == 0 {
+		return 0
+	}
+	willing := d.willing(zone, distance)
+	for i := range willing {
+		at := willing[(i+turn)%len(willing)]
+		parts := len(willing) - i
+		count := min((needed-served+parts-1)/parts, d.shares[at].left)
+		d.give(at, zone, count)
+		served += count
+	}
+	for _, at := range willing { // what others could not take
+		count := min(needed-served, d.shares[at].left)
+		d.give(at, zone, count)
+		served += count
+	}
+	return served
+}
+
+// willing returns the replicas at a distance that have connections left.
+func (d *division) willing(zone int, distance topology.Distance) []int {
+	var found []int
+	for i := range d.shares {
+		if d.shares[i].left > 0 && d.plan.zones[zone].place.DistanceTo(d.replicas[i].Place) == distance {
+			found = append(found, i)
 		}
-		if nearer >= enough {
-			return nearer
+	}
+	return found
+}
+
+func (d *division) give(replica, zone, count int) {
+	if count == 0 {
+		return
+	}
+	size := len(d.plan.zones[zone].daemons)
+	share := &d.shares[replica]
+	share.left -= count
+	share.windows = append(share.windows, window{zone: zone, start: d.cursors[zone] % size, count: count})
+	d.cursors[zone] += count
+}
+
+// Budget returns how many connections this daemon may hold to a replica. 0
+// means that it must not connect.
+func (g *GroupConnections) Budget(replica int) int {
+	return g.budgetOf(replica, g.plan.selfZone, g.plan.selfRank)
+}
+
+func (g *GroupConnections) budgetOf(replica, zone, rank int) int {
+	share := &g.shares[replica]
+	if share.everyone > 0 {
+		return share.everyone
+	}
+	size := len(g.plan.zones[zone].daemons)
+	for _, w := range share.windows {
+		if w.zone == zone && (rank-w.start+size)%size < w.count {
+			return 1
 		}
 	}
-	return nearer
+	return 0
+}
+
+// Holder returns one of the daemons that may connect to a replica, chosen by
+// a random number; found is false when there is none.
+func (g *GroupConnections) Holder(replica int, random uint64) (holder topology.Member, found bool) {
+	share := &g.shares[replica]
+	if share.everyone > 0 {
+		return g.plan.daemon(int(random % uint64(g.plan.daemons))), true
+	}
+	holders := 0
+	for _, w := range share.windows {
+		holders += w.count
+	}
+	if holders == 0 {
+		return topology.Member{}, false
+	}
+	position := int(random % uint64(holders))
+	for _, w := range share.windows {
+		if position < w.count {
+			daemons := g.plan.zones[w.zone].daemons
+			return daemons[(w.start+position)%len(daemons)], true
+		}
+		position -= w.count
+	}
+	return topology.Member{}, false
+}
+
+// daemon returns one of all daemons.
+func (p *ConnectionPlan) daemon(position int) topology.Member {
+	for at := range p.zones {
+		if position < len(p.zones[at].daemons) {
+			return p.zones[at].daemons[position]
+		}
+		position -= len(p.zones[at].daemons)
+	}
+	return p.self
+}
+
+// sameHolders tells whether another plan divides connections alike.
+func (p *ConnectionPlan) sameHolders(other *ConnectionPlan) bool {
+	return slices.EqualFunc(p.zones, other.zones, func(a, b planZone) bool {
+		return a.place == b.place && slices.EqualFunc(a.daemons, b.daemons, sameHolder)
+	})
 }
 
-func rendezvousHash(member, address string) uint64 {
-	digest := xxhash.New()
-	_, _ = digest.WriteString(member) // never fails
-	_, _ = digest.WriteString(address)
-	return digest.Sum64()
+// sameHolder also compares whether requests may be sent through the daemon.
+func sameHolder(a, b topology.Member) bool {
+	return a.ID == b.ID && (a.State == topology.MemberLeaving) == (b.State == topology.MemberLeaving)
 }
--- a/internal/replica/connections_test.go
+++ b/internal/replica/connections_test.go
@@ -8,47 +8,118 @@
 	"github.com/doorpond/doorpond/internal/topology"
 )
 
+func testPlace(i int) topology.Place {
+	return topology.Place{Region: fmt.Sprint("r", i%12%5), Zone: fmt.Sprint("z", i%12)}
+}
+
 func testMembers(count int) topology.Members {
 	members := topology.Members{}
 	for i := range count {
-		members.Members = append(members.Members, topology.Member{
-			ID: fmt.Sprint("daemon", i), Place: topology.Place{Region: "r", Zone: fmt.Sprint("z", i%3)},
-		})
+		members.Members = append(members.Members, topology.Member{ID: fmt.Sprint("daemon", i), PeerAddress: fmt.Sprint("peer", i), Place: testPlace(i)})
 	}
 	return members
 }
 
-func TestConnectionBudgetStaysUnderTheLimit(t *testing.T) {
-	replica := topology.Replica{Address: "127.0.0.1:1", Place: topology.Place{Region: "r", Zone: "z1"}, ConnectionLimit: 75}
-	for _, count := range []int{1, 2, 30, 67, 68, 200, 500} {
-		t.Run(fmt.Sprint(count), func(t *testing.T) {
-			members := testMembers(count)
-			total, near, far := 0, 0, 0
-			for _, self := range members.Members {
-				members.Self = self
-				budget := ConnectionBudget(members, replica)
-				total += budget
-				if self.Place == replica.Place {
-					near += budget
-				} else {
-					far += budget
+func testReplicas(count, zones, limit int) []topology.Replica {
+	replicas := make([]topology.Replica, 0, count)
+	for i := range count {
+		replicas = append(replicas, topology.Replica{
+			Address: fmt.Sprintf("replica%03d", i), Incarnation: "1", Group: testGroup, Place: testPlace(i % zones), ConnectionLimit: limit,
+		})
+	}
+	return replicas
+}
+
+// testShares counts the connections that the plans of all daemons give.
+type testShares struct {
+	total   []int // by replica
+	near    []int // of them from the replica's zone
+	without int   // daemons that reach no replica
+}
+
+func sharesOf(members topology.Members, replicas []topology.Replica) testShares {
+	shares := testShares{total: make([]int, len(replicas)), near: make([]int, len(replicas))}
+	members.Self = members.Members[0]
+	plan := NewConnectionPlan(members)
+	group := plan.Group(testGroup, replicas)
+	for zone := range plan.zones {
+		for rank := range plan.zones[zone].daemons {
+			reached := false
+			for i := range replicas {
+				budget := group.budgetOf(i, zone, rank)
+				shares.total[i] += budget
+				if plan.zones[zone].place == replicas[i].Place {
+					shares.near[i] += budget
 				}
+				reached = reached || budget > 0
 			}
-			if total > 67 || total == 0 {
-				t.Errorf("%d daemons hold %d connections, over nine tenths of 75", count, total)
+			if !reached {
+				shares.without++
 			}
-			if count >= 500 && far > 0 {
-				t.Errorf("%d connections went to other zones and %d to the replica's own", far, near)
+		}
+	}
+	return shares
+}
+
+func TestConnectionsStayUnderTheLimit(t *testing.T) {
+	cases := []struct {
+		name                              string
+		daemons, replicas, zones, limit   int
+		mostWithout, leastOfEach, nearest int
+	}{
+		{"one daemon", 1, 4, 2, 75, 0, 67, 0},
+		{"as many as connections", 67, 4, 2, 75, 0, 67, 0},
+		{"one more", 68, 4, 2, 75, 0, 50, 6},
+		{"a group in two zones", 200, 4, 2, 75, 0, 65, 17},
+		{"more than a small group takes", 500, 4, 2, 75, 500 - 4*67, 67, 21},
+		{"the target", 2700, 54, 12, 75, 0, 57, 57},
+		{"the target's smallest group", 2700, 4, 4, 75, 2700 - 4*67, 67, 67},
+		{"a limit of one", 50, 2, 2, 1, 48, 1, 0},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			replicas := testReplicas(test.replicas, test.zones, test.limit)
+			shares := sharesOf(testMembers(test.daemons), replicas)
+			if shares.without > test.mostWithout {
+				t.Errorf("%d daemons reach no replica, want at most %d", shares.without, test.mostWithout)
+			}
+			usable := usableConnections(replicas[0])
+			for i, total := range shares.total {
+				if total > usable || total < test.leastOfEach || shares.near[i] < test.nearest {
+					t.Errorf("replica %d has %d connections, %d of its zone; want %d to %d, %d of its zone",
+						i, total, shares.near[i], test.leastOfEach, usable, test.nearest)
+				}
 			}
 		})
 	}
 }
 
-func TestConnectionBudgetSkipsTheDead(t *testing.T) {
+func TestHoldersHaveAConnection(t *testing.T) {
+	for _, daemons := range []int{3, 300} {
+		members, replicas := testMembers(daemons), testReplicas(6, 3, 20)
+		members.Self = members.Members[0]
+		group := NewConnectionPlan(members).Group(testGroup, replicas)
+		for random := range uint64(100) {
+			at := int(random) % len(replicas)
+			holder, found := group.Holder(at, random*0x9e3779b97f4a7c15)
+			if !found {
+				t.Fatalf("replica %d has no holder", at)
+			}
+			seenByHolder := members
+			seenByHolder.Self = holder
+			if NewConnectionPlan(seenByHolder).Group(testGroup, replicas).Budget(at) == 0 {
+				t.Fatalf("%s is named as a holder of replica %d and may not connect", seenByHolder.Self.ID, at)
+			}
+		}
+	}
+}
+
+func TestConnectionsOfTheDeadAreGivenToOthers(t *testing.T) {
 	members := testMembers(2)
 	members.Self = members.Members[0]
 	members.Members[1].State = topology.MemberDead
-	if budget := ConnectionBudget(members, topology.Replica{ConnectionLimit: 100}); budget != 90 {
+	group := NewConnectionPlan(members).Group(testGroup, testReplicas(1, 1, 100))
+	if budget := group.Budget(0); budget != 90 {
 		t.Errorf("budget %d, want all 90", budget)
 	}
 }
--- /dev/null
+++ b/internal/replica/forward_test.go
@@ -0,0 +1,215 @@
+package replica
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/doorpond/doorpond/internal/backendapi"
+	"github.com/doorpond/doorpond/internal/blackboard"
+	"github.com/doorpond/doorpond/internal/decision"
+	"github.com/doorpond/doorpond/internal/failure"
+	"github.com/doorpond/doorpond/internal/peer"
+	"github.com/doorpond/doorpond/internal/topology"
+)
+
+// startPeer serves the peers' protocol and returns its address.
+func startPeer(t *testing.T, handler http.Handler) string {
+	t.Helper()
+	server := httptest.NewUnstartedServer(handler)
+	server.Config.Protocols = peer.ServerProtocols()
+	server.Start()
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+// startHolder serves a daemon that may connect to the replicas.
+func startHolder(t *testing.T, replicas ...string) (string, *ForwardServer) {
+	t.Helper()
+	board := &blackboard.Board{}
+	publish(board, replicas...)
+	forwarder := NewForwardServer(newTestPool(t, board, nil), nil)
+	return startPeer(t, peer.NewServer(peer.ServerOptions{Forwarder: forwarder})), forwarder
+}
+
+// newAsker makes the pool of one of two daemons: the one that must not connect
+// to the first replica. Each replica takes one connection, and the daemons'
+// peers listen at the address.
+func newAsker(t *testing.T, peerAddress string, replicas ...string) *Pool {
+	t.Helper()
+	var listed []topology.Replica
+	for _, replica := range replicas {
+		listed = append(listed, topology.Replica{Address: replica, Incarnation: "1", Group: testGroup, Slots: 4, ConnectionLimit: 1})
+	}
+	members := topology.Members{Members: []topology.Member{{ID: "a", PeerAddress: peerAddress}, {ID: "b", PeerAddress: peerAddress}}}
+	for _, self := range members.Members {
+		members.Self = self
+		if NewConnectionPlan(members).Group(testGroup, listed).Budget(0) == 0 {
+			break
+		}
+	}
+	board := &blackboard.Board{}
+	board.Replicas.Publish(&topology.Replicas{Groups: map[string][]topology.Replica{testGroup: listed}})
+	board.Members.Publish(&members)
+	client := peer.NewClient(peer.ClientOptions{})
+	t.Cleanup(client.Close)
+	return newTestPool(t, board, func(options *PoolOptions) { options.Peers = client })
+}
+
+func peerThat(handler http.HandlerFunc) func(*testing.T, string) string {
+	return func(t *testing.T, _ string) string { return startPeer(t, handler) }
+}
+
+func holderPeer(t *testing.T, replica string) string {
+	address, _ := startHolder(t, replica)
+	return address
+}
+
+// lyingForwarder answers with the reply to another query.
+type lyingForwarder struct{}
+
+func (lyingForwarder) Forward(context.Context, peer.ForwardRequest) (peer.ForwardReply, error) {
+	reply := goodReply()
+	reply.QueryID = "q2"
+	return peer.ForwardReply{Search: reply, Call: &backendapi.CallReply{Key: "refund-2"}}, nil
+}
+
+func lyingPeer(t *testing.T, _ string) string {
+	return startPeer(t, peer.NewServer(peer.ServerOptions{Forwarder: lyingForwarder{}}))
+}
+
+func emptyPeer(t *testing.T, _ string) string {
+	address, _ := startHolder(t)
+	return address
+}
+
+func olderPeer(t *testing.T, _ string) string {
+	return startPeer(t, peer.NewServer(peer.ServerOptions{}))
+}
+
+func closedPeer(t *testing.T, _ string) string { return closedAddress(t) }
+
+func TestForwardedSearchOutcomes(t *testing.T) {
+	good := answer(http.StatusOK, goodReply())
+	cases := []struct {
+		name    string
+		replica http.HandlerFunc
+		peer    func(*testing.T, string) string
+		want    decision.Outcome
+		notRun  bool
+		asked   int64 // requests that reach the replica
+	}{
+		{"whole reply", good, holderPeer, decision.Success, false, 1},
+		{"replica sheds", refused(http.StatusTooManyRequests, backendapi.RefusedShed, true), holderPeer, decision.Shed, true, 1},
+		{"replica drains", refused(http.StatusServiceUnavailable, backendapi.RefusedDraining, true), holderPeer, decision.Draining, true, 1},
+		{"snapshot not held", refused(http.StatusGone, backendapi.RefusedSnapshotNotHeld, true), holderPeer, decision.SnapshotNotHeld, true, 1},
+		{"replica cuts after the write", cut, holderPeer, decision.Failed, false, 1},
+		{"replica's reply is cut", truncate, holderPeer, decision.Failed, false, 1},
+		{"replica's reply is crossed", changed(func(r *backendapi.SearchReply) { r.QueryID = "q2" }), holderPeer, decision.Failed, false, 1},
+		{"peer's reply is crossed", good, lyingPeer, decision.Invalid, false, 0},
+		{"peer reaches no replica", good, emptyPeer, decision.Failed, true, 0},
+		{"peer does not forward", good, olderPeer, decision.Failed, true, 0},
+		{"peer is gone", good, closedPeer, decision.Failed, true, 0},
+		{"peer resets after the write", good, peerThat(cut), decision.Failed, false, 0},
+		{"peer answers nonsense", good, peerThat(write("x")), decision.Failed, false, 0},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			backend := newBackend(t, test.replica)
+			pool := newAsker(t, test.peer(t, backend.address()), backend.address())
+			result := pool.Search(t.Context(), pool.Acquire(testGroup, callWeights, nil), searchRequest())
+			if result.Outcome != test.want || result.NotRun != test.notRun {
+				t.Errorf("outcome %d not run %v, want %d %v (%v)", result.Outcome, result.NotRun, test.want, test.notRun, result.Err)
+			}
+			if asked := backend.requests.Load(); asked != test.asked {
+				t.Errorf("the replica was asked %d times, want %d", asked, test.asked)
+			}
+		})
+	}
+}
+
+func TestForwardedCallRunsAtMostOnce(t *testing.T) {
+	good := answer(http.StatusOK, backendapi.CallReply{Key: "refund-1", Result: json.RawMessage(`{}`)})
+	cases := []struct {
+		name    string
+		replica http.HandlerFunc
+		peer    func(*testing.T, string) string
+		kind    failure.Kind
+		notRun  bool
+		asked   int64
+	}{
+		{"ran", good, holderPeer, "", false, 1},
+		{"replica sheds", refused(http.StatusTooManyRequests, backendapi.RefusedShed, true), holderPeer, failure.BackendRefused, true, 1},
+		{"replica cuts after the write", cut, holderPeer, failure.OutcomeUnknown, false, 1},
+		{"replica answers another key", answer(http.StatusOK, backendapi.CallReply{Key: "refund-2"}), holderPeer, failure.OutcomeUnknown, false, 1},
+		{"peer answers another key", good, lyingPeer, failure.OutcomeUnknown, false, 0},
+		{"peer reaches no replica", good, emptyPeer, failure.BackendRefused, true, 0},
+		{"peer is gone", good, closedPeer, failure.BackendRefused, true, 0},
+		{"peer resets after the write", good, peerThat(cut), failure.OutcomeUnknown, false, 0},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			backend := newBackend(t, test.replica)
+			pool := newAsker(t, test.peer(t, backend.address()), backend.address())
+			_, err := pool.Call(t.Context(), testGroup, callRequest())
+			checkCallError(t, err, test.kind, test.notRun)
+			if asked := backend.requests.Load(); asked != test.asked {
+				t.Errorf("the replica was asked %d times, want %d", asked, test.asked)
+			}
+		})
+	}
+}
+
+func TestForwardServerAwaitsWhatIsInFlight(t *testing.T) {
+	arrived, release := make(chan struct{}), make(chan struct{})
+	backend := newBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		close(arrived)
+		<-release
+		answer(http.StatusOK, goodReply())(w, r)
+	})
+	address, forwarder := startHolder(t, backend.address())
+	if err := forwarder.AwaitIdle(t.Context()); err != nil {
+		t.Fatal("waits for nothing:", err)
+	}
+	pool := newAsker(t, address, backend.address())
+	results := make(chan SearchResult, 1)
+	go func() {
+		results <- pool.Search(t.Context(), pool.Acquire(testGroup, callWeights, nil), searchRequest())
+	}()
+	<-arrived
+	over, cancel := context.WithCancel(t.Context())
+	cancel()
+	if err := forwarder.AwaitIdle(over); !errors.Is(err, context.Canceled) {
+		t.Error("a request in flight is not awaited:", err)
+	}
+	close(release)
+	if err := forwarder.AwaitIdle(t.Context()); err != nil {
+		t.Error(err)
+	}
+	if result := <-results; result.Outcome != decision.Success {
+		t.Errorf("outcome %d: %v", result.Outcome, result.Err)
+	}
+}
+
+func TestBrokenReplicaInReachGivesWayToPeers(t *testing.T) {
+	backend := newBackend(t, answer(http.StatusOK, goodReply()))
+	address, _ := startHolder(t, backend.address())
+	broken := closedAddress(t)
+	pool := newAsker(t, address, backend.address(), broken)
+	for range ejectAfter {
+		handle := pool.Acquire(testGroup, callWeights, nil)
+		if handle.Address() != broken {
+			t.Fatalf("asks %s, want the replica in reach", handle.Address())
+		}
+		pool.Search(t.Context(), handle, searchRequest())
+	}
+	handle := pool.Acquire(testGroup, callWeights, nil)
+	if result := pool.Search(t.Context(), handle, searchRequest()); result.Outcome != decision.Success {
+		t.Errorf("outcome %d through %s: %v", result.Outcome, handle.Address(), result.Err)
+	}
+}
--- a/internal/replica/handle.go
+++ b/internal/replica/handle.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"net"
 	"net/http"
 	"net/url"
@@ -16,58 +15,24 @@
 	"github.com/doorpond/doorpond/internal/topology"
 )
 
-// The constants of a handle's health.
-const (
-	// ejectAfter failures in a row, a replica is ejected.
-	ejectAfter = 5
-	// ejectBase is the first ejection's length; each further one doubles it.
-	ejectBase = time.Second
-	// ejectDoublings bounds an ejection to 32 s.
-	ejectDoublings = 5
-	// latencyWeight is the weight of a new sample in the moving average.
-	latencyWeight = 0.2
-	// staleLatency is the age after which the average counts half, so that a
-	// replica that was slow is tried again.
-	staleLatency = 5 * time.Second
-	// warmRequests successes, or warmTime, make a cold replica warm.
-	warmRequests = 32
-	warmTime     = 10 * time.Second
-	// limitScale is the number of limit units in one request.
-	limitScale = 1000
-	// limitCut is the part of the limit that is kept after a shed reply.
-	limitCut = 0.8
-	// limitSlots bounds the limit as a multiple of the replica's slots.
-	limitSlots = 4
-)
-
 // errConnectionBudget is returned by a dial that would exceed the budget.
 var errConnectionBudget = eris.New("connection budget used up")
 
-// Handle is one back-end process as this daemon sees it. Its counters are
-// atomic; the rest is fixed.
+// Handle is one back-end process as this daemon sees it: its health and its
+// connections. Its counters are atomic; the rest is fixed.
 type Handle struct {
+	*Health
+	group     *GroupHealth
 	replica   topology.Replica
-	distance  topology.Distance
 	urls      handleURLs
 	transport *http.Transport
 	multiplex bool
-	cold      bool
-	created   time.Time
-	metrics   *poolMetrics
-
-	inFlight     atomic.Int64
-	reported     atomic.Int64
-	slots        atomic.Int64
-	latency      atomic.Int64 // moving average, nanoseconds
-	observed     atomic.Int64 // time of the last sample, nanoseconds after created
-	limit        atomic.Int64 // in units of 1/limitScale requests
-	connections  atomic.Int64
-	budget       atomic.Int64
-	successes    atomic.Int64
-	failures     atomic.Int64 // in a row
-	ejections    atomic.Int64 // in a row
-	ejectedUntil atomic.Int64 // nanoseconds after created
-	retired      atomic.Bool
+	// peer is true for a way through a peer, which holds no connection here.
+	peer        bool
+	metrics     *poolMetrics
+	connections atomic.Int64
+	budget      atomic.Int64
+	retired     atomic.Bool
 }
 
 type handleURLs struct {
@@ -80,21 +45,18 @@
 // Connections returns the number of open connections.
 func (h *Handle) Connections() int { return int(h.connections.Load()) }
 
-func newHandle(p *Pool, replica topology.Replica) *Handle {
+func newHandle(p *Pool, group *GroupHealth, replica topology.Replica) *Handle {
 	handle := &Handle{
+		Health:    NewHealth(replica, p.options.Self, p.options.Now()).At(p.places.Of(replica.Place)),
+		group:     group,
 		replica:   replica,
-		distance:  p.options.Self.DistanceTo(replica.Place),
 		multiplex: p.options.Protocol == ProtocolH2C,
-		cold:      replica.State == topology.ReplicaCold,
-		created:   p.options.Now(),
 		metrics:   p.metrics,
 		urls: handleURLs{
-			search: &url.URL{Scheme: "http", Host: replica.Address, Path: backendapi.SearchPath},
-			call:   &url.URL{Scheme: "http", Host: replica.Address, Path: backendapi.CallPath},
+			search: &url.URL{Scheme: p.options.scheme(), Host: replica.Address, Path: backendapi.SearchPath},
+			call:   &url.URL{Scheme: p.options.scheme(), Host: replica.Address, Path: backendapi.CallPath},
 		},
 	}
-	handle.slots.Store(int64(max(1, replica.Slots)))
-	handle.limit.Store(int64(max(1, replica.Slots)) * limitScale)
 	handle.transport = newTransport(handle, p.options)
 	return handle
 }
@@ -111,6 +73,7 @@
 		return nil, err
 	}
 	h.metrics.connections.Inc()
+	h.metrics.opened.Inc()
 	return &countedConnection{Conn: connection, closed: h.connectionClosed}, nil
 }
 
@@ -128,31 +91,27 @@
 
 func (h *Handle) retire() {
 	h.retired.Store(true)
-	h.transport.CloseIdleConnections()
+	h.closeIdle()
 }
 
-func (h *Handle) release() {
-	if h.inFlight.Add(-1) == 0 && h.retired.Load() {
+func (h *Handle) closeIdle() {
+	if h.transport != nil {
 		h.transport.CloseIdleConnections()
 	}
 }
 
-func (h *Handle) candidate(now time.Time) decision.Candidate {
-	age := now.Sub(h.created)
-	inFlight := int(h.inFlight.Load())
-	return decision.Candidate{
-		Distance:            h.distance,
-		InFlight:            inFlight,
-		Limit:               max(1, int(h.limit.Load()/limitScale)),
-		ReportedLoad:        int(h.reported.Load()),
-		Slots:               int(h.slots.Load()),
-		LatencyEWMA:         h.currentLatency(age),
-		Warmth:              h.warmth(age),
-		Ejected:             int64(age) < h.ejectedUntil.Load(),
-		ConnectionAvailable: h.connectionAvailable(inFlight),
+func (h *Handle) release() {
+	if h.End() == 0 && h.retired.Load() {
+		h.closeIdle()
 	}
 }
 
+func (h *Handle) candidate(now time.Time) decision.Candidate {
+	candidate := h.Candidate(now)
+	candidate.ConnectionAvailable = h.connectionAvailable(candidate.InFlight)
+	return candidate
+}
+
 func (h *Handle) connectionAvailable(inFlight int) bool {
 	budget := h.budget.Load()
 	if h.multiplex {
@@ -161,76 +120,9 @@
 	return int64(inFlight) < budget
 }
 
-func (h *Handle) currentLatency(age time.Duration) time.Duration {
-	halvings := (int64(age) - h.observed.Load()) / int64(staleLatency)
-	return time.Duration(h.latency.Load() >> min(max(halvings, 0), 62))
-}
-
-func (h *Handle) warmth(age time.Duration) float64 {
-	if !h.cold {
-		return 1
-	}
-	byRequests := float64(h.successes.Load()) / warmRequests
-	byTime := float64(age) / float64(warmTime)
-	return min(1, max(byRequests, byTime))
-}
-
-func (h *Handle) observeLoad(load backendapi.Load) {
-	h.reported.Store(int64(max(0, load.InFlight+load.Queued)))
-	if load.Slots > 0 {
-		h.slots.Store(int64(load.Slots))
-	}
-}
-
-func (h *Handle) observeLatency(now time.Time, latency time.Duration) {
-	average := h.latency.Load()
-	if average == 0 {
-		average = int64(latency)
-	} else {
-		average += int64(latencyWeight * float64(int64(latency)-average))
-	}
-	h.latency.Store(average)
-	h.observed.Store(int64(now.Sub(h.created)))
-}
-
-func (h *Handle) succeeded(now time.Time, latency time.Duration) {
-	h.observeLatency(now, latency)
-	h.successes.Add(1)
-	h.failures.Store(0)
-	h.ejections.Store(0)
-	h.raiseLimit()
-}
-
-// cancelled takes the time that was waited as a lower bound of the latency;
-// without it, a slow replica that always loses to a hedge would look fast.
-func (h *Handle) cancelled(now time.Time, waited time.Duration) {
-	if int64(waited) > h.latency.Load() {
-		h.observeLatency(now, waited)
-	}
-}
-
-// raiseLimit adds a request to the limit for each limit of successes, while
-// the limit is in use.
-func (h *Handle) raiseLimit() {
-	limit := h.limit.Load()
-	if 2*h.inFlight.Load()*limitScale < limit {
-		return
-	}
-	most := limitSlots * h.slots.Load() * limitScale
-	h.limit.Store(min(limit+limitScale*limitScale/limit, most))
-}
-
-func (h *Handle) cutLimit() {
-	h.limit.Store(max(limitScale, int64(limitCut*float64(h.limit.Load()))))
-}
-
-func (h *Handle) failed(now time.Time) {
-	if h.failures.Add(1) < ejectAfter {
-		return
+// observe takes in how a request ended and counts ejections.
+func (h *Handle) observe(now time.Time, ended Ended) {
+	if h.group.Observe(h.Health, now, ended) {
+		h.metrics.ejections.Inc()
 	}
-	h.failures.Store(0)
-	doublings := min(h.ejections.Add(1)-1, ejectDoublings)
-	length := time.Duration(float64(ejectBase) * math.Exp2(float64(doublings)))
-	h.ejectedUntil.Store(int64(now.Add(length).Sub(h.created)))
-	h.metrics.ejections.Inc()
 }
--- /dev/null
+++ b/internal/replica/health_test.go
@@ -0,0 +1,123 @@
+package replica
+
+import (
+	"testing"
+	"time"
+
+	"github.com/doorpond/doorpond/internal/decision"
+	"github.com/doorpond/doorpond/internal/topology"
+)
+
+var (
+	endedWell  = Ended{Outcome: decision.Success, Elapsed: 20 * time.Millisecond}
+	endedBadly = Ended{Outcome: decision.Failed, Elapsed: time.Millisecond}
+	endedLate  = Ended{Outcome: decision.Failed, GivenUp: true, Late: true, Elapsed: 90 * time.Millisecond}
+	endedSoon  = Ended{Outcome: decision.Failed, GivenUp: true, Elapsed: time.Millisecond}
+	endedShed  = Ended{Outcome: decision.Shed, RetryAfter: 100 * time.Millisecond}
+)
+
+func TestHealth(t *testing.T) {
+	type seen struct{ ejected, backingOff bool }
+	cases := []struct {
+		name  string
+		ended []Ended // 10 ms apart
+		after time.Duration
+		want  seen
+	}{
+		{"failures in a row eject", []Ended{endedBadly, endedBadly, endedBadly}, 0, seen{ejected: true}},
+		{"a success between them does not", []Ended{endedBadly, endedBadly, endedWell, endedBadly}, 0, seen{}},
+		{"a silent replica is ejected", []Ended{endedLate, endedLate, endedLate}, 0, seen{ejected: true}},
+		{"requests given up early prove nothing", []Ended{endedSoon, endedSoon, endedSoon, endedSoon}, 0, seen{}},
+		{"refusals never eject", []Ended{endedShed, endedShed, endedShed, endedShed}, 0, seen{backingOff: true}},
+		{"ejection ends", []Ended{endedBadly, endedBadly, endedBadly}, ejectBase, seen{}},
+		{"refusal ends at the time named", []Ended{endedShed}, 100 * time.Millisecond, seen{}},
+		{"refusals in a row double the time", []Ended{endedShed, endedShed}, 190 * time.Millisecond, seen{backingOff: true}},
+		{"an answer ends the doubling", []Ended{endedShed, endedWell, endedShed}, 100 * time.Millisecond, seen{}},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			health := NewHealth(topology.Replica{Slots: 4}, topology.Place{}, now)
+			for _, ended := range test.ended {
+				now = now.Add(10 * time.Millisecond)
+				health.Observe(now, ended)
+			}
+			candidate := health.Candidate(now.Add(test.after))
+			if got := (seen{candidate.Ejected, candidate.BackingOff}); got != test.want {
+				t.Errorf("saw %+v, want %+v", got, test.want)
+			}
+		})
+	}
+}
+
+func TestEjectionIsRenewedByOneFailure(t *testing.T) {
+	now := time.Unix(1000, 0)
+	health := NewHealth(topology.Replica{Slots: 4}, topology.Place{}, now)
+	for range ejectAfter {
+		health.Observe(now, endedBadly)
+	}
+	now = now.Add(ejectBase)
+	if !health.Observe(now, endedBadly) {
+		t.Error("a replica that has not answered since was not ejected again")
+	}
+	if !health.Candidate(now.Add(2*ejectBase - 1)).Ejected {
+		t.Error("the second ejection is not twice as long")
+	}
+}
+
+func TestGivenUpRaisesTheLatencyAtOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	health := NewHealth(topology.Replica{Slots: 4}, topology.Place{}, now)
+	health.Observe(now, endedWell)
+	health.Observe(now, endedLate)
+	if got := health.Candidate(now).LatencyEWMA; got != endedLate.Elapsed {
+		t.Errorf("latency %v after waiting %v in vain", got, endedLate.Elapsed)
+	}
+	if got := health.Candidate(now.Add(staleLatency)).LatencyEWMA; got != endedLate.Elapsed/2 {
+		t.Errorf("latency %v after it went stale, want half", got)
+	}
+}
+
+func TestLostPlace(t *testing.T) {
+	now := time.Unix(1000, 0)
+	places := &Places{}
+	lost, other := topology.Place{Region: "r", Zone: "a"}, topology.Place{Region: "r", Zone: "b"}
+	healthAt := func(place topology.Place) *Health {
+		return NewHealth(topology.Replica{Place: place, Slots: 4}, lost, now).At(places.Of(place))
+	}
+	for range suspectAfter - 1 {
+		healthAt(lost).Observe(now, endedLate)
+	}
+	if healthAt(lost).Candidate(now).Ejected {
+		t.Error("suspected too early")
+	}
+	healthAt(lost).Observe(now, endedLate)
+	if !healthAt(lost).Candidate(now).Ejected || healthAt(other).Candidate(now).Ejected {
+		t.Error("want the replicas of the lost place ejected, and no other")
+	}
+	if healthAt(lost).Candidate(now.Add(suspectFor)).Ejected {
+		t.Error("still suspected after its time")
+	}
+	healthAt(lost).Observe(now, endedShed)
+	if healthAt(lost).Candidate(now).Ejected {
+		t.Error("still suspected after an answer")
+	}
+}
+
+func TestGroupTellsLateRequests(t *testing.T) {
+	now := time.Unix(1000, 0)
+	group := &GroupHealth{}
+	health := NewHealth(topology.Replica{Slots: 4}, topology.Place{}, now)
+	for range 100 {
+		group.Observe(health, now, endedWell)
+	}
+	late := endedLate
+	late.Late = false
+	ejected := false
+	for range ejectAfter {
+		ejected = group.Observe(health, now, late)
+	}
+	if !ejected {
+		t.Error("requests given up after the usual time did not count")
+	}
+}
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -39,7 +39,9 @@
 	outcomes    [len(outcomeNames)]prometheus.Counter
 	calls       *prometheus.CounterVec
 	connections prometheus.Gauge
+	opened      prometheus.Counter
 	ejections   prometheus.Counter
+	forwarded   prometheus.Counter
 }
 
 // outcomeNames are the values of the label "outcome", by decision.Outcome.
@@ -65,13 +67,20 @@
 		connections: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "doorpondd_backend_connections_count", Help: "Open connections to back ends.",
 		}),
+		opened: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "doorpondd_backend_connections_opened_total", Help: "Connections opened to back ends.",
+		}),
 		ejections: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "doorpondd_replica_ejections_total", Help: "Times a replica was ejected after failures in a row.",
 		}),
+		forwarded: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "doorpondd_forwarded_requests_total",
+			Help: "Sub-requests and calls sent through a peer, as no replica was in reach.",
+		}),
 	}
 	for outcome, name := range outcomeNames {
 		metrics.outcomes[outcome] = outcomes.WithLabelValues(name)
 	}
-	register(registerer, outcomes, metrics.calls, metrics.connections, metrics.ejections)
+	register(registerer, outcomes, metrics.calls, metrics.connections, metrics.opened, metrics.ejections, metrics.forwarded)
 	return metrics
 }
--- a/internal/replica/pool.go
+++ b/internal/replica/pool.go
@@ -29,13 +29,18 @@
 	Self topology.Place
 	// Tracker learns of leaving replicas; nil means nobody does.
 	Tracker *Tracker
+	// Peers reaches replicas beyond this daemon's connection budget; nil means
+	// that they cannot be reached.
+	Peers PeerForwarder
 	// Protocol defaults to ProtocolHTTP1.
 	Protocol Protocol
 	// MaxReplyBytes bounds one reply.
 	MaxReplyBytes int64
 	// Dial opens a connection; the default is plain TCP.
 	Dial dialFunc
-	// TLS is for back ends that speak it.
+	// Post replaces the HTTP exchange with a replica; nil means net/http.
+	Post PostFunc
+	// TLS is for back ends that speak it, over HTTP/1.1; nil means plain.
 	TLS        *tls.Config
 	Now        func() time.Time
 	Random     func() uint64
@@ -46,6 +51,8 @@
 type Pool struct {
 	options PoolOptions
 	metrics *poolMetrics
+	budgets Budgets
+	places  Places
 
 	view  atomic.Pointer[view]
 	mutex sync.Mutex // taken to rebuild the view
@@ -57,21 +64,26 @@
 	members  *topology.Members
 	groups   map[string]*group
 	handles  map[process]*Handle
+	routes   map[route]*Handle
+	plan     *ConnectionPlan
 }
 
+// group is one replica group; its state outlives views.
 type group struct {
-	state   *groupState
+	state *GroupHealth
+	// handles are the replicas in reach; routes lead through peers.
 	handles []*Handle
+	routes  []*Handle
 }
 
-// groupState outlives views.
-type groupState struct {
-	latency latencyWindow
-	budgets sync.Map // budgetKey -> *decision.TokenBudget
+// scheme is the scheme of the back ends' URLs.
+func (o *PoolOptions) scheme() string {
+	if o.TLS != nil {
+		return "https"
+	}
+	return "http"
 }
 
-type budgetKey struct{ ratio, burst float64 }
-
 // NewPool makes a Pool.
 func NewPool(options PoolOptions) *Pool {
 	if options.Protocol == "" {
@@ -112,7 +124,18 @@
 	if seen.replicas == replicas && seen.members == members {
 		return seen
 	}
-	next := &view{replicas: replicas, members: members, groups: map[string]*group{}, handles: map[process]*Handle{}}
+	next := &view{
+		replicas: replicas, members: members, groups: map[string]*group{},
+		handles: map[process]*Handle{}, routes: map[route]*Handle{}, plan: seen.plan,
+	}
+	if seen.members != members || seen.plan == nil {
+		next.plan = planOf(members)
+	}
+	if seen.replicas == replicas && seen.plan != nil && next.plan.sameHolders(seen.plan) {
+		next.groups, next.handles, next.routes = seen.groups, seen.handles, seen.routes
+		p.view.Store(next)
+		return next
+	}
 	if replicas != nil {
 		for name, listed := range replicas.Groups {
 			next.groups[name] = p.buildGroup(seen, next, name, listed)
@@ -127,45 +150,58 @@
 	return next
 }
 
+func planOf(members *topology.Members) *ConnectionPlan {
+	if members == nil {
+		members = &topology.Members{}
+	}
+	return NewConnectionPlan(*members)
+}
+
 func (p *Pool) buildGroup(seen, next *view, name string, listed []topology.Replica) *group {
-	built := &group{state: &groupState{}}
+	built := &group{state: &GroupHealth{}}
 	if known := seen.groups[name]; known != nil {
 		built.state = known.state
 	}
-	for _, replica := range listed {
-		if replica.State == topology.ReplicaLeaving {
+	usable := takingWork(listed)
+	shares := next.plan.Group(name, usable)
+	for i, replica := range usable {
+		budget := shares.Budget(i)
+		if budget == 0 {
 			continue
 		}
 		key := process{replica.Address, replica.Incarnation}
 		handle := seen.handles[key]
 		if handle == nil {
-			handle = newHandle(p, replica)
+			handle = newHandle(p, built.state, replica)
 		}
-		handle.setBudget(p.connectionBudget(next.members, replica))
+		handle.setBudget(budget)
 		next.handles[key] = handle
 		built.handles = append(built.handles, handle)
 	}
+	if len(built.handles) < len(usable) {
+		p.addRoutes(seen, next, built, shares, usable)
+	}
 	return built
 }
 
 // unlimitedConnections is used for a replica that states no limit.
 const unlimitedConnections = 1024
 
-func (p *Pool) connectionBudget(members *topology.Members, replica topology.Replica) int {
-	if replica.ConnectionLimit <= 0 {
-		return unlimitedConnections
-	}
-	if members == nil {
-		members = &topology.Members{}
+func takingWork(listed []topology.Replica) []topology.Replica {
+	usable := make([]topology.Replica, 0, len(listed))
+	for _, replica := range listed {
+		if replica.State != topology.ReplicaLeaving {
+			usable = append(usable, replica)
+		}
 	}
-	return ConnectionBudget(*members, replica)
+	return usable
 }
 
 // Knows is true when a usable replica of each group of a list is known.
 func (p *Pool) Knows(groups []string) bool {
 	seen := p.current()
 	for _, name := range groups {
-		if found := seen.groups[name]; found == nil || len(found.handles) == 0 {
+		if found := seen.groups[name]; found == nil || len(found.handles)+len(found.routes) == 0 {
 			return false
 		}
 	}
@@ -179,68 +215,97 @@
 	if found == nil {
 		return 0
 	}
-	return found.state.latency.Quantile(quantile)
+	return found.state.LatencyQuantile(quantile)
 }
 
-// Budget returns the retry budget that all queries of a policy share for one
-// group, or nil for an unknown group.
-func (p *Pool) Budget(groupName string, retry policy.Retry) decision.Budget {
-	found := p.current().groups[groupName]
-	if found == nil {
-		return nil
-	}
-	key := budgetKey{retry.BudgetRatio, retry.BudgetBurst}
-	if budget, known := found.state.budgets.Load(key); known {
-		return budget.(*decision.TokenBudget)
+// Budget returns the retry budget that all queries on the same terms share.
+func (p *Pool) Budget(retry policy.Retry) decision.Budget { return p.budgets.Of(retry) }
+
+// Plan fills in what a shard is waited for, and its budget.
+func (p *Pool) Plan(shard *decision.ShardPlan, row *policy.Row) {
+	if found := p.current().groups[shard.Group]; found != nil {
+		shard.Budget = p.budgets.Of(row.Retry)
+		found.state.Plan(shard, row)
 	}
-	budget, _ := found.state.budgets.LoadOrStore(key, decision.NewTokenBudget(retry.BudgetRatio, retry.BudgetBurst))
-	return budget.(*decision.TokenBudget)
 }
 
 // usualGroup is the number of replicas for which Acquire needs no memory.
 const usualGroup = 8
 
 // Acquire chooses a replica of a group that was not tried yet and counts a
-// request in flight to it, until Search or Call ends it. It returns nil when
+// request in flight to it, until Search or Call ends it. Where no replica in
+// reach can take it, the handle leads through a peer. It returns nil when
 // there is none.
 func (p *Pool) Acquire(groupName string, weights policy.Replicas, tried []*Handle) *Handle {
+	if len(tried) > 0 {
+		return p.acquire(groupName, weights, tried, decision.ChooseAnother)
+	}
+	return p.acquire(groupName, weights, tried, decision.ChooseReplica)
+}
+
+// chooser is decision.ChooseReplica or decision.ChooseAnother.
+type chooser func(candidates []decision.Candidate, weights policy.Replicas, random uint64) int
+
+func (p *Pool) acquire(groupName string, weights policy.Replicas, tried []*Handle, choose chooser) *Handle {
 	found := p.current().groups[groupName]
 	if found == nil {
 		return nil
 	}
+	if len(found.routes) == 0 {
+		return p.acquireFrom(found.handles, weights, tried, anyHealth, choose)
+	}
+	for _, health := range []healthWanted{goodHealth, anyHealth} {
+		if handle := p.acquireFrom(found.handles, weights, tried, health, choose); handle != nil {
+			return handle
+		}
+		if handle := p.acquireFrom(found.routes, weights, tried, health, choose); handle != nil {
+			return handle
+		}
+	}
+	return nil
+}
+
+// healthWanted says which handles may be chosen.
+type healthWanted int
+
+const (
+	anyHealth healthWanted = iota
+	// goodHealth leaves out the ejected, those that refuse for load, and those at
+	// their limit.
+	goodHealth
+)
+
+// acquireInReach is Acquire without the ways through peers.
+func (p *Pool) acquireInReach(groupName string, weights policy.Replicas) *Handle {
+	found := p.current().groups[groupName]
+	if found == nil {
+		return nil
+	}
+	return p.acquireFrom(found.handles, weights, nil, anyHealth, decision.ChooseReplica)
+}
+
+func (p *Pool) acquireFrom(handles []*Handle, weights policy.Replicas, tried []*Handle, health healthWanted, choose chooser) *Handle {
 	var space [usualGroup]decision.Candidate
 	candidates := space[:0]
 	now := p.options.Now()
-	ejected := 0
-	for _, handle := range found.handles {
+	for _, handle := range handles {
 		candidate := handle.candidate(now)
-		candidate.Tried = slices.Contains(tried, handle)
-		if candidate.Ejected {
-			ejected++
-		}
+		unfit := candidate.Ejected || candidate.BackingOff || candidate.InFlight >= candidate.Limit
+		candidate.Tried = slices.Contains(tried, handle) || (health == goodHealth && unfit)
 		candidates = append(candidates, candidate)
 	}
-	if 2*ejected > len(candidates) {
-		forgiveAll(candidates) // most look bad: the fault is more likely elsewhere
-	}
-	chosen := decision.ChooseReplica(candidates, weights, p.options.Random())
+	chosen := choose(candidates, weights, p.options.Random())
 	if chosen == decision.NoCandidate {
 		return nil
 	}
-	handle := found.handles[chosen]
-	handle.inFlight.Add(1)
+	handle := handles[chosen]
+	handle.Begin()
 	return handle
 }
 
-func forgiveAll(candidates []decision.Candidate) {
-	for i := range candidates {
-		candidates[i].Ejected = false
-	}
-}
-
 // Close ends all idle connections.
 func (p *Pool) Close() {
 	for _, handle := range p.current().handles {
-		handle.transport.CloseIdleConnections()
+		handle.closeIdle()
 	}
 }
