--- a/internal/replica/search.go
+++ b/internal/replica/search.go
@@ -27,14 +27,21 @@
 func (p *Pool) Search(ctx context.Context, handle *Handle, request *backendapi.SearchRequest) SearchResult {
 	defer handle.release()
 	started := p.options.Now()
-	exchanged := p.post(ctx, handle, handle.urls.search, request)
-	defer exchanged.free()
-	result := p.classifySearch(handle, request, &exchanged)
+	result := p.searchOnce(ctx, handle, request)
 	p.learn(ctx, handle, result, started)
 	p.metrics.outcomes[result.Outcome].Inc()
 	return result
 }
 
+func (p *Pool) searchOnce(ctx context.Context, handle *Handle, request *backendapi.SearchRequest) SearchResult {
+	if handle.peer {
+		return p.forwardSearch(ctx, handle, request)
+	}
+	exchanged := p.post(ctx, handle, handle.urls.search, request)
+	defer exchanged.free()
+	return p.classifySearch(handle, request, &exchanged)
+}
+
 func (p *Pool) classifySearch(handle *Handle, request *backendapi.SearchRequest, exchanged *exchange) SearchResult {
 	switch {
 	case overConnectionBudget(exchanged.err):
@@ -49,8 +56,8 @@
 }
 
 func (p *Pool) decodeReply(handle *Handle, request *backendapi.SearchRequest, body []byte) SearchResult {
-	reply := &backendapi.SearchReply{}
-	if err := json.Unmarshal(body, reply); err != nil {
+	reply, err := decodeSearchReply(body, request)
+	if err != nil {
 		return SearchResult{Outcome: decision.Invalid, Err: eris.Wrap(err, "decode the reply")}
 	}
 	if err := checkReply(request, reply); err != nil {
@@ -60,9 +67,19 @@
 	return SearchResult{Outcome: decision.Success, Reply: reply}
 }
 
+func decodeSearchReply(body []byte, request *backendapi.SearchRequest) (*backendapi.SearchReply, error) {
+	reply := &backendapi.SearchReply{}
+	if scanReply(body, request, reply) {
+		return reply, nil
+	}
+	*reply = backendapi.SearchReply{}
+	err := json.Unmarshal(body, reply)
+	return reply, err
+}
+
 // noteReply takes in what a reply says of its replica.
 func (p *Pool) noteReply(handle *Handle, load backendapi.Load, draining bool, incarnation string) {
-	handle.observeLoad(load)
+	handle.ObserveLoad(load)
 	if !draining || p.options.Tracker == nil {
 		return
 	}
@@ -117,28 +134,9 @@
 	}
 }
 
-// learn updates the replica's health by an outcome. A refusal is not a
-// failure, and neither is an exchange that this daemon gave up.
+// learn updates the health of the replica and of its group by an outcome.
 func (p *Pool) learn(ctx context.Context, handle *Handle, result SearchResult, started time.Time) {
 	now := p.options.Now()
-	elapsed := now.Sub(started)
-	switch {
-	case result.Outcome == decision.Success:
-		handle.succeeded(now, elapsed)
-		p.recordLatency(handle.replica.Group, elapsed)
-	case result.Outcome == decision.Shed:
-		handle.cutLimit()
-	case result.Outcome == decision.Invalid:
-		handle.failed(now)
-	case result.Outcome == decision.Failed && ctx.Err() != nil:
-		handle.cancelled(now, elapsed)
-	case result.Outcome == decision.Failed:
-		handle.failed(now)
-	}
-}
-
-func (p *Pool) recordLatency(groupName string, latency time.Duration) {
-	if found := p.view.Load().groups[groupName]; found != nil {
-		found.state.latency.Record(latency)
-	}
+	ended := Ended{Outcome: result.Outcome, GivenUp: ctx.Err() != nil, Elapsed: now.Sub(started), RetryAfter: result.RetryAfter}
+	handle.observe(now, ended)
 }
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/doorpond/doorpond/internal/certificates"
 )
 
 // Protocol is the HTTP version spoken to back ends.
@@ -36,6 +38,18 @@
 	bufferKept        = 256 << 10
 )
 
+// Exchange is what came of one POST to a replica.
+type Exchange struct {
+	Status int
+	Body   []byte
+	Err    error
+	// NotSent is true only when no byte of the request was written.
+	NotSent bool
+}
+
+// PostFunc carries one POST to a replica, at most once.
+type PostFunc func(ctx context.Context, address, path string, body []byte) Exchange
+
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
 func newTransport(handle *Handle, options PoolOptions) *http.Transport {
@@ -49,7 +63,9 @@
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			return handle.dial(ctx, network, address, options.Dial)
 		},
-		TLSClientConfig:        options.TLS,
+		DialTLSContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			return handle.dial(ctx, network, address, dialFunc(certificates.DialTLS(options.TLS, certificates.DialFunc(options.Dial))))
+		},
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdlePerReplica,
 		IdleConnTimeout:        idleTimeout,
@@ -99,13 +115,6 @@
 	e.buffer, e.body = nil, nil
 }
 
-// requestBody hides its reader's type, so that the transport finds no way to
-// read the body a second time and replay the request.
-type requestBody struct{ reader bytes.Reader }
-
-func (b *requestBody) Read(p []byte) (int, error) { return b.reader.Read(p) }
-func (b *requestBody) Close() error               { return nil }
-
 var requestHeader = http.Header{"Content-Type": {"application/json"}}
 
 // sendWatch finds out whether any byte of a request was written.
@@ -145,10 +154,15 @@
 	if err != nil {
 		return exchange{err: eris.Wrap(err, "encode the request"), notSent: true}
 	}
+	if p.options.Post != nil {
+		came := p.options.Post(ctx, target.Host, target.Path, encoded)
+		return exchange{status: came.Status, body: came.Body, err: came.Err, notSent: came.NotSent}
+	}
 	watch := &sendWatch{}
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: watch.gotConnection})
-	body := &requestBody{}
-	body.reader.Reset(encoded)
+	// net/http knows this type to be in memory and writes header and body at
+	// once; it does not know how to read it again, as GetBody is not set.
+	body := io.NopCloser(bytes.NewReader(encoded))
 	request := (&http.Request{
 		Method: http.MethodPost, URL: target, Host: target.Host, Header: requestHeader,
 		Body: body, ContentLength: int64(len(encoded)), Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -33,6 +33,7 @@
 	MaxInFlight   int           `yaml:"max_in_flight" validate:"gte=1,lte=1000000" help:"greatest number of queries in flight"`
 	HeaderTimeout time.Duration `yaml:"header_timeout" validate:"gte=10ms,lte=1m" help:"time allowed for a request's header"`
 	BodyTimeout   time.Duration `yaml:"body_timeout" validate:"gte=10ms,lte=5m" help:"time allowed for a whole request to be read"`
+	WriteTimeout  time.Duration `yaml:"write_timeout" validate:"gte=10ms,lte=5m" help:"time allowed for a caller to take its answer"`
 	// TLS is used when any of its files is named.
 	TLS certificates.Files `yaml:"tls"`
 }
@@ -103,6 +104,7 @@
 			MaxInFlight:   2000,
 			HeaderTimeout: 5 * time.Second,
 			BodyTimeout:   15 * time.Second,
+			WriteTimeout:  30 * time.Second,
 		},
 		Peers:          Peers{Address: "127.0.0.1:7071"},
 		Administration: Administration{Address: "127.0.0.1:7072"},
--- /dev/null
+++ b/internal/simulation/system/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package system
+
+const raceDetector = false
