--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -166,6 +166,7 @@
 		Peers:      d.peers,
 		Protocol:   replica.Protocol(d.settings.Backends.Protocol),
 		TLS:        d.security.backends(),
+		Background: func(work func()) { go work() },
 		Registerer: d.registry,
 	})
 }
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -29,8 +29,9 @@
 	peers          *drain.Listener
 	administration net.Listener
 
-	// callersOpen are the connections of callers.
+	// callersOpen and peersOpen are the connections of those ports.
 	callersOpen drain.Connections
+	peersOpen   drain.Connections
 
 	callersServer        *http.Server
 	peersServer          *http.Server
@@ -69,14 +70,14 @@
 		TLSConfig:         d.security.callersServer(),
 	}
 	l.peersServer = &http.Server{
-		Handler: peer.NewServer(peer.ServerOptions{
+		Handler: d.endingHTTP1(peer.NewServer(peer.ServerOptions{
 			Exchange:   d.node.Receive,
 			Document:   d.register.Current,
 			State:      d.state,
 			Statistics: d.encodedStatistics,
 			Forwarder:  replica.NewForwardServer(d.pool, d.registry),
 			Registerer: d.registry,
-		}),
+		})),
 		Protocols:         peer.ServerProtocols(),
 		ReadHeaderTimeout: peerReadTimeout,
 		ReadTimeout:       peerReadTimeout,
@@ -98,6 +99,7 @@
 		TLSConfig:         d.security.administrationServer(),
 	}
 	l.callersOpen.Follow(l.callersServer)
+	l.peersOpen.Follow(l.peersServer)
 	failures := newConnectionErrors(d.registry)
 	report := func(text string) { d.logger.Error("a handler panicked", "error", text) }
 	for port, server := range map[string]*http.Server{
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/doorpond/doorpond/internal/blackboard"
+	"github.com/doorpond/doorpond/internal/drain"
 )
 
 // stop is the planned stop. The order matters: others are told first, and
@@ -48,21 +50,40 @@
 	d.enter(blackboard.PhaseStopped)
 }
 
-// finishCallers lets callers' connections end by themselves before it shuts
-// the server down.
+// finishCallers closes the port, and then tells callers to close their
+// connections.
 func (d *Daemon) finishCallers(bounded context.Context) error {
-	l := d.listeners
-	closed := l.callers.TurnOff()
+	closed := d.listeners.callers.TurnOff()
 	d.enter(blackboard.PhaseClosing)
-	_ = l.callersOpen.AwaitQuiet(bounded, d.settings.Stop.Grace) // Shutdown reports the end of bounded
-	cutOff := eris.Wrap(l.callersServer.Shutdown(bounded), "requests of callers were cut off")
-	return errors.Join(closed, cutOff)
+	cutOff := d.finishServer(bounded, d.listeners.callersServer, &d.listeners.callersOpen)
+	return errors.Join(closed, eris.Wrap(cutOff, "requests of callers were cut off"))
 }
 
-// finishPeers relies on HTTP/2, which tells the other side which requests are
-// still served; membership messages may be lost.
+// endingHTTP1 ends each HTTP/1.1 connection with its answer once the ports are
+// closed, as peers go on with membership on those that they have. HTTP/2 needs
+// no such sign.
+func (d *Daemon) endingHTTP1(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ProtoMajor == 1 && *d.board.Phase.Load() >= blackboard.PhaseClosing {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// finishPeers closes the port. Peers know of the stop and forward no more.
 func (d *Daemon) finishPeers(bounded context.Context) error {
 	closed := d.listeners.peers.TurnOff()
-	cutOff := eris.Wrap(d.listeners.peersServer.Shutdown(bounded), "requests of peers were cut off")
-	return errors.Join(closed, cutOff)
+	cutOff := d.finishServer(bounded, d.listeners.peersServer, &d.listeners.peersOpen)
+	return errors.Join(closed, eris.Wrap(cutOff, "requests of peers were cut off"))
+}
+
+// finishServer lets connections end by themselves, or stay idle, for up to half
+// of the stop's time, before it shuts the server down: a shutdown gives up
+// requests that are on their way, on HTTP/2 too.
+func (d *Daemon) finishServer(bounded context.Context, server *http.Server, open *drain.Connections) error {
+	quiet, cancel := context.WithTimeout(bounded, d.settings.Stop.Timeout/2)
+	defer cancel()
+	_ = open.AwaitQuiet(quiet, d.settings.Stop.Grace) // Shutdown waits for the rest
+	return server.Shutdown(bounded)
 }
--- a/internal/proofs/planned_stop.go
+++ b/internal/proofs/planned_stop.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -140,7 +141,12 @@
 	if err := stopping.Stop(); err != nil {
 		return err
 	}
-	return stopping.Wait(ctx)
+	if err := stopping.Wait(ctx); err != nil {
+		return err
+	}
+	// its port may be given to any other process from now on
+	load.remove(stopping.callersURL())
+	return nil
 }
 
 // ready asks a daemon whether it should be sent requests.
@@ -181,6 +187,12 @@
 	l.urls = append(l.urls, url)
 }
 
+func (l *steadyLoad) remove(url string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.urls = slices.DeleteFunc(l.urls, func(one string) bool { return one == url })
+}
+
 func (l *steadyLoad) url(turn int) string {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
--- a/internal/proofs/proofs_test.go
+++ b/internal/proofs/proofs_test.go
@@ -52,6 +52,7 @@
 }
 
 func TestPlannedStopCutsOffNoRequest(t *testing.T) {
+	t.Parallel()
 	ctx, cluster := startCluster(t, "--stop-grace", "300ms")
 	report, err := PlannedStop(ctx, cluster, PlannedStopOptions{
 		Requests: *requests, Callers: 40, Pause: time.Millisecond, Stops: *stops,
@@ -66,6 +67,7 @@
 }
 
 func TestCallsRunAtMostOnce(t *testing.T) {
+	t.Parallel()
 	ctx, cluster := startCluster(t, "--stop-grace", "100ms")
 	report, err := AtMostOnce(ctx, cluster, AtMostOnceOptions{
 		Keys: *keys, Callers: 16, Attempts: 8, Rounds: *rounds, Seed: 1,
@@ -83,6 +85,7 @@
 }
 
 func TestAcceptedChangesStayInForce(t *testing.T) {
+	t.Parallel()
 	ctx, cluster := startCluster(t)
 	report, err := Table(ctx, cluster, TableOptions{Operators: 4, Rounds: *rounds, Edits: 20})
 	t.Log(report)
