--- a/internal/document/fetcher.go
+++ b/internal/document/fetcher.go
@@ -22,7 +22,10 @@
 }
 
 const (
-	fetchTimeout  = 2 * time.Second
+	// fetchTimeout bounds one fetch. It is short beside the seconds within
+	// which a change must be in force: a peer that has just died should cost
+	// little before the next one is asked.
+	fetchTimeout  = 700 * time.Millisecond
 	fetchAttempts = 4
 	fetchBackoff  = 200 * time.Millisecond
 	fetchAgain    = time.Second
