Experiments over loopback beside virtual time; in-process daemons for the lab in one place

Cause: the experiments' model was not held against the real thing. Ruled out: imitating the baselines by policies (none takes load and health knowledge from a real daemon; they are listed as not run); a lost zone over loopback (a closed port resets, it does not stay silent; refused when checked). Before: virtual time only.

--- a/cmd/doorpond-lab/experiment.go
+++ b/cmd/doorpond-lab/experiment.go
@@ -9,17 +9,23 @@
 	"github.com/doorpond/doorpond/internal/lab/experiment"
 )
 
-const flagOut = "out"
+const (
+	flagOut  = "out"
+	flagMode = "mode"
+)
 
 func experimentCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "experiment",
-		Usage:     "compare ways of routing on simulated back ends, in virtual time",
+		Usage:     "compare ways of routing, in virtual time or over loopback",
 		ArgsUsage: "FILE.yaml",
-		Description: "The same file gives the same figures. With --out, writes result.json,\n" +
-			"summary.csv, series.csv and report.html into a directory.\n\n" +
+		Description: "In virtual time, the same file gives the same figures. Over loopback, real\n" +
+			"daemons and back ends run in this process, one run after another; the\n" +
+			"baselines are left out. With --out, writes\n" +
+			"result.json, summary.csv, series.csv and report.html into a directory.\n\n" +
 			"Example: doorpond-lab experiment experiments/ayensu.yaml --out results/ayensu",
 		Flags: []cli.Flag{
+			&cli.StringFlag{Name: flagMode, Usage: "run in `MODE` virtual or loopback instead of the file's"},
 			&cli.StringFlag{Name: flagOut, Usage: "write the results into `DIRECTORY`"},
 		},
 		Action: runExperiment,
@@ -34,6 +40,12 @@
 	if err != nil {
 		return err
 	}
+	if mode := command.String(flagMode); mode != "" {
+		file.Mode = experiment.Mode(mode)
+		if err := file.Check(); err != nil {
+			return err
+		}
+	}
 	result, err := experiment.Run(ctx, file)
 	if err != nil {
 		return eris.Wrap(err, "run the experiment")
--- a/internal/lab/demo/compare.go
+++ b/internal/lab/demo/compare.go
@@ -71,7 +71,7 @@
 
 // tighten makes the policy "quick" hedge earlier.
 func (d *demo) tighten(ctx context.Context) error {
-	table, err := d.operator.Table(ctx)
+	table, err := d.cluster.Operator.Table(ctx)
 	if err != nil {
 		return eris.Wrap(err, "read the table")
 	}
@@ -92,7 +92,7 @@
 	peers := peer.NewClient(peer.ClientOptions{})
 	defer peers.Close()
 	var parts [][]statistics.PolicyStatistics
-	for _, addresses := range d.daemons {
+	for _, addresses := range d.cluster.Daemons {
 		encoded, err := peers.Statistics(ctx, addresses.Peers, comparisonWindow)
 		if err != nil {
 			return eris.Wrap(err, "read statistics")
--- a/internal/lab/experiment/deployment.go
+++ b/internal/lab/experiment/deployment.go
@@ -2,9 +2,9 @@
 
 import (
 	"fmt"
-	"math"
 	"time"
 
+	standin "github.com/doorpond/doorpond/internal/standin/backend"
 	"github.com/doorpond/doorpond/internal/topology"
 )
 
@@ -44,9 +44,18 @@
 		searchDeployment("ayensu", "accra", "kumasi", "takoradi"),
 		searchDeployment("tsehay", "addis", "bahirdar", "hawassa"),
 		wideDeployment(),
+		smallDeployment(),
 	}
 }
 
+// smallDeployment fits into one process with real connections: one region of
+// two zones, four daemons, and replicas of Ayensu's size.
+func smallDeployment() Deployment {
+	small := searchDeployment("small", "accra")
+	small.Groups = 4
+	return small
+}
+
 func searchDeployment(name string, regions ...string) Deployment {
 	return Deployment{
 		Name: name, Places: zonesOf(regions),
@@ -103,6 +112,5 @@
 
 // serviceTime turns a standard normal variate into a service time.
 func (d *Deployment) serviceTime(normal float64) time.Duration {
-	logMean := math.Log(float64(d.ServiceMean)) - d.ServiceSigma*d.ServiceSigma/2
-	return time.Duration(math.Exp(logMean + d.ServiceSigma*normal))
+	return standin.Lognormal(d.ServiceMean, d.ServiceSigma, normal)
 }
--- a/internal/lab/experiment/doc.go
+++ b/internal/lab/experiment/doc.go
@@ -7,5 +7,10 @@
 //
 // Queries arrive open-loop by a Poisson process, and latency counts from the
 // arrival. The model leaves out the costs of connections, encoding and
-// processor time, which only the loopback measurements show.
+// processor time.
+//
+// A file in loopback mode runs doorpond's policies against real daemons and
+// stand-ins of the back ends in this process instead, over real connections
+// and in real time, one run after another. The baselines exist in virtual time
+// only.
 package experiment
--- a/internal/lab/experiment/experiment_test.go
+++ b/internal/lab/experiment/experiment_test.go
@@ -39,7 +39,7 @@
 
 func mustRun(t *testing.T, file *File) *Result {
 	t.Helper()
-	if err := file.check(); err != nil {
+	if err := file.Check(); err != nil {
 		t.Fatal(err)
 	}
 	result, err := Run(t.Context(), file)
@@ -179,6 +179,8 @@
 		{"factor of 0", "factor: 2", "factor: 0"},
 		{"rate of 0", "[0.1]", "[0]"},
 		{"classes that add up to less", "share: 1}]", "share: 0.5}]"},
+		{"unknown mode", "rates:", "mode: dream\nrates:"},
+		{"only baselines over loopback", "[doorpond]", "[random_once]\nmode: loopback"},
 		{"bad policy", "rates:", "policies: [{name: p, retry: {attempts: 99}}]\nrates:"},
 	}
 	for _, test := range cases {
--- a/internal/lab/experiment/fault.go
+++ b/internal/lab/experiment/fault.go
@@ -63,6 +63,12 @@
 
 func (f *Fault) end() time.Duration { return time.Duration(f.At + f.For) }
 
+// takes is true for the share of the replicas that the fault hits, spread
+// evenly over their numbers.
+func (f *Fault) takes(replica int) bool {
+	return int(float64(replica+1)*f.Share) > int(float64(replica)*f.Share)
+}
+
 // span returns when the first fault begins and the last ends.
 func (s *Scenario) span() (from, to time.Duration) {
 	for i, fault := range s.Faults {
@@ -93,7 +99,7 @@
 			if candidate.replica.Place == r.deployment.Places[fault.Zone%len(r.deployment.Places)] {
 				chosen = append(chosen, candidate)
 			}
-		case int(float64(i+1)*fault.Share) > int(float64(i)*fault.Share):
+		case fault.takes(i):
 			chosen = append(chosen, candidate)
 		}
 	}
--- a/internal/lab/experiment/file.go
+++ b/internal/lab/experiment/file.go
@@ -15,8 +15,10 @@
 
 // File is an experiment: each scenario is run at each rate with each strategy.
 type File struct {
-	Name       string   `yaml:"name"`
-	Deployment string   `yaml:"deployment"`
+	Name       string `yaml:"name"`
+	Deployment string `yaml:"deployment"`
+	// Mode is ModeVirtual if it is left out.
+	Mode       Mode     `yaml:"mode"`
 	Seed       uint64   `yaml:"seed"`
 	Strategies []string `yaml:"strategies"`
 	// Policies are further strategies: doorpond under another policy row. What
@@ -74,13 +76,17 @@
 	if err := yaml.NewDecoder(reader, yaml.Strict()).Decode(file); err != nil {
 		return nil, eris.Wrap(err, "decode")
 	}
-	return file, file.check()
+	return file, file.Check()
 }
 
 // shareTolerance is how far the shares of classes may be from 1.
 const shareTolerance = 1e-6
 
-func (f *File) check() error {
+// Check fills in the mode and returns the first thing wrong with the file.
+func (f *File) Check() error {
+	if f.Mode == "" {
+		f.Mode = ModeVirtual
+	}
 	if deploymentByName(f.Deployment) == nil {
 		return eris.Errorf("deployment: there is no %q", f.Deployment)
 	}
@@ -95,6 +101,9 @@
 	if len(f.Strategies)+len(f.Policies) == 0 || len(f.Scenarios) == 0 {
 		return eris.New("strategies, scenarios: at least one of each is needed")
 	}
+	if err := f.checkMode(); err != nil {
+		return err
+	}
 	if err := f.checkPolicies(); err != nil {
 		return err
 	}
--- a/internal/lab/experiment/print.go
+++ b/internal/lab/experiment/print.go
@@ -9,6 +9,7 @@
 // Print writes a summary for a terminal.
 func (r *Result) Print(writer io.Writer) error {
 	table := tabwriter.NewWriter(writer, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(table, "%s, deployment %s, seed %d\n\n", r.Mode, r.Deployment, r.Seed)
 	for i := range r.Cases {
 		r.Cases[i].print(table)
 	}
@@ -25,6 +26,7 @@
 			outcome.Strategy, figures.P50, figures.P95, figures.P99, figures.P999,
 			figures.Coverage, figures.Served, figures.ExtraLoad, figures.Refused, figures.Goodput, outcome.Recovery)
 	}
+	c.printUnanswered(table)
 	for _, goal := range c.Goals {
 		fmt.Fprintf(table, "  %s\n", goal)
 	}
@@ -32,6 +34,15 @@
 	fmt.Fprintln(table)
 }
 
+// printUnanswered shows where queries ended in errors.
+func (c *Case) printUnanswered(table io.Writer) {
+	for i := range c.Outcomes {
+		if figures := &c.Outcomes[i].Focus; figures.Unanswered > 0 {
+			fmt.Fprintf(table, "  %s: %d of %d queries without an answer\n", c.Outcomes[i].Strategy, figures.Unanswered, figures.Queries)
+		}
+	}
+}
+
 // printClasses shows the classes where priorities matter.
 func (c *Case) printClasses(table io.Writer) {
 	if c.Rate <= 1 {
--- a/internal/lab/experiment/recorder.go
+++ b/internal/lab/experiment/recorder.go
@@ -16,14 +16,15 @@
 // tally is what was counted of the queries of one class that arrived in one
 // second.
 type tally struct {
-	queries  int
-	refused  int
-	whole    int
-	wanted   int // shards of all queries, also of the refused ones
-	asked    int
-	answered int
-	attempts int
-	latency  *hdrhistogram.Histogram // of the queries not refused
+	queries    int
+	refused    int
+	unanswered int
+	whole      int
+	wanted     int // shards of all queries, also of the refused ones
+	asked      int
+	answered   int
+	attempts   int
+	latency    *hdrhistogram.Histogram // of the answers
 }
 
 func newTally() *tally {
@@ -33,6 +34,7 @@
 func (t *tally) add(other *tally) {
 	t.queries += other.queries
 	t.refused += other.refused
+	t.unanswered += other.unanswered
 	t.whole += other.whole
 	t.wanted += other.wanted
 	t.asked += other.asked
@@ -71,6 +73,14 @@
 	counted.wanted += wanted
 }
 
+// unanswered counts a query that ended in another error than a refusal.
+func (r *recorder) unanswered(now time.Duration, class, wanted int) {
+	counted := r.seconds[int(now/time.Second)][class]
+	counted.queries++
+	counted.unanswered++
+	counted.wanted += wanted
+}
+
 func (r *recorder) finished(arrived time.Duration, class int, ended conclusion) {
 	counted := r.seconds[int(arrived/time.Second)][class]
 	counted.queries++
--- a/internal/lab/experiment/result.go
+++ b/internal/lab/experiment/result.go
@@ -5,17 +5,23 @@
 	"runtime"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/doorpond/doorpond/internal/lab/load"
 )
 
 // Result is what an experiment measured. Times are in seconds, latencies in
 // milliseconds, shares from 0 to 1.
 type Result struct {
-	Name       string  `json:"name"`
-	Deployment string  `json:"deployment"`
-	Seed       uint64  `json:"seed"`
-	Capacity   float64 `json:"capacity_queries_per_second"`
-	Cases      []Case  `json:"cases"`
+	Name       string `json:"name"`
+	Deployment string `json:"deployment"`
+	Seed       uint64 `json:"seed"`
+	Mode       Mode   `json:"mode"`
+	// NotRun are the strategies that the mode cannot run.
+	NotRun   []string `json:"not_run,omitempty"`
+	Capacity float64  `json:"capacity_queries_per_second"`
+	Cases    []Case   `json:"cases"`
 }
 
 // Case is one scenario at one rate.
@@ -40,6 +46,9 @@
 	Classes  []ClassFigures `json:"classes"`
 	Recovery *Recovery      `json:"recovery,omitempty"`
 	Series   []Point        `json:"series"`
+	// Load is the generator's own count of the whole run with the kinds of
+	// its problems, over loopback only.
+	Load *load.Report `json:"load,omitempty"`
 }
 
 // ClassFigures are the figures of one class in the focus.
@@ -66,6 +75,9 @@
 	Goodput float64 `json:"goodput"`
 	// Whole is the share of queries with a whole answer.
 	Whole float64 `json:"whole"`
+	// Unanswered is the number of queries that ended in another error than a
+	// refusal, over loopback only. They have no latency and no coverage.
+	Unanswered int `json:"unanswered,omitempty"`
 }
 
 // Point is one second of arrivals.
@@ -88,6 +100,8 @@
 		Refused:   share(counted.refused, counted.queries, 0),
 		Goodput:   float64(counted.whole) / max(seconds, 1),
 		Whole:     share(counted.whole, counted.queries, 1),
+
+		Unanswered: counted.unanswered,
 	}
 }
 
@@ -98,15 +112,16 @@
 	return float64(part) / float64(whole)
 }
 
-// Run runs an experiment; different runs use different cores.
+// Run runs an experiment; in virtual time, different runs use different cores.
 func Run(ctx context.Context, file *File) (*Result, error) {
 	deployment := deploymentByName(file.Deployment)
 	strategies := file.strategies(deployment)
 	result := &Result{
 		Name: file.Name, Deployment: deployment.Name, Seed: file.Seed, Capacity: deployment.Capacity(),
+		Mode: file.Mode, NotRun: file.notRun(),
 	}
 	tasks, ctx := errgroup.WithContext(ctx)
-	tasks.SetLimit(max(1, runtime.GOMAXPROCS(0)/2))
+	tasks.SetLimit(file.parallelRuns())
 	result.Cases = file.cases(len(strategies))
 	next := 0
 	for i := range file.Scenarios {
@@ -118,8 +133,10 @@
 					if ctx.Err() != nil {
 						return ctx.Err()
 					}
-					single := newRun(file, deployment, &strategies[number], &file.Scenarios[i], measured.Rate)
-					single.execute()
+					single := newMeasurement(file, deployment, &strategies[number], &file.Scenarios[i], measured.Rate)
+					if err := single.execute(ctx); err != nil {
+						return eris.Wrapf(err, "scenario %q", measured.Scenario)
+					}
 					measured.Outcomes[number] = single.outcome(measured)
 					return nil
 				})
@@ -133,6 +150,15 @@
 	return result, nil
 }
 
+// parallelRuns is 1 over loopback, where runs would share the cores that they
+// measure.
+func (f *File) parallelRuns() int {
+	if f.Mode == ModeLoopback {
+		return 1
+	}
+	return max(1, runtime.GOMAXPROCS(0)/2)
+}
+
 func (f *File) cases(strategies int) []Case {
 	var all []Case
 	for i := range f.Scenarios {
@@ -151,26 +177,27 @@
 
 func (c *Case) faulty() bool { return c.FaultTo > 0 }
 
-// outcome sums up a run that is over.
-func (r *run) outcome(measured *Case) Outcome {
-	warm := int(time.Duration(r.file.Warmup) / time.Second)
-	end := int(time.Duration(r.file.Duration) / time.Second)
+// outcome sums up a measurement that is over.
+func (m *measurement) outcome(measured *Case) Outcome {
+	warm := int(time.Duration(m.file.Warmup) / time.Second)
+	end := int(time.Duration(m.file.Duration) / time.Second)
 	from, to := warm, end
 	if measured.faulty() {
 		from, to = int(measured.FaultFrom), int(measured.FaultTo)
 	}
 	outcome := Outcome{
-		Strategy: r.strategy.name,
-		Focus:    r.figures(from, to, allClasses),
-		Before:   r.figures(warm, from, allClasses),
-		After:    r.figures(to, end, allClasses),
+		Strategy: m.strategy.name,
+		Focus:    m.figures(from, to, allClasses),
+		Before:   m.figures(warm, from, allClasses),
+		After:    m.figures(to, end, allClasses),
+		Load:     m.load,
 	}
-	for number, class := range r.file.Classes {
-		outcome.Classes = append(outcome.Classes, ClassFigures{Class: class.Name, Figures: r.figures(from, to, number)})
+	for number, class := range m.file.Classes {
+		outcome.Classes = append(outcome.Classes, ClassFigures{Class: class.Name, Figures: m.figures(from, to, number)})
 	}
 	for second := range end {
 		outcome.Series = append(outcome.Series, Point{
-			Second: second, Figures: r.figures(second, second+1, allClasses), Arrivals: r.recorder.arrivals[second],
+			Second: second, Figures: m.figures(second, second+1, allClasses), Arrivals: m.recorder.arrivals[second],
 		})
 	}
 	if measured.faulty() {
@@ -179,6 +206,6 @@
 	return outcome
 }
 
-func (r *run) figures(from, to, class int) Figures {
-	return figuresOf(r.recorder.sum(from, to, class), float64(to-from))
+func (m *measurement) figures(from, to, class int) Figures {
+	return figuresOf(m.recorder.sum(from, to, class), float64(to-from))
 }
--- a/internal/lab/experiment/run.go
+++ b/internal/lab/experiment/run.go
@@ -1,50 +1,76 @@
 package experiment
 
 import (
+	"context"
 	"math/rand/v2"
 	"time"
 
+	"github.com/doorpond/doorpond/internal/lab/load"
 	"github.com/doorpond/doorpond/internal/policy"
 	"github.com/doorpond/doorpond/internal/simulation"
 )
 
-// run is one strategy under one scenario at one rate.
-type run struct {
+// measurement is one strategy under one scenario at one rate, and what was
+// counted of it, in either mode.
+type measurement struct {
 	file       *File
 	deployment *Deployment
 	strategy   *strategy
-	engine     *simulation.Engine
-	network    *simulation.Network
-	backends   []*backend
-	daemons    []*daemon
+	scenario   *Scenario
 	rows       []*policy.Row // by class
 	recorder   *recorder
-	listLag    time.Duration
-	// arrivals has random numbers of its own, so that every strategy meets
-	// the same arrivals.
-	arrivals *rand.Rand
-	rate     float64 // queries a second
+	rate       float64 // queries a second
+	// load is the generator's report, over loopback only.
+	load *load.Report
 }
 
-func newRun(file *File, deployment *Deployment, chosen *strategy, scenario *Scenario, rate float64) *run {
-	const arrivalStream = 0x5851f42d4c957f2d
-	made := &run{
-		file: file, deployment: deployment, strategy: chosen,
-		engine:   simulation.New(file.Seed),
-		recorder: newRecorder(file),
-		listLag:  time.Duration(file.ListLag),
-		arrivals: rand.New(rand.NewPCG(file.Seed, arrivalStream)),
-		rate:     rate * deployment.Capacity(),
+func newMeasurement(file *File, deployment *Deployment, chosen *strategy, scenario *Scenario, rate float64) *measurement {
+	made := &measurement{
+		file: file, deployment: deployment, strategy: chosen, scenario: scenario,
+		recorder: newRecorder(file), rate: rate * deployment.Capacity(),
 	}
-	made.network = simulation.NewNetwork(made.engine)
 	for _, class := range file.Classes {
 		row := chosen.row
 		row.Name = class.Name
 		row.Priority = class.Priority
 		made.rows = append(made.rows, &row)
 	}
+	return made
+}
+
+// execute runs it in the file's mode, to the end of the last query.
+func (m *measurement) execute(ctx context.Context) error {
+	if m.file.Mode == ModeLoopback {
+		return runLoopback(ctx, m)
+	}
+	newRun(m).execute()
+	return nil
+}
+
+// run is a measurement in virtual time.
+type run struct {
+	*measurement
+	engine   *simulation.Engine
+	network  *simulation.Network
+	backends []*backend
+	daemons  []*daemon
+	listLag  time.Duration
+	// arrivals has random numbers of its own, so that every strategy meets
+	// the same arrivals.
+	arrivals *rand.Rand
+}
+
+func newRun(measured *measurement) *run {
+	const arrivalStream = 0x5851f42d4c957f2d
+	made := &run{
+		measurement: measured,
+		engine:      simulation.New(measured.file.Seed),
+		listLag:     time.Duration(measured.file.ListLag),
+		arrivals:    rand.New(rand.NewPCG(measured.file.Seed, arrivalStream)),
+	}
+	made.network = simulation.NewNetwork(made.engine)
 	made.build()
-	made.schedule(scenario.Faults)
+	made.schedule(measured.scenario.Faults)
 	return made
 }
 
@@ -82,7 +108,7 @@
 		return
 	}
 	target := r.daemons[r.arrivals.IntN(len(r.daemons))]
-	class := r.drawClass()
+	class := r.file.drawClass(r.arrivals)
 	r.engine.After(gap, func() {
 		if target.up {
 			target.arrive(class)
@@ -91,13 +117,14 @@
 	})
 }
 
-func (r *run) drawClass() int {
-	draw := r.arrivals.Float64()
-	for i, class := range r.file.Classes {
+// drawClass picks a class by the shares.
+func (f *File) drawClass(random *rand.Rand) int {
+	draw := random.Float64()
+	for i, class := range f.Classes {
 		draw -= class.Share
 		if draw < 0 {
 			return i
 		}
 	}
-	return len(r.file.Classes) - 1
+	return len(f.Classes) - 1
 }
--- a/internal/lab/experiment/strategy.go
+++ b/internal/lab/experiment/strategy.go
@@ -53,8 +53,9 @@
 // strategies returns all strategies of a file.
 func (f *File) strategies(deployment *Deployment) []strategy {
 	var all []strategy
+	left := f.notRun()
 	for _, name := range f.Strategies {
-		if f.hasPolicy(name) {
+		if f.hasPolicy(name) || slices.Contains(left, name) {
 			continue
 		}
 		if isBaseline(name) {
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -33,6 +33,22 @@
 	Source      Source
 	Seed        uint64
 	Client      *http.Client
+	// Observe, unless nil, gets what became of each query, from several
+	// goroutines at once.
+	Observe func(Observation)
+}
+
+// Observation is what became of one query. At most one of Answer, Problem and
+// Err is set; none is when the query was skipped.
+type Observation struct {
+	Query client.Query
+	// Due is the intended start, from the start of the run; the seed alone
+	// decides it. Latency counts from it.
+	Due     time.Duration
+	Latency time.Duration
+	Answer  *client.Answer
+	Problem *client.Problem
+	Err     error
 }
 
 // queryPath is the callers' path for queries.
@@ -86,16 +102,16 @@
 	for sent := 0; ; sent++ {
 		gap := r.random.ExpFloat64() / r.options.Rate
 		intended = intended.Add(time.Duration(gap * float64(time.Second)))
-		if intended.Sub(started) > r.options.Duration || !waitUntil(ctx, intended) {
+		if intended.Sub(started) > r.options.Duration || !WaitUntil(ctx, intended) {
 			return
 		}
 		url := r.options.URLs[sent%len(r.options.URLs)] + queryPath
-		r.launch(ctx, url, r.options.Source(r.random), intended)
+		r.launch(ctx, url, Observation{Query: r.options.Source(r.random), Due: intended.Sub(started)}, intended)
 	}
 }
 
-// waitUntil returns false when ctx ends first.
-func waitUntil(ctx context.Context, moment time.Time) bool {
+// WaitUntil returns false when ctx ends before the moment.
+func WaitUntil(ctx context.Context, moment time.Time) bool {
 	wait := time.Until(moment)
 	if wait <= 0 {
 		return ctx.Err() == nil
@@ -110,20 +126,29 @@
 	}
 }
 
-func (r *run) launch(ctx context.Context, url string, query client.Query, intended time.Time) {
+func (r *run) launch(ctx context.Context, url string, seen Observation, intended time.Time) {
 	select {
 	case r.places <- struct{}{}:
 	default:
 		r.recorder.skip()
+		r.observe(seen)
 		return
 	}
 	r.inFlight.Go(func() {
 		defer func() { <-r.places }()
-		answer, problem, err := ask(ctx, r.options.Client, url, query)
-		r.recorder.record(time.Since(intended), answer, problem, err)
+		seen.Answer, seen.Problem, seen.Err = ask(ctx, r.options.Client, url, seen.Query)
+		seen.Latency = time.Since(intended)
+		r.recorder.record(seen.Latency, seen.Answer, seen.Problem, seen.Err)
+		r.observe(seen)
 	})
 }
 
+func (r *run) observe(seen Observation) {
+	if r.options.Observe != nil {
+		r.options.Observe(seen)
+	}
+}
+
 // ask sends one query. Exactly one of the results is set.
 func ask(ctx context.Context, httpClient *http.Client, url string, query client.Query) (*client.Answer, *client.Problem, error) {
 	body, err := json.Marshal(query)
--- a/internal/lab/load/load_test.go
+++ b/internal/lab/load/load_test.go
@@ -80,6 +80,16 @@
 			}
 		})
 		run.Concurrency = 3
+		var seen, skipped atomic.Int64
+		run.Observe = func(observed Observation) {
+			seen.Add(1)
+			if observed.Answer == nil && observed.Problem == nil && observed.Err == nil {
+				skipped.Add(1)
+			}
+			if observed.Due <= 0 || observed.Due > run.Duration || observed.Query.Card != "c" {
+				t.Errorf("observed %+v", observed)
+			}
+		}
 		report, err := Run(t.Context(), run)
 		if err != nil {
 			t.Fatal(err)
@@ -87,6 +97,9 @@
 		if report.Sent != 3 || report.Answered != 1 || report.Broken != 1 || report.Skipped < 50 {
 			t.Errorf("report %+v", report)
 		}
+		if seen.Load() != report.Sent+report.Skipped || skipped.Load() != report.Skipped {
+			t.Errorf("observed %d, of them %d skipped, report %+v", seen.Load(), skipped.Load(), report)
+		}
 		if diff := cmp.Diff([]KindCount{{Kind: "overloaded", NotRun: true, Count: 1}}, report.Problems); diff != "" {
 			t.Errorf("problems (-want +got):\n%s", diff)
 		}
--- a/internal/standin/backend/backend_test.go
+++ b/internal/standin/backend/backend_test.go
@@ -336,6 +336,21 @@
 	}
 }
 
+func TestLognormalServiceTimes(t *testing.T) {
+	const draws = 20_000
+	watch := newStopwatch(Timing{Base: 20 * time.Millisecond, Sigma: 0.5}, 1)
+	var total time.Duration
+	for range draws {
+		total += watch.draw(1)
+	}
+	if mean := total / draws; mean < 19*time.Millisecond || mean > 21*time.Millisecond {
+		t.Errorf("mean %v", mean)
+	}
+	if median := Lognormal(20*time.Millisecond, 0.5, 0); median.Round(time.Millisecond) != 18*time.Millisecond {
+		t.Errorf("median %v", median)
+	}
+}
+
 func TestHollowRepliesArePureFunctionsOfTheRequest(t *testing.T) {
 	server := startReplica(t, Options{Hollow: true})
 	counts := make(map[int]bool)
--- a/internal/standin/backend/options.go
+++ b/internal/standin/backend/options.go
@@ -50,6 +50,9 @@
 	Base time.Duration `json:"base_ns"`
 	// MeanExtra is the mean of the exponential part that is added to it.
 	MeanExtra time.Duration `json:"mean_extra_ns"`
+	// Sigma over 0 makes the times lognormal instead, with the mean
+	// Base+MeanExtra; it is the standard deviation of their logarithm.
+	Sigma float64 `json:"sigma"`
 	// StragglerShare of requests, from 0 to 1, take StragglerFactor times as
 	// long.
 	StragglerShare  float64 `json:"straggler_share"`
