--- a/internal/replica/connections.go
+++ b/internal/replica/connections.go
@@ -36,6 +36,7 @@
 type planZone struct {
 	place   topology.Place
 	daemons []topology.Member
+	hashes  []uint64 // of the daemons' IDs
 }
 
 // NewConnectionPlan sorts the daemons that may hold connections by zone.
@@ -68,13 +69,14 @@
 	}
 	zones := make([]planZone, 0, len(byPlace))
 	for place, daemons := range byPlace {
-		zones = append(zones, planZone{place: place, daemons: sortedByHash(daemons)})
+		sorted, hashes := sortedByHash(daemons)
+		zones = append(zones, planZone{place: place, daemons: sorted, hashes: hashes})
 	}
 	slices.SortFunc(zones, func(a, b planZone) int { return comparePlaces(a.place, b.place) })
 	return zones
 }
 
-func sortedByHash(daemons []topology.Member) []topology.Member {
+func sortedByHash(daemons []topology.Member) (sorted []topology.Member, hashOf []uint64) {
 	hashes := make(map[string]uint64, len(daemons))
 	for i := range daemons {
 		hashes[daemons[i].ID] = xxhash.Sum64String(daemons[i].ID)
@@ -82,7 +84,10 @@
 	slices.SortFunc(daemons, func(a, b topology.Member) int {
 		return cmp.Or(cmp.Compare(hashes[a.ID], hashes[b.ID]), cmp.Compare(a.ID, b.ID))
 	})
-	return daemons
+	for i := range daemons {
+		hashOf = append(hashOf, hashes[daemons[i].ID])
+	}
+	return daemons, hashOf
 }
 
 func comparePlaces(a, b topology.Place) int {
@@ -96,8 +101,9 @@
 
 // GroupConnections says who connects to each replica of one group.
 type GroupConnections struct {
-	plan   *ConnectionPlan
-	shares []replicaShare
+	plan     *ConnectionPlan
+	replicas []topology.Replica
+	shares   []replicaShare
 }
 
 // replicaShare divides one replica's connections. Where all daemons can
@@ -133,7 +139,7 @@
 			division.giveOneEach(turn)
 		}
 	}
-	return &GroupConnections{plan: p, shares: division.shares}
+	return &GroupConnections{plan: p, replicas: replicas, shares: division.shares}
 }
 
 // division is the work of dividing the connections of one group.
--- a/internal/replica/handle.go
+++ b/internal/replica/handle.go
@@ -36,12 +36,15 @@
 }
 
 type handleURLs struct {
-	search, call *url.URL
+	search, call, status *url.URL
 }
 
 // Address returns IP:port.
 func (h *Handle) Address() string { return h.replica.Address }
 
+// process names the process that the handle is for.
+func (h *Handle) process() process { return process{h.replica.Address, h.replica.Incarnation} }
+
 // Connections returns the number of open connections.
 func (h *Handle) Connections() int { return int(h.connections.Load()) }
 
@@ -55,6 +58,7 @@
 		urls: handleURLs{
 			search: &url.URL{Scheme: p.options.scheme(), Host: replica.Address, Path: backendapi.SearchPath},
 			call:   &url.URL{Scheme: p.options.scheme(), Host: replica.Address, Path: backendapi.CallPath},
+			status: &url.URL{Scheme: p.options.scheme(), Host: replica.Address, Path: backendapi.StatusPath},
 		},
 	}
 	handle.transport = newTransport(handle, p.options)
--- a/internal/replica/pool.go
+++ b/internal/replica/pool.go
@@ -38,7 +38,8 @@
 	MaxReplyBytes int64
 	// Dial opens a connection; the default is plain TCP.
 	Dial dialFunc
-	// Post replaces the HTTP exchange with a replica; nil means net/http.
+	// Post replaces the HTTP exchange with a replica; nil means net/http. It is
+	// also called for the GET of backendapi.StatusPath, without a body.
 	Post PostFunc
 	// TLS is for back ends that speak it, over HTTP/1.1; nil means plain.
 	TLS    *tls.Config
@@ -71,6 +72,8 @@
 	handles  map[process]*Handle
 	routes   map[route]*Handle
 	plan     *ConnectionPlan
+	// probed are the replicas that this daemon probes, by address.
+	probed []*Handle
 }
 
 // group is one replica group; its state outlives views.
@@ -159,7 +162,7 @@
 		next.plan = planOf(members)
 	}
 	if seen.replicas == replicas && seen.plan != nil && next.plan.sameHolders(seen.plan) {
-		next.groups, next.handles, next.routes = seen.groups, seen.handles, seen.routes
+		next.groups, next.handles, next.routes, next.probed = seen.groups, seen.handles, seen.routes, seen.probed
 		p.view.Store(next)
 		return next
 	}
@@ -168,6 +171,7 @@
 			next.groups[name] = p.buildGroup(seen, next, name, listed)
 		}
 	}
+	slices.SortFunc(next.probed, func(a, b *Handle) int { return compareReplicas(a.replica, b.replica) })
 	p.view.Store(next)
 	for key, handle := range seen.handles {
 		if next.handles[key] == nil {
@@ -204,6 +208,9 @@
 		handle.setBudget(budget)
 		next.handles[key] = handle
 		built.handles = append(built.handles, handle)
+		if shares.Probes(i) {
+			next.probed = append(next.probed, handle)
+		}
 	}
 	if len(built.handles) < len(usable) {
 		p.addRoutes(seen, next, built, shares, usable)
--- a/internal/replica/pool_test.go
+++ b/internal/replica/pool_test.go
@@ -76,7 +76,8 @@
 	http.Error(w, "busy", http.StatusServiceUnavailable)
 }
 
-func searchOnce(t *testing.T, protocol Protocol, handler http.HandlerFunc) (SearchResult, *Handle) {
+// serve runs a back end that speaks a protocol.
+func serve(t *testing.T, protocol Protocol, handler http.HandlerFunc) *testBackend {
 	t.Helper()
 	backend := &testBackend{Server: httptest.NewUnstartedServer(handler)}
 	backend.Config.Protocols = new(http.Protocols)
@@ -84,6 +85,12 @@
 	backend.Config.Protocols.SetUnencryptedHTTP2(protocol == ProtocolH2C)
 	backend.Start()
 	t.Cleanup(backend.Close)
+	return backend
+}
+
+func searchOnce(t *testing.T, protocol Protocol, handler http.HandlerFunc) (SearchResult, *Handle) {
+	t.Helper()
+	backend := serve(t, protocol, handler)
 	board := &blackboard.Board{}
 	publish(board, backend.address())
 	pool := newTestPool(t, board, func(options *PoolOptions) { options.Protocol = protocol })
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -175,23 +175,23 @@
 			notSent: !gaveUp && watch.nothingWritten(handle.multiplex),
 		}
 	}
-	return p.readBody(response)
+	return readBody(response, p.options.MaxReplyBytes)
 }
 
 var errReplyTooLarge = eris.New("reply over the size limit")
 
-// readBody reads the whole body. A body that is over the limit or broken is
+// readBody reads the whole body, of so many bytes at most. A body that is over the limit or broken is
 // closed unread, and its connection with it.
-func (p *Pool) readBody(response *http.Response) exchange {
+func readBody(response *http.Response, limit int64) exchange {
 	defer func() { _ = response.Body.Close() }() // the reading has failed already if this does
 	buffer := buffers.Get().(*bytes.Buffer)
 	buffer.Reset()
 	result := exchange{status: response.StatusCode, buffer: buffer}
-	size, err := buffer.ReadFrom(io.LimitReader(response.Body, p.options.MaxReplyBytes+1))
+	size, err := buffer.ReadFrom(io.LimitReader(response.Body, limit+1))
 	switch {
 	case err != nil:
 		result.err = eris.Wrap(err, "read the reply")
-	case size > p.options.MaxReplyBytes:
+	case size > limit:
 		result.err = errReplyTooLarge
 	}
 	result.body = buffer.Bytes()
