--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -54,9 +54,26 @@
 	return &listeners{callers: opened[0], peers: opened[1], administration: opened[2]}, nil
 }
 
-// serve gives each port its handler.
+// serve gives each port its server.
 func (l *listeners) serve(d *Daemon) {
-	l.callersServer = &http.Server{
+	l.callersServer = d.newCallersServer()
+	l.peersServer = d.newPeersServer()
+	l.administrationServer = d.newAdministrationServer()
+	l.callersOpen.Follow(l.callersServer)
+	l.peersOpen.Follow(l.peersServer)
+	failures := newConnectionErrors(d.registry)
+	report := func(text string) { d.logger.Error("a handler panicked", "error", text) }
+	for port, server := range map[string]*http.Server{
+		"callers": l.callersServer, "peers": l.peersServer, "administration": l.administrationServer,
+	} {
+		server.MaxHeaderBytes = maxHeaderBytes
+		server.IdleTimeout = idleTimeout
+		server.ErrorLog = failures.logger(port, report)
+	}
+}
+
+func (d *Daemon) newCallersServer() *http.Server {
+	return &http.Server{
 		Handler: gateway.New(gateway.Options{
 			Search:       &freshSearcher{monitor: d.monitor, searcher: d.queries},
 			Calls:        d.calls,
@@ -69,7 +86,10 @@
 		ReadTimeout:       d.settings.Callers.BodyTimeout,
 		TLSConfig:         d.security.callersServer(),
 	}
-	l.peersServer = &http.Server{
+}
+
+func (d *Daemon) newPeersServer() *http.Server {
+	return &http.Server{
 		Handler: d.endingHTTP1(peer.NewServer(peer.ServerOptions{
 			Exchange:   d.node.Receive,
 			Document:   d.register.Current,
@@ -83,7 +103,10 @@
 		ReadTimeout:       peerReadTimeout,
 		TLSConfig:         d.security.peersServer(),
 	}
-	l.administrationServer = &http.Server{
+}
+
+func (d *Daemon) newAdministrationServer() *http.Server {
+	return &http.Server{
 		Handler: admin.New(admin.Options{
 			Board:      d.board,
 			Editor:     &restoringEditor{Editor: d.editor, calls: d.calls, board: d.board},
@@ -98,17 +121,6 @@
 		ReadHeaderTimeout: d.settings.Callers.HeaderTimeout,
 		TLSConfig:         d.security.administrationServer(),
 	}
-	l.callersOpen.Follow(l.callersServer)
-	l.peersOpen.Follow(l.peersServer)
-	failures := newConnectionErrors(d.registry)
-	report := func(text string) { d.logger.Error("a handler panicked", "error", text) }
-	for port, server := range map[string]*http.Server{
-		"callers": l.callersServer, "peers": l.peersServer, "administration": l.administrationServer,
-	} {
-		server.MaxHeaderBytes = maxHeaderBytes
-		server.IdleTimeout = idleTimeout
-		server.ErrorLog = failures.logger(port, report)
-	}
 }
 
 // start serves the ports in the background. A port that fails ends the group.
--- a/internal/document/fetcher.go
+++ b/internal/document/fetcher.go
@@ -21,14 +21,20 @@
 	Logger *slog.Logger
 }
 
+// The constants of a Fetcher; the simulation uses them too.
 const (
-	// fetchTimeout bounds one fetch. It is short beside the seconds within
+	// FetchTimeout bounds one fetch. It is short beside the seconds within
 	// which a change must be in force: a peer that has just died should cost
 	// little before the next one is asked.
-	fetchTimeout  = 700 * time.Millisecond
-	fetchAttempts = 4
-	fetchBackoff  = 200 * time.Millisecond
-	fetchAgain    = time.Second
+	FetchTimeout = 700 * time.Millisecond
+	// FetchAttempts is how many peers are asked in a row.
+	FetchAttempts = 4
+	// FetchBackoff is the wait before the second attempt; it grows by itself
+	// with each further one.
+	FetchBackoff = 200 * time.Millisecond
+	// FetchAgain is the wait before a revision that nobody gave is asked for
+	// again.
+	FetchAgain = time.Second
 )
 
 // announcement says which peer has which revision.
@@ -80,7 +86,7 @@
 // Run fetches until ctx ends, and returns nil then. A revision that nobody
 // gave is wanted again after a while, as its announcement is not repeated.
 func (f *Fetcher) Run(ctx context.Context) error {
-	again := time.NewTicker(fetchAgain)
+	again := time.NewTicker(FetchAgain)
 	defer again.Stop()
 	for {
 		select {
@@ -103,8 +109,8 @@
 		return
 	}
 	addresses := append([]string{want.address}, f.options.Peers()...)
-	for attempt := 0; attempt < min(fetchAttempts, len(addresses)); attempt++ {
-		if !pause(ctx, time.Duration(attempt)*fetchBackoff) {
+	for attempt := 0; attempt < min(FetchAttempts, len(addresses)); attempt++ {
+		if !pause(ctx, time.Duration(attempt)*FetchBackoff) {
 			return
 		}
 		f.FetchFrom(ctx, addresses[attempt], name)
@@ -129,7 +135,7 @@
 // FetchFrom fetches a document from one peer and offers it. It tells whether
 // the peer answered with a document, newer or not.
 func (f *Fetcher) FetchFrom(ctx context.Context, address string, name Name) bool {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	ctx, cancel := context.WithTimeout(ctx, FetchTimeout)
 	defer cancel()
 	fetched, err := f.options.Source.FetchDocument(ctx, address, name)
 	if err != nil {
--- a/internal/lab/experiment/plots.go
+++ b/internal/lab/experiment/plots.go
@@ -100,12 +100,17 @@
 		chart.Add(line)
 		chart.Legend.Add(outcome.Strategy, line)
 	}
-	const legendRoom = 1.3
+	// Room above the lines for the legend.
+	const (
+		legendRoom            = 1.45
+		legendRoomLogarithmic = 8
+	)
 	chart.Y.Min = 0
-	chart.Y.Max *= legendRoom
-	if shown.logarithmic {
-		chart.Y.Min = leastPlotted
+	if !shown.logarithmic {
 		chart.Y.Max *= legendRoom
+	} else {
+		chart.Y.Min = leastPlotted
+		chart.Y.Max *= legendRoomLogarithmic
 		chart.Y.Scale = plot.LogScale{}
 		chart.Y.Tick.Marker = plot.LogTicks{Prec: -1}
 	}
--- a/internal/simulation/system/documents.go
+++ b/internal/simulation/system/documents.go
@@ -15,10 +15,6 @@
 	longestBackoff    = 10 * time.Second
 	firstBackoff      = 100 * time.Millisecond
 	followersPerZone  = 2
-	fetchTimeout      = 2 * time.Second
-	fetchAttempts     = 4
-	fetchBackoff      = 200 * time.Millisecond
-	fetchAgain        = time.Second
 	clockInterval     = 200 * time.Millisecond
 	pauseThreshold    = 1500 * time.Millisecond
 	confirmAttempts   = 3
@@ -150,7 +146,7 @@
 			d.fetching = false
 			return
 		}
-		d.world.sleep(fetchAgain)
+		d.world.sleep(document.FetchAgain)
 	}
 }
 
@@ -161,12 +157,12 @@
 	if !wanted {
 		return
 	}
-	for attempt := range fetchAttempts {
+	for attempt := range document.FetchAttempts {
 		if d.has(name, d.wanted[name].revision) {
 			delete(d.wanted, name)
 			return
 		}
-		d.world.sleep(time.Duration(attempt) * fetchBackoff)
+		d.world.sleep(time.Duration(attempt) * document.FetchBackoff)
 		d.fetchFrom(name, want.address)
 		want.address = d.randomPeer()
 	}
@@ -185,7 +181,7 @@
 	}
 	var fetched document.Document
 	d.world.await(func(wake func()) {
-		d.world.request(d.process, target.process, fetchTimeout, wake, func(answer func(func())) {
+		d.world.request(d.process, target.process, document.FetchTimeout, wake, func(answer func(func())) {
 			version, found := target.register.Current(name)
 			answer(func() {
 				fetched, answered = version, found
