Test of the store over TLS

Ruled out: a stand-in that speaks TLS itself; a proxy in front of the plain one serves store and back ends alike. Before: untested.

--- a/internal/daemon/secure_test.go
+++ b/internal/daemon/secure_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"regexp"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -15,6 +16,7 @@
 	"github.com/doorpond/doorpond/client"
 	"github.com/doorpond/doorpond/internal/certificates"
 	"github.com/doorpond/doorpond/internal/certificates/certificatestest"
+	"github.com/doorpond/doorpond/internal/failure"
 	"github.com/doorpond/doorpond/internal/operator"
 	"github.com/doorpond/doorpond/internal/settings"
 )
@@ -241,7 +243,36 @@
 	}
 }
 
-// secureProxy puts TLS in front of a back end and returns its address.
+func TestStoreOverTLS(t *testing.T) {
+	t.Parallel()
+	running := startPlatform(t)
+	files := issue(t, newAuthority(t), t.TempDir())
+	source, err := certificates.NewSource(files)
+	if err != nil {
+		t.Fatal(err)
+	}
+	proxied := "https://" + secureProxy(t, source, strings.TrimPrefix(running.StoreURL(), "http://"))
+	// startDaemon waits for the catalogue, which only the store has.
+	secure, _ := startDaemon(t, running, nil, func(s *settings.Settings) { s.Store.URL, s.Store.TLS = proxied, files })
+	expect(t, secure, operator.ExitOK, "revision 1", "policy set fast priority=high --author ama")
+	expect(t, secure, operator.ExitOK, "executions", "call --key k --service refund --operation credit")
+	if _, err := running.Publish("cues", 3); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "a new snapshot comes by the watch", func() bool {
+		return secure.board.Catalogue.Load().Corpus("cues").Newest().ID == 2
+	})
+
+	stranger := issue(t, newAuthority(t), t.TempDir())
+	other, _ := startDaemon(t, running, []*Daemon{secure}, func(s *settings.Settings) { s.Store.URL, s.Store.TLS = proxied, stranger })
+	got := operate(t, other, "policy", "set", "slow", "priority=high", "--author", "ama")
+	if got.code != operator.ExitUnavailable || !strings.Contains(got.text, string(failure.StoreUnavailable)) {
+		t.Errorf("with another authority's certificate: code %d: %s", got.code, got.text)
+	}
+}
+
+// secureProxy puts TLS in front of a back end or the store and returns its
+// address.
 func secureProxy(t *testing.T, source *certificates.Source, target string) string {
 	t.Helper()
 	listener, err := tls.Listen("tcp", anyPort, source.Server("http/1.1"))
