Load from many callers, so that a split assignment divides it

Cause: doorpond-lab load sent no caller, so a group split over two policies sent all queries to one; doorpond compare had nothing to compare (446 queries against 0). Ruled out: splitting by query (a caller must keep its policy).

--- a/cmd/doorpond-lab/load.go
+++ b/cmd/doorpond-lab/load.go
@@ -21,6 +21,7 @@
 	flagConcurrency = "concurrency"
 	flagGroup       = "group"
 	flagSearch      = "search"
+	flagCallers     = "callers"
 )
 
 // The defaults of a load run.
@@ -28,6 +29,7 @@
 	defaultRate        = 100
 	defaultDuration    = 10 * time.Second
 	defaultConcurrency = 10_000
+	defaultCallers     = 64
 )
 
 func loadCommand() *cli.Command {
@@ -42,6 +44,7 @@
 			&cli.DurationFlag{Name: flagDuration, Value: defaultDuration, Usage: "how long new queries start"},
 			&cli.IntFlag{Name: flagConcurrency, Value: defaultConcurrency, Usage: "greatest number of queries in flight"},
 			&cli.StringFlag{Name: flagGroup, Value: "load", Usage: "caller group"},
+			&cli.IntFlag{Name: flagCallers, Value: defaultCallers, Usage: "number of callers in the group, over which a split assignment divides"},
 			&cli.StringFlag{Name: flagSearch, Value: corpus.Cards, Usage: "corpus to search: cards, cues or hollow"},
 			&cli.StringFlag{Name: flagCorpus, Usage: "draw queries from the files under `DIRECTORY` (default: the corpus built in)"},
 			&cli.Uint64Flag{Name: flagSeed, Value: 1, Usage: "seed of the times and the queries"},
@@ -55,12 +58,16 @@
 	if err != nil {
 		return err
 	}
+	callers := command.Int(flagCallers)
+	if callers < 1 {
+		return eris.Errorf("--%s %d is not above 0", flagCallers, callers)
+	}
 	report, err := load.Run(ctx, load.Options{
 		URLs:        command.StringSlice(flagURL),
 		Rate:        command.Float(flagRate),
 		Duration:    command.Duration(flagDuration),
 		Concurrency: command.Int(flagConcurrency),
-		Source:      source,
+		Source:      load.Callers(source, callers),
 		Seed:        command.Uint64(flagSeed),
 		Client:      loadClient(command.Int(flagConcurrency)),
 	})
--- a/internal/lab/load/load_test.go
+++ b/internal/lab/load/load_test.go
@@ -122,3 +122,18 @@
 		}
 	}
 }
+
+func TestCallersAreDrawnEvenly(t *testing.T) {
+	const number, queries = 4, 4000
+	source := Callers(Fixed(client.Query{Group: "editors", Phrase: "x"}), number)
+	random := rand.New(rand.NewPCG(1, 1))
+	drawn := make(map[string]int)
+	for range queries {
+		drawn[source(random).Caller]++
+	}
+	for caller, count := range drawn {
+		if len(drawn) != number || count < queries/number*9/10 {
+			t.Errorf("%s sent %d of %d queries; %d callers in all", caller, count, queries, len(drawn))
+		}
+	}
+}
--- a/internal/lab/load/source.go
+++ b/internal/lab/load/source.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"strings"
 
 	"github.com/doorpond/doorpond/client"
@@ -49,3 +50,13 @@
 func Fixed(query client.Query) Source {
 	return func(*rand.Rand) client.Query { return query }
 }
+
+// Callers spreads the queries of a source evenly over a number of callers, so
+// that a split assignment sends some to each of its policies.
+func Callers(source Source, number int) Source {
+	return func(random *rand.Rand) client.Query {
+		query := source(random)
+		query.Caller = "caller-" + strconv.Itoa(random.IntN(number))
+		return query
+	}
+}
