--- a/internal/simulation/system/calls.go
+++ b/internal/simulation/system/calls.go
@@ -50,6 +50,8 @@
 	answer   func(once.Action)
 	// executions is how often back ends ran it, for the checks.
 	executions int
+	// answered is true once its caller has its answer.
+	answered bool
 	// saidNotRun is true once its caller was told that it did not run.
 	saidNotRun bool
 }
@@ -70,7 +72,8 @@
 	}
 	d.world.checks.flightBegins(started)
 	if refused := s.fence.Admit(); refused != nil {
-		started.execute(once.Action{Kind: once.ActionAnswer, Failure: refused})
+		started.step(once.Event{Kind: once.EventSending})
+		started.step(once.Event{Kind: once.EventNotApplied, Failure: refused})
 		return started
 	}
 	d.process.After(deadline.Sub(d.now()), func() {
@@ -177,6 +180,10 @@
 		d.process.After(0, func() { d.world.spawn(d.process, func(t *task) { t.flight = f }, f.dispatch) })
 	case once.ActionAnswer:
 		f.saidNotRun = action.Failure != nil && action.Failure.NotRun
+		if f.answered {
+			f.service.daemon.world.violate(PromiseAnswer, "call %s at %s was answered twice", f.call.Key, f.service.daemon.id)
+		}
+		f.answered = true
 		f.answer(action)
 	case once.ActionRecord:
 		finished := f.record.Done(action.Result, keptResult, d.now().UnixMilli())
