--- a/internal/policytable/commit.go
+++ b/internal/policytable/commit.go
@@ -58,7 +58,7 @@
 func (e *Editor) checkNotRegressed(current *stored) error {
 	inForce, _ := e.register.Current(document.Table)
 	if current.table.Revision < inForce.Revision {
-		detail := fmt.Sprintf("the store holds revision %d, in force is %d; see \"doorpond policy restore\"",
+		detail := fmt.Sprintf("the store holds revision %d, in force is %d; see \"doorpond restore\"",
 			current.table.Revision, inForce.Revision)
 		return failure.Wrap(errRegressed, failure.StoreRegressed, detail)
 	}
--- a/internal/simulation/system/checks.go
+++ b/internal/simulation/system/checks.go
@@ -147,7 +147,7 @@
 func (c *checks) stopped(d *daemon) {
 	c.figures.Stops++
 	c.figures.CutOff += d.inFlight
-	if d.inFlight > 0 {
+	if d.inFlight != 0 { // fewer than none would hide one that was cut off
 		c.world.violate(PromiseStop, "%s was stopped with %d requests in flight", d.id, d.inFlight)
 	}
 }
