--- /dev/null
+++ b/cmd/doorpond-edge/main.go
@@ -0,0 +1,87 @@
+// Command doorpond-edge is a node that serves callers who run no process of
+// ours, on the users' platform.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/doorpond/doorpond/internal/edge"
+	"github.com/doorpond/doorpond/internal/eventlog"
+	"github.com/doorpond/doorpond/internal/settings"
+	"github.com/doorpond/doorpond/platform"
+)
+
+// The exit codes.
+const (
+	exitFailed          = 1
+	exitInvalidSettings = 2
+)
+
+// collectorPercent keeps the heap small: memory is dear on these machines, and
+// processor time is not (docs/MEASUREMENTS.md).
+const collectorPercent = 50
+
+func main() {
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(collectorPercent)
+	}
+	err := command().Run(context.Background(), os.Args)
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "doorpond-edge:", err)
+	var invalid *settings.Error
+	if errors.As(err, &invalid) {
+		os.Exit(exitInvalidSettings)
+	}
+	os.Exit(exitFailed)
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:    "doorpond-edge",
+		Usage:   "take callers' requests and pass them on to the replicas that the store lists",
+		Version: edge.Version,
+		Description: `Settings come from the YAML file that --config or ` + platform.SettingsVariable + ` names.
+Exit codes: 0 stopped as planned, 1 failed, 2 settings refused.
+SIGTERM or SIGINT starts the planned stop.`,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "config", Usage: "settings `FILE`", Sources: cli.EnvVars(platform.SettingsVariable), Required: true},
+		},
+		Commands: []*cli.Command{{
+			Name: "check", Usage: "check the settings file and do nothing else",
+			Action: func(_ context.Context, command *cli.Command) error {
+				_, err := edge.LoadSettings(command.String("config"))
+				return err
+			},
+		}},
+		Action: run,
+	}
+}
+
+func run(ctx context.Context, command *cli.Command) error {
+	loaded, err := edge.LoadSettings(command.String("config"))
+	if err != nil {
+		return err
+	}
+	lines := eventlog.NewWriter(os.Stdout)
+	defer lines.Close()
+	node, err := edge.New(edge.Options{
+		Settings: loaded, Platform: platform.Platform(loaded), Logger: slog.New(slog.NewJSONHandler(lines, nil)),
+	})
+	if err != nil {
+		return err
+	}
+	stopping, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return node.Run(stopping)
+}
--- a/internal/blackboard/board.go
+++ b/internal/blackboard/board.go
@@ -5,6 +5,7 @@
 
 	"github.com/doorpond/doorpond/internal/catalogue"
 	"github.com/doorpond/doorpond/internal/policy"
+	"github.com/doorpond/doorpond/internal/routing"
 	"github.com/doorpond/doorpond/internal/topology"
 )
 
@@ -40,6 +41,10 @@
 type Board struct {
 	// Table is written by package policytable.
 	Table Section[policy.Index]
+	// Routes is written by package follower.
+	Routes Section[routing.Table]
+	// Nodes is written by package follower.
+	Nodes Section[topology.Nodes]
 	// Catalogue is written by package document's catalogue follower.
 	Catalogue Section[catalogue.Catalogue]
 	// Members is written by package membership.
--- a/internal/decision/choice.go
+++ b/internal/decision/choice.go
@@ -24,7 +24,10 @@
 	// BackingOff is true until the time to come back that the replica named
 	// when it last refused for load.
 	BackingOff bool
-	Tried      bool
+	// Silent is true while it holds requests and has answered none for longer
+	// than is usual.
+	Silent bool
+	Tried  bool
 	// ConnectionAvailable is false when the connection budget is used up.
 	ConnectionAvailable bool
 }
@@ -37,8 +40,8 @@
 // ChooseReplica picks by power of two choices in each ring of distance, and
 // prefers the nearer ring's pick until it is expected to take as many times
 // longer as the rings' weights are apart. Replicas that are saturated, then
-// ones that refused for load, and then ejected ones are taken only when no
-// other is left, so that ejection never empties a group.
+// silent ones, then ones that refused for load, and then ejected ones are taken
+// only when no other is left, so that ejection never empties a group.
 // The candidates' unknown latencies are filled in.
 func ChooseReplica(candidates []Candidate, weights policy.Replicas, random uint64) int {
 	return chooseUpTo(passEjected, candidates, weights, random)
@@ -48,7 +51,7 @@
 // not sent to replicas that refuse or are ejected: it would most likely be
 // wasted, and multiply the load of an outage.
 func ChooseAnother(candidates []Candidate, weights policy.Replicas, random uint64) int {
-	return chooseUpTo(passSaturated, candidates, weights, random)
+	return chooseUpTo(passSilent, candidates, weights, random)
 }
 
 func chooseUpTo(last pass, candidates []Candidate, weights policy.Replicas, random uint64) int {
@@ -85,6 +88,7 @@
 const (
 	passRoom pass = iota
 	passSaturated
+	passSilent
 	passBackingOff
 	passEjected
 )
@@ -106,8 +110,10 @@
 	}
 	switch p {
 	case passRoom:
-		return !c.Ejected && !c.BackingOff && c.InFlight < c.Limit
+		return !c.Ejected && !c.BackingOff && !c.Silent && c.InFlight < c.Limit
 	case passSaturated:
+		return !c.Ejected && !c.BackingOff && !c.Silent
+	case passSilent:
 		return !c.Ejected && !c.BackingOff
 	case passBackingOff:
 		return !c.Ejected
--- a/internal/decision/event.go
+++ b/internal/decision/event.go
@@ -23,8 +23,23 @@
 	NoReplica
 	// DeadlinePassed: the replica refused because the time was over.
 	DeadlinePassed
+	// Unreached: no byte was sent, as no connection came up.
+	Unreached
+	// Elsewhere: another process answers at the address; it did not run it.
+	Elsewhere
 )
 
+// provesNotRun is true for the outcomes after which the replica certainly has
+// not run the sub-request and never will.
+func (o Outcome) provesNotRun() bool {
+	switch o {
+	case Shed, Draining, SnapshotNotHeld, NoReplica, DeadlinePassed, Unreached, Elsewhere:
+		return true
+	default:
+		return false
+	}
+}
+
 // EventKind tells the events apart.
 type EventKind uint8
 
@@ -38,10 +53,13 @@
 	TimerFired
 	// GaveUp reports that the caller no longer waits.
 	GaveUp
+	// Dispatched reports to which replica a Send went, by its HedgeDelay.
+	Dispatched
 )
 
 // Event is one input of Query.Step. Shard, Attempt and Outcome belong to
-// Replied; Shard is an index into Plan.Shards.
+// Replied; Shard, Attempt and HedgeDelay to Dispatched. Shard is an index into
+// Plan.Shards.
 type Event struct {
 	Kind    EventKind
 	Shard   int
@@ -50,6 +68,9 @@
 	// OtherSnapshot is true when the query could start anew on another
 	// snapshot; it ends as soon as a shard's replicas do not hold this one.
 	OtherSnapshot bool
+	// HedgeDelay is the wait, from now on, after which the chosen replica is
+	// late; 0 leaves the plan's.
+	HedgeDelay time.Duration
 	// RetryAfter is when the replica wants the next request, 0 if it did not
 	// say. Another replica may be asked at once.
 	RetryAfter time.Duration
--- a/internal/decision/plan.go
+++ b/internal/decision/plan.go
@@ -32,6 +32,17 @@
 	Policy *policy.Row
 	// Deadline is counted from the query's start.
 	Deadline time.Duration
+	// AnswerBy, counted from the query's start, is the time from which on the
+	// query ends as soon as LeastShards have answered: by then waiting for the
+	// rest costs more than they add. 0 means that it always waits for the rest.
+	AnswerBy time.Duration
+	// LeastShards is the number of shards without which there is no answer; the
+	// query ends at once when it can no longer be reached. 0 means that any
+	// number is an answer.
+	LeastShards int
+	// RunsOnce is true when no sub-request may run twice: there are no hedges,
+	// and another attempt is made only after proof that none has run.
+	RunsOnce bool
 }
 
 // ShardStatus is what became of one shard. Reason is empty when it answered.
--- a/internal/decision/query.go
+++ b/internal/decision/query.go
@@ -20,9 +20,11 @@
 	attempts int
 	inFlight uint16
 	hedgeAt  time.Duration
-	settled  bool
-	hedgeOff bool
-	status   ShardStatus
+	// hedgeDelay is the wait before the next look at the hedge.
+	hedgeDelay time.Duration
+	settled    bool
+	hedgeOff   bool
+	status     ShardStatus
 }
 
 // Query decides one query. It is not safe for concurrent use.
@@ -75,6 +77,8 @@
 		q.fire(now)
 	case GaveUp:
 		q.finish(CallerGaveUp, client.MissingTimeout)
+	case Dispatched:
+		q.dispatched(now, event)
 	}
 	q.settle(now)
 	return q.actions
@@ -101,14 +105,32 @@
 	state.attempts++
 	state.inFlight |= 1 << attempt
 	state.hedgeAt = never
-	if plan.HedgeDelay > 0 && !state.hedgeOff && state.attempts < q.attemptLimit() {
+	if plan.HedgeDelay > 0 && q.mayHedge(state) {
 		state.hedgeAt = now + plan.HedgeDelay
+		state.hedgeDelay = plan.HedgeDelay
 	}
 	q.actions = append(q.actions, Action{
 		Kind: Send, Shard: shard, Attempt: attempt, Hedge: hedge, Timeout: q.plan.Deadline - now,
 	})
 }
 
+// dispatched sets the hedge by what is usual for the chosen replica.
+func (q *Query) dispatched(now time.Duration, event Event) {
+	state := &q.shards[event.Shard]
+	latest := event.Attempt == state.attempts-1
+	if event.HedgeDelay <= 0 || !latest || state.settled || !q.mayHedge(state) {
+		return
+	}
+	state.hedgeAt = now + event.HedgeDelay
+	state.hedgeDelay = event.HedgeDelay
+	q.wakeBy(state.hedgeAt)
+}
+
+// mayHedge is true while another attempt beside those in flight is allowed.
+func (q *Query) mayHedge(state *shardState) bool {
+	return !q.plan.RunsOnce && !state.hedgeOff && state.attempts < q.attemptLimit()
+}
+
 func (q *Query) attemptLimit() int { return min(q.plan.Policy.Retry.Attempts, maxAttempts) }
 
 func (q *Query) replied(now time.Duration, event Event) {
@@ -149,7 +171,7 @@
 
 func (o Outcome) missing() client.MissingReason {
 	switch o {
-	case Shed, Draining:
+	case Shed, Draining, Elsewhere:
 		return client.MissingShed
 	case SnapshotNotHeld:
 		return client.MissingSnapshot
@@ -168,8 +190,12 @@
 	if outcome == DeadlinePassed || !q.mayAttempt(now, shard) {
 		return false
 	}
-	if outcome == Draining || outcome == SnapshotNotHeld {
-		return true // refused before any work; the attempt limit bounds these
+	if q.plan.RunsOnce && !outcome.provesNotRun() {
+		return false
+	}
+	switch outcome {
+	case Draining, SnapshotNotHeld, Unreached:
+		return true // no work came to the replicas; the attempt limit bounds these
 	}
 	return q.withdraw(shard)
 }
@@ -233,7 +259,7 @@
 		case q.withdrawHedge(i):
 			q.send(now, i, true)
 		default:
-			state.hedgeAt = now + q.plan.Shards[i].HedgeDelay // the budget may be better off then
+			state.hedgeAt = now + state.hedgeDelay // the budget may be better off then
 		}
 	}
 }
@@ -250,11 +276,27 @@
 		q.finish(DeadlineReached, client.MissingTimeout)
 	case now >= q.graceAt:
 		q.finish(CompleteEnough, client.MissingComplete)
+	case q.outOfReach():
+		q.finish(AllSettled, client.MissingFailed)
+	case q.mayAnswer() && now >= q.plan.AnswerBy:
+		q.finish(CompleteEnough, client.MissingComplete)
 	default:
 		q.setTimer()
 	}
 }
 
+// outOfReach is true when too few shards can still answer.
+func (q *Query) outOfReach() bool {
+	lost := q.settled - q.answered
+	return q.plan.LeastShards > 0 && len(q.shards)-lost < q.plan.LeastShards
+}
+
+// mayAnswer is true when the plan names a time to answer and enough shards
+// have answered.
+func (q *Query) mayAnswer() bool {
+	return q.plan.AnswerBy > 0 && q.answered > 0 && q.answered >= q.plan.LeastShards
+}
+
 func (q *Query) settledReason() FinishReason {
 	if q.otherSnapshot && q.snapshotLost {
 		return SnapshotLost
@@ -267,6 +309,9 @@
 // sends; all of them are looked at after the timer has fired.
 func (q *Query) setTimer() {
 	next := min(q.plan.Deadline, q.graceAt)
+	if q.mayAnswer() {
+		next = min(next, q.plan.AnswerBy)
+	}
 	if q.timerAt == never {
 		for i := range q.shards {
 			next = min(next, q.hedgeTime(i))
@@ -278,9 +323,14 @@
 			}
 		}
 	}
-	if next < q.timerAt {
-		q.timerAt = next
-		q.actions = append(q.actions, Action{Kind: SetTimer, At: next})
+	q.wakeBy(next)
+}
+
+// wakeBy brings the timer forward.
+func (q *Query) wakeBy(at time.Duration) {
+	if at < q.timerAt {
+		q.timerAt = at
+		q.actions = append(q.actions, Action{Kind: SetTimer, At: at})
 	}
 }
 
--- /dev/null
+++ b/internal/edge/edge.go
@@ -0,0 +1,258 @@
+// Package edge assembles the node that serves callers who run no process of
+// ours: it takes their requests, passes them on to the replicas that the store
+// lists, and tells callers which nodes to use. All nodes are equal, and none
+// keeps anything on a disk.
+package edge
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/doorpond/doorpond/internal/admission"
+	"github.com/doorpond/doorpond/internal/blackboard"
+	"github.com/doorpond/doorpond/internal/directory"
+	"github.com/doorpond/doorpond/internal/drain"
+	"github.com/doorpond/doorpond/internal/follower"
+	"github.com/doorpond/doorpond/internal/ingress"
+	"github.com/doorpond/doorpond/internal/query"
+	"github.com/doorpond/doorpond/internal/registry"
+	"github.com/doorpond/doorpond/internal/replica"
+	"github.com/doorpond/doorpond/internal/topology"
+	"github.com/doorpond/doorpond/internal/upstream"
+)
+
+// Version is the program's version.
+const Version = "0.2.0"
+
+// Store is the store that a node reads and writes.
+type Store interface {
+	follower.Source
+	registry.Store
+}
+
+// Codec speaks the protocols of callers, replicas and operators.
+type Codec interface {
+	upstream.Codec
+	ingress.Codec
+	follower.Decoder
+}
+
+// Platform is what a node stands on.
+type Platform struct {
+	Store Store
+	Codec Codec
+	Keys  follower.Keys
+	// Ready and Directory make the handlers of the platform's calls.
+	Ready     func(ready func() bool) http.Handler
+	Directory func(resolve func(caller topology.Place) (directory.Answer, bool)) http.Handler
+}
+
+// Options are what a Node is made of.
+type Options struct {
+	Settings Settings
+	Platform Platform
+	Logger   *slog.Logger
+}
+
+// The constants of a node.
+const (
+	// entryTTL is how long a node's entry outlives it, if the store allows so
+	// little.
+	entryTTL = 3 * time.Second
+	// leastNodes is how many nodes a caller should know.
+	leastNodes = 2
+	// directoryShare is the part of the longest time to keep addresses that is
+	// given: some callers keep them for three times as long as they are told.
+	directoryShare = 0.3
+	// headerTimeout and idleTimeout bound what a caller may do with a
+	// connection; callers keep to the operators' smaller limits.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 60 * time.Second
+	// maxHeaderBytes is net/http's limit; callers keep to the operators' own.
+	maxHeaderBytes = 64 << 10
+	// vanishedShare of the drain time is how long a replica whose entry is gone
+	// may still be asked; the rest is for the time to hear of it.
+	vanishedShare = 0.4
+)
+
+// Node is one edge node.
+type Node struct {
+	settings  Settings
+	platform  Platform
+	logger    *slog.Logger
+	board     *blackboard.Board
+	metrics   *prometheus.Registry
+	pool      *replica.Pool
+	queries   *query.Service
+	follower  *follower.Follower
+	registry  *registry.Registry
+	callers   *drain.Listener
+	open      drain.Connections
+	server    *http.Server
+	auxiliary []*auxiliary
+}
+
+// auxiliary is a listener beside that of the callers.
+type auxiliary struct {
+	name     string
+	listener net.Listener
+	server   *http.Server
+}
+
+// New assembles a node and opens its listeners. Run serves them.
+func New(options Options) (*Node, error) {
+	n := &Node{
+		settings: options.Settings, platform: options.Platform, logger: options.Logger, board: &blackboard.Board{},
+	}
+	if n.logger == nil {
+		n.logger = slog.New(slog.DiscardHandler)
+	}
+	n.enter(blackboard.PhaseStarting)
+	n.assemble()
+	if err := n.listen(); err != nil {
+		return nil, err
+	}
+	return n, nil
+}
+
+func (n *Node) enter(phase blackboard.Phase) { n.board.Phase.Publish(&phase) }
+
+func (n *Node) assemble() {
+	place := topology.Place{Region: n.settings.Region, Zone: n.settings.Zone}
+	self := topology.Node{ID: n.settings.Node, Address: n.settings.Callers, Place: place, Ready: true}
+	var registerer prometheus.Registerer
+	if n.settings.Metrics != "" {
+		n.metrics = prometheus.NewRegistry()
+		registerer = n.metrics
+	}
+	budgets := newBudgets(n.board, n.settings.Bounds)
+	n.pool = replica.NewPool(replica.PoolOptions{
+		Board: n.board, Self: place, Codec: n.platform.Codec, GroupBudget: budgets.of, Registerer: registerer,
+	})
+	n.queries = query.NewService(query.Options{
+		Board: n.board, Pool: n.pool, Registerer: registerer,
+		Admission: admission.New(admission.Options{Registerer: registerer}),
+	})
+	n.follower = follower.New(follower.Options{
+		Source: n.platform.Store, Decoder: n.platform.Codec, Keys: n.platform.Keys, Board: n.board,
+		Regions: n.settings.Regions, Self: self, Logger: n.logger,
+		VanishedFor: time.Duration(vanishedShare * float64(n.settings.Bounds.Drain)),
+	})
+	n.registry = registry.New(registry.Options{
+		Store: n.platform.Store, Key: n.platform.Keys.Nodes + n.settings.Node, TTL: max(entryTTL, n.settings.Store.LeastTTL),
+		Node: func() topology.Node {
+			self.Ready = n.ready()
+			return self
+		},
+		Logger: n.logger,
+	})
+}
+
+// ready tells whether the node takes new callers.
+func (n *Node) ready() bool {
+	return *n.board.Phase.Load() == blackboard.PhaseServing &&
+		n.board.Routes.Load() != nil && n.board.Replicas.Load() != nil
+}
+
+func (n *Node) resolve(caller topology.Place) (directory.Answer, bool) {
+	ttl := time.Duration(directoryShare * float64(n.settings.Bounds.DirectoryTTL))
+	return directory.Resolve(n.board.Nodes.Load(), caller, directory.Options{TTL: ttl, LeastNodes: leastNodes})
+}
+
+// listen opens all listeners or none.
+func (n *Node) listen() error {
+	callers, err := drain.Listen(n.settings.Callers)
+	if err != nil {
+		return err
+	}
+	n.callers = callers
+	n.server = n.newServer(ingress.New(ingress.Options{
+		Board: n.board, Codec: n.platform.Codec, Forwarder: n.queries, Logger: n.logger,
+	}))
+	n.open.Follow(n.server)
+	n.addAuxiliary("readiness", n.settings.Readiness, n.platform.Ready(n.ready))
+	n.addAuxiliary("directory", n.settings.Directory, n.platform.Directory(n.resolve))
+	if n.metrics != nil {
+		n.addAuxiliary("metrics", n.settings.Metrics, promhttp.HandlerFor(n.metrics, promhttp.HandlerOpts{}))
+	}
+	for _, one := range n.auxiliary {
+		if one.listener, err = net.Listen("tcp", one.server.Addr); err != nil {
+			n.close()
+			return eris.Wrapf(err, "listen for %s", one.name)
+		}
+	}
+	return nil
+}
+
+func (n *Node) newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: slog.NewLogLogger(n.logger.Handler(), slog.LevelDebug),
+	}
+}
+
+func (n *Node) addAuxiliary(name, address string, handler http.Handler) {
+	server := n.newServer(handler)
+	server.Addr = address
+	n.auxiliary = append(n.auxiliary, &auxiliary{name: name, server: server})
+}
+
+func (n *Node) close() {
+	_ = n.server.Close() // nothing is left to lose
+	_ = n.callers.Close()
+	for _, one := range n.auxiliary {
+		_ = one.server.Close()
+	}
+}
+
+// Run serves until ctx ends, then goes through the planned stop.
+func (n *Node) Run(ctx context.Context) error {
+	control, stopControl := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopControl()
+	group, running := errgroup.WithContext(control)
+	recording, stopRecording := context.WithCancel(running)
+	defer stopRecording()
+	recorded := make(chan struct{})
+	group.Go(func() error { return n.follower.Run(running) })
+	group.Go(func() error {
+		defer close(recorded)
+		return n.registry.Run(recording)
+	})
+	group.Go(func() error { return serve(n.server, n.callers) })
+	for _, one := range n.auxiliary {
+		group.Go(func() error { return serve(one.server, one.listener) })
+	}
+	n.enter(blackboard.PhaseServing)
+	n.logger.Info("started", "node", n.settings.Node, "version", Version, "zone", n.settings.Zone, "callers", n.settings.Callers)
+	select {
+	case <-ctx.Done():
+		n.stop(func() {
+			stopRecording()
+			<-recorded
+		})
+	case <-running.Done():
+	}
+	n.close()
+	stopControl()
+	err := group.Wait()
+	n.pool.Close()
+	n.logger.Info("stopped", "node", n.settings.Node)
+	return err
+}
+
+func serve(server *http.Server, listener net.Listener) error {
+	err := server.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return eris.Wrapf(err, "serve on %s", listener.Addr())
+}
--- /dev/null
+++ b/internal/edge/settings.go
@@ -0,0 +1,62 @@
+package edge
+
+import (
+	"time"
+
+	"github.com/doorpond/doorpond/internal/settings"
+)
+
+// Settings is everything that an edge node is told at its start.
+type Settings struct {
+	// Node names the machine; Region and Zone are where it stands.
+	Node   string `yaml:"node" validate:"required"`
+	Region string `yaml:"region" validate:"required"`
+	Zone   string `yaml:"zone" validate:"required"`
+	// Regions names the region of each zone.
+	Regions map[string]string `yaml:"regions"`
+
+	// Callers, Readiness and Directory are IP:port of the listeners.
+	Callers   string `yaml:"callers" validate:"hostname_port_ip"`
+	Readiness string `yaml:"readiness" validate:"hostname_port_ip"`
+	Directory string `yaml:"directory" validate:"hostname_port_ip"`
+	// Metrics is IP:port of the metrics listener; empty means none.
+	Metrics string `yaml:"metrics" validate:"omitempty,hostname_port_ip"`
+
+	Store  StoreSettings  `yaml:"store"`
+	Limits LimitSettings  `yaml:"limits"`
+	Bounds BoundsSettings `yaml:"bounds"`
+}
+
+// StoreSettings is the platform's store.
+type StoreSettings struct {
+	URL      string        `yaml:"url" validate:"required,http_url"`
+	LeastTTL time.Duration `yaml:"least_ttl" validate:"gte=0,lte=10m"`
+}
+
+// LimitSettings is what the node may use.
+type LimitSettings struct {
+	MemoryMegabytes int `yaml:"memory_mb" validate:"gte=0"`
+}
+
+// BoundsSettings is what the system promises.
+type BoundsSettings struct {
+	// Drain is the time after which a leaving replica must receive no request.
+	Drain time.Duration `yaml:"drain" validate:"gt=0,lte=10m"`
+	// Grace is the time from the signal to stop to the end of the process.
+	Grace time.Duration `yaml:"grace" validate:"gt=0,lte=10m"`
+	// Apply is the time within which a configuration must be in force.
+	Apply time.Duration `yaml:"apply" validate:"gt=0,lte=10m"`
+	// RetryRatio and RetrySlack bound hedges and retries of all nodes to one
+	// service: the ratio of its requests and the slack in each window.
+	RetryRatio float64 `yaml:"retry_ratio" validate:"gte=0,lte=10"`
+	RetrySlack float64 `yaml:"retry_slack" validate:"gte=0"`
+	// DirectoryTTL is the longest time for which callers keep addresses.
+	DirectoryTTL time.Duration `yaml:"directory_ttl" validate:"gt=0,lte=10m"`
+}
+
+// LoadSettings reads and checks a settings file.
+func LoadSettings(path string) (Settings, error) {
+	var loaded Settings
+	err := settings.LoadInto(path, &loaded)
+	return loaded, err
+}
--- /dev/null
+++ b/internal/edge/stop.go
@@ -0,0 +1,54 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"github.com/doorpond/doorpond/internal/blackboard"
+)
+
+// The parts of the grace time of a planned stop.
+const (
+	// acceptShare is for how long new connections are still taken, for callers
+	// that keep this node's address.
+	acceptShare = 0.55
+	// endShare is by when all is over.
+	endShare = 0.92
+	// quietShare is how long the connections that are left must have been idle
+	// before they are closed.
+	quietShare = 0.15
+	// leaveTimeout bounds the removal of the node's entry.
+	leaveTimeout = 500 * time.Millisecond
+)
+
+// stop is the planned stop: the node is not ready any more and leaves the
+// directory at once; it serves what still comes, ending each connection with
+// its answer; then the port is closed, and what is in flight is waited for.
+func (n *Node) stop(stopRecording func()) {
+	grace := n.settings.Bounds.Grace
+	started := time.Now()
+	n.enter(blackboard.PhaseDraining)
+	n.logger.Info("stopping", "node", n.settings.Node, "grace", grace.String(), "connections", n.open.Count())
+	stopRecording()
+	leaving, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	if err := n.registry.Leave(leaving); err != nil {
+		n.logger.Warn("this node's entry stays until its lease ends", "error", err.Error())
+	}
+	cancel()
+	time.Sleep(time.Until(started.Add(shareOf(acceptShare, grace))))
+	if err := n.callers.TurnOff(); err != nil {
+		n.logger.Warn("the callers' port was not closed cleanly", "error", err.Error())
+	}
+	n.enter(blackboard.PhaseClosing)
+	bounded, cancel := context.WithDeadline(context.Background(), started.Add(shareOf(endShare, grace)))
+	defer cancel()
+	_ = n.open.AwaitQuiet(bounded, shareOf(quietShare, grace)) // Shutdown waits for the rest
+	if err := n.server.Shutdown(bounded); err != nil {
+		n.logger.Warn("requests were cut off", "connections", n.open.Count(), "error", err.Error())
+	}
+	n.enter(blackboard.PhaseStopped)
+}
+
+func shareOf(share float64, whole time.Duration) time.Duration {
+	return time.Duration(share * float64(whole))
+}
--- /dev/null
+++ b/internal/follower/state.go
@@ -0,0 +1,229 @@
+package follower
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/doorpond/doorpond/internal/routing"
+	"github.com/doorpond/doorpond/internal/store"
+	"github.com/doorpond/doorpond/internal/topology"
+)
+
+// sharedMemory is how long a node that is gone still counts for what nodes
+// share: it may be there and have lost its entry only.
+const sharedMemory = 30 * time.Second
+
+// state is what the follower knows. It belongs to the follower's goroutine.
+type state struct {
+	options  *Options
+	replicas map[string]replicaEntry
+	nodes    map[string]nodeEntry
+	// lastSeen says when a node's entry was there last.
+	lastSeen map[string]time.Time
+
+	table           *routing.Table
+	replicasChanged bool
+	nodesChanged    bool
+	tableChanged    bool
+}
+
+type replicaEntry struct {
+	replica  topology.Replica
+	revision int64
+	// goneAt is when the entry was found to be gone; zero while it is there.
+	goneAt time.Time
+}
+
+type nodeEntry struct {
+	node     topology.Node
+	revision int64
+}
+
+func newState(options *Options) *state {
+	return &state{
+		options:  options,
+		replicas: make(map[string]replicaEntry),
+		nodes:    make(map[string]nodeEntry),
+		lastSeen: make(map[string]time.Time),
+	}
+}
+
+// replace takes in a whole reading: entries that it lacks are gone.
+func (s *state) replace(now time.Time, values []store.KeyValue) {
+	present := make(map[string]bool, len(values))
+	for _, value := range values {
+		present[value.Key] = true
+		s.put(value)
+	}
+	for key := range s.replicas {
+		if !present[key] {
+			s.remove(now, key)
+		}
+	}
+	for key := range s.nodes {
+		if !present[key] {
+			s.remove(now, key)
+		}
+	}
+}
+
+// apply takes in one event of a watch.
+func (s *state) apply(now time.Time, event store.Event) {
+	if event.Deleted {
+		s.remove(now, event.KeyValue.Key)
+		return
+	}
+	s.put(event.KeyValue)
+}
+
+func (s *state) put(value store.KeyValue) {
+	switch {
+	case value.Key == s.options.Keys.Configuration:
+		s.putTable(value)
+	case hasPrefix(value.Key, s.options.Keys.Replicas):
+		s.putReplica(value)
+	case hasPrefix(value.Key, s.options.Keys.Nodes):
+		s.putNode(value)
+	}
+}
+
+// putTable takes over a configuration that is newer than the one in force:
+// the version never goes back.
+func (s *state) putTable(value store.KeyValue) {
+	table, err := s.options.Decoder.Routes(value.Value)
+	if err != nil {
+		s.options.Logger.Error("configuration refused; keeping the one in force", "error", err.Error(), "revision", value.ModRevision)
+		return
+	}
+	if s.table != nil && table.Version <= s.table.Version {
+		return
+	}
+	s.table = table
+	s.tableChanged = true
+	s.replicasChanged = true // the limits of connections are the services'
+}
+
+func (s *state) putReplica(value store.KeyValue) {
+	known, found := s.replicas[value.Key]
+	if found && value.ModRevision < known.revision {
+		return
+	}
+	replica, err := s.options.Decoder.Replica(value.Key, value.Value)
+	if err != nil {
+		s.options.Logger.Error("replica's entry refused", "error", err.Error())
+		return
+	}
+	replica.Place.Region = s.options.Regions[replica.Place.Zone]
+	if found && known.goneAt.IsZero() && known.replica == replica {
+		known.revision = value.ModRevision
+		s.replicas[value.Key] = known
+		return
+	}
+	s.replicas[value.Key] = replicaEntry{replica: replica, revision: value.ModRevision}
+	s.replicasChanged = true
+	if replica.State == topology.ReplicaLeaving {
+		s.options.Logger.Info("replica leaving", "address", replica.Address, "incarnation", replica.Incarnation, "revision", value.ModRevision)
+	}
+}
+
+func (s *state) putNode(value store.KeyValue) {
+	known, found := s.nodes[value.Key]
+	if found && value.ModRevision < known.revision {
+		return
+	}
+	var node topology.Node
+	if err := json.Unmarshal(value.Value, &node); err != nil {
+		s.options.Logger.Error("node's entry refused", "key", value.Key, "error", err.Error())
+		return
+	}
+	s.nodesChanged = s.nodesChanged || !found || known.node != node
+	s.nodes[value.Key] = nodeEntry{node: node, revision: value.ModRevision}
+}
+
+func (s *state) remove(now time.Time, key string) {
+	if known, found := s.replicas[key]; found && known.goneAt.IsZero() {
+		known.goneAt = now
+		s.replicas[key] = known
+		s.replicasChanged = true
+		s.options.Logger.Info("replica gone", "address", known.replica.Address, "incarnation", known.replica.Incarnation)
+	}
+	if known, found := s.nodes[key]; found {
+		delete(s.nodes, key)
+		s.lastSeen[known.node.ID] = now
+		s.nodesChanged = true
+	}
+}
+
+// publish writes what has changed to the blackboard.
+func (s *state) publish(now time.Time) {
+	s.forget(now)
+	if s.tableChanged {
+		s.options.Board.Routes.Publish(s.table)
+		s.options.Logger.Info("configuration in force", "version", s.table.Version, "routes", len(s.table.Routes))
+	}
+	if s.replicasChanged {
+		s.options.Board.Replicas.Publish(&topology.Replicas{Groups: s.groups()})
+	}
+	if s.nodesChanged || s.options.Board.Nodes.Load() == nil {
+		s.publishNodes()
+	}
+	s.tableChanged, s.replicasChanged, s.nodesChanged = false, false, false
+}
+
+// forget drops replicas that have been gone for long enough.
+func (s *state) forget(now time.Time) {
+	for key, entry := range s.replicas {
+		if !entry.goneAt.IsZero() && now.Sub(entry.goneAt) >= s.options.VanishedFor {
+			delete(s.replicas, key)
+			s.replicasChanged = true
+		}
+	}
+	for id, seen := range s.lastSeen {
+		if now.Sub(seen) >= sharedMemory {
+			delete(s.lastSeen, id)
+			s.nodesChanged = true
+		}
+	}
+}
+
+func (s *state) groups() map[string][]topology.Replica {
+	groups := make(map[string][]topology.Replica)
+	for _, entry := range s.replicas {
+		replica := entry.replica
+		if !entry.goneAt.IsZero() && replica.State != topology.ReplicaLeaving {
+			replica.State = topology.ReplicaVanished
+		}
+		if s.table != nil {
+			replica.ConnectionLimit = s.table.Services[replica.Group].ConnectionLimit
+		}
+		groups[replica.Group] = append(groups[replica.Group], replica)
+	}
+	for _, replicas := range groups {
+		slices.SortFunc(replicas, func(a, b topology.Replica) int {
+			return cmp.Or(cmp.Compare(a.Address, b.Address), cmp.Compare(a.Incarnation, b.Incarnation))
+		})
+	}
+	return groups
+}
+
+func (s *state) publishNodes() {
+	nodes := &topology.Nodes{Self: s.options.Self}
+	members := &topology.Members{Self: member(s.options.Self)}
+	for _, entry := range s.nodes {
+		nodes.Nodes = append(nodes.Nodes, entry.node)
+		members.Members = append(members.Members, member(entry.node))
+		delete(s.lastSeen, entry.node.ID)
+	}
+	nodes.Shared = max(1, len(nodes.Nodes)+len(s.lastSeen))
+	slices.SortFunc(nodes.Nodes, func(a, b topology.Node) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(members.Members, func(a, b topology.Member) int { return cmp.Compare(a.ID, b.ID) })
+	s.options.Board.Nodes.Publish(nodes)
+	s.options.Board.Members.Publish(members)
+}
+
+// member is a node as those that divide connections see it.
+func member(node topology.Node) topology.Member {
+	return topology.Member{ID: node.ID, PeerAddress: node.PeerAddress, Place: node.Place}
+}
--- /dev/null
+++ b/internal/ingress/ingress.go
@@ -0,0 +1,199 @@
+// Package ingress takes callers' requests that are passed on as they are: it
+// finds the route, reads the request whole, hands it to the query service, and
+// writes the answer.
+package ingress
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/doorpond/doorpond/internal/blackboard"
+	"github.com/doorpond/doorpond/internal/failure"
+	"github.com/doorpond/doorpond/internal/query"
+	"github.com/doorpond/doorpond/internal/routing"
+	"github.com/doorpond/doorpond/internal/upstream"
+)
+
+// Codec gives the headers of the callers' protocol their meaning.
+type Codec interface {
+	// ReadRequest returns the identifier of a request and how long its caller
+	// waits, and removes from the header what belongs to the protocol.
+	ReadRequest(header http.Header) (id string, wait time.Duration)
+	// WriteParts states which parts a scattered answer consists of.
+	WriteParts(header http.Header, signatures []string, missing int)
+	// WriteRetryAfter tells a caller when to come back.
+	WriteRetryAfter(header http.Header, wait time.Duration)
+}
+
+// Forwarder passes requests on.
+type Forwarder interface {
+	Forward(ctx context.Context, forwarding *query.Forwarding) (query.Forwarded, error)
+}
+
+// Options are what a Handler needs.
+type Options struct {
+	Board     *blackboard.Board
+	Codec     Codec
+	Forwarder Forwarder
+	// Fresh tells whether the routes may be trusted; nil means always.
+	Fresh  func() bool
+	Logger *slog.Logger
+}
+
+// Handler serves callers' requests.
+type Handler struct{ options Options }
+
+// New makes a Handler.
+func New(options Options) *Handler {
+	if options.Fresh == nil {
+		options.Fresh = func() bool { return true }
+	}
+	if options.Logger == nil {
+		options.Logger = slog.New(slog.DiscardHandler)
+	}
+	return &Handler{options: options}
+}
+
+// defaultBodyBytes bounds a body while no limit is known.
+const defaultBodyBytes = 1 << 20
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if phase := h.options.Board.Phase.Load(); phase != nil && *phase >= blackboard.PhaseDraining {
+		w.Header().Set("Connection", "close")
+	}
+	started := time.Now()
+	id, wait := h.options.Codec.ReadRequest(r.Header)
+	route, answer, err := h.forward(r, id, wait)
+	if err != nil {
+		h.refuse(w, err)
+	} else {
+		h.write(w, answer)
+	}
+	h.log(r, id, route, &answer, err, time.Since(started))
+}
+
+func (h *Handler) forward(r *http.Request, id string, wait time.Duration) (*routing.Route, query.Forwarded, error) {
+	table := h.options.Board.Routes.Load()
+	if table == nil {
+		return nil, query.Forwarded{}, failure.New(failure.NoTable, "no routes are known yet")
+	}
+	if !h.options.Fresh() {
+		return nil, query.Forwarded{}, failure.New(failure.StaleTable, "the routes are being confirmed after a pause")
+	}
+	target := r.RequestURI
+	if !strings.HasPrefix(target, "/") {
+		target = r.URL.RequestURI()
+	}
+	path, _, _ := strings.Cut(target, "?")
+	route := table.Match(r.Host, path)
+	if route == nil {
+		return nil, query.Forwarded{}, failure.New(failure.NotFound, "no route for this host and path")
+	}
+	body, err := readBody(r, table.Limits.BodyBytes)
+	if err != nil {
+		return route, query.Forwarded{}, err
+	}
+	message := &upstream.Message{
+		ID: id, Method: r.Method, Target: target, Host: r.Host, Header: endToEnd(r.Header), Body: body,
+	}
+	answer, err := h.options.Forwarder.Forward(r.Context(), &query.Forwarding{Message: message, Route: route, Wait: wait})
+	return route, answer, err
+}
+
+func readBody(r *http.Request, limit int64) ([]byte, error) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	if r.ContentLength > limit {
+		return nil, failure.New(failure.TooLarge, "the body is over the limit")
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	switch {
+	case err != nil:
+		return nil, failure.Wrap(err, failure.InvalidRequest, "read the body")
+	case int64(len(body)) > limit:
+		return nil, failure.New(failure.TooLarge, "the body is over the limit")
+	}
+	return body, nil
+}
+
+// write answers with what the replicas answered.
+func (h *Handler) write(w http.ResponseWriter, answer query.Forwarded) {
+	header := w.Header()
+	status, body := http.StatusOK, answer.Records
+	if answer.Reply != nil {
+		status, body = answer.Reply.Status, answer.Reply.Body
+		copyHeader(header, endToEnd(answer.Reply.Header))
+	} else {
+		h.options.Codec.WriteParts(header, answer.Signatures, answer.Missing)
+	}
+	if _, typed := header["Content-Type"]; !typed {
+		header["Content-Type"] = nil // net/http would guess one
+	}
+	header["Content-Length"] = []string{strconv.Itoa(len(body))}
+	w.WriteHeader(status)
+	_, _ = w.Write(body) // the caller is gone if this fails
+}
+
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		if name != "Content-Length" {
+			to[name] = values
+		}
+	}
+}
+
+// refuse answers with a failure. Statuses that promise that nothing ran are
+// given only when that was proved.
+func (h *Handler) refuse(w http.ResponseWriter, err error) {
+	known := failure.From(err)
+	status := failure.Lookup(known.Kind).Status
+	if promisesNotRun(status) && !known.NotRun {
+		status = http.StatusBadGateway
+	}
+	if known.NotRun && known.RetryAfter > 0 {
+		h.options.Codec.WriteRetryAfter(w.Header(), known.RetryAfter)
+	}
+	w.Header()["Content-Length"] = []string{"0"}
+	w.WriteHeader(status)
+}
+
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	default:
+		return false
+	}
+}
+
+// log tells of a request that was not answered whole.
+func (h *Handler) log(r *http.Request, id string, route *routing.Route, answer *query.Forwarded, err error, took time.Duration) {
+	if err == nil && answer.Missing == 0 {
+		return
+	}
+	name := ""
+	if route != nil {
+		name = route.Name
+	}
+	attributes := []any{"request", id, "route", name, "took", took.String(), "attempts", answer.Attempts, "hedges", answer.Hedges}
+	if err == nil {
+		h.options.Logger.Info("answered in part", append(attributes, "missing", answer.Missing)...)
+		return
+	}
+	var known *failure.Error
+	if errors.As(err, &known) {
+		attributes = append(attributes, "kind", string(known.Kind), "not_run", known.NotRun)
+	}
+	h.options.Logger.Info("not answered", append(attributes, "host", r.Host, "reason", err.Error())...)
+}
--- a/internal/query/driver.go
+++ b/internal/query/driver.go
@@ -15,6 +15,10 @@
 	// WithTimeout and WithCancel are as in package context.
 	WithTimeout(parent context.Context, timeout time.Duration) (context.Context, context.CancelFunc)
 	WithCancel(parent context.Context) (context.Context, context.CancelFunc)
+	// Detached returns a context that outlives the request.
+	Detached() context.Context
+	// After runs work once, later.
+	After(wait time.Duration, work func())
 	// NewInbox makes the inbox of a run that starts now.
 	NewInbox(capacity int) Inbox
 }
@@ -64,6 +68,10 @@
 	return context.WithCancel(parent)
 }
 
+func (goroutines) Detached() context.Context { return context.Background() }
+
+func (goroutines) After(wait time.Duration, work func()) { time.AfterFunc(wait, work) }
+
 func (goroutines) NewInbox(capacity int) Inbox {
 	return &channelInbox{
 		started: time.Now(),
--- /dev/null
+++ b/internal/query/forward.go
@@ -0,0 +1,210 @@
+package query
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/doorpond/doorpond/internal/admission"
+	"github.com/doorpond/doorpond/internal/decision"
+	"github.com/doorpond/doorpond/internal/failure"
+	"github.com/doorpond/doorpond/internal/replica"
+	"github.com/doorpond/doorpond/internal/routing"
+	"github.com/doorpond/doorpond/internal/statistics"
+	"github.com/doorpond/doorpond/internal/upstream"
+)
+
+// The constants of a forwarded request.
+const (
+	// answerShare is the part of a route's objective that is left to this
+	// node; the rest is for the way to the caller and back.
+	answerShare = 0.88
+	// unknownLateShare of the objective is how long an answer is waited for
+	// before a hedge, while the usual times are not known.
+	unknownLateShare = 0.25
+	// lingerTime is for how long an attempt that is not needed any more may
+	// still answer. Replicas must have stopped half a second after a caller
+	// has left.
+	lingerTime = 300 * time.Millisecond
+)
+
+// Forwarding is a request that is passed on as it is.
+type Forwarding struct {
+	Message *upstream.Message
+	// Route is pinned for the whole request.
+	Route *routing.Route
+	// Wait is how long the caller still waits; 0 means that it did not say.
+	Wait time.Duration
+}
+
+// Forwarded is the answer to a Forwarding.
+type Forwarded struct {
+	// Reply is a replica's answer; nil for a scattered request.
+	Reply *upstream.Reply
+	// Records are the merged records of a scattered request, Signatures those
+	// of the parts that are in, and Missing the number of shards left out.
+	Records    []byte
+	Signatures []string
+	Missing    int
+	// Attempts and Hedges are what the request cost.
+	Attempts, Hedges int
+}
+
+// forwardRun is a run of a forwarded request.
+type forwardRun struct {
+	*run
+	forwarding *Forwarding
+	terms      replica.Terms
+}
+
+// Forward passes a request on to one replica of a service, or to one of each
+// shard. Errors are *failure.Error; NotRun is true only when no replica ran
+// any part of it.
+func (s *Service) Forward(ctx context.Context, forwarding *Forwarding) (Forwarded, error) {
+	started := s.options.Now()
+	row := forwarding.Route.Policy
+	deadline := time.Duration(row.Wait.Timeout)
+	if forwarding.Wait > 0 {
+		deadline = min(deadline, forwarding.Wait)
+	}
+	ticket, err := s.options.Admission.Admit(row, row.Priority, started, deadline)
+	if err != nil {
+		return Forwarded{}, err
+	}
+	defer ticket.Release()
+	current := s.newForwardRun(forwarding, deadline)
+	current.execute(ctx, deadline)
+	answer, err := current.conclude()
+	s.recordForward(current, ticket, s.options.Now().Sub(started), err)
+	return answer, err
+}
+
+func (s *Service) newForwardRun(forwarding *Forwarding, deadline time.Duration) *forwardRun {
+	route := forwarding.Route
+	plan := decision.Plan{
+		Shards: s.forwardShards(route), Policy: route.Policy, Deadline: deadline,
+		LeastShards: route.LeastShards, RunsOnce: !route.Repeatable,
+	}
+	if route.Scattered() {
+		plan.AnswerBy = time.Duration(answerShare * float64(route.Objective))
+	}
+	forward := &forwardRun{forwarding: forwarding, terms: replica.Terms{
+		Weights:   route.Policy.Replicas,
+		Usual:     s.usuals.Of(route.Name),
+		Quantile:  route.Policy.Wait.HedgeQuantile,
+		LateAfter: time.Duration(unknownLateShare * float64(route.Objective)),
+	}}
+	forward.run = s.newRun(plan, forward)
+	forward.linger = lingerTime
+	return forward
+}
+
+func (s *Service) forwardShards(route *routing.Route) []decision.ShardPlan {
+	groups := route.Shards
+	if !route.Scattered() {
+		groups = []string{s.splitter.Pick(route)}
+	}
+	shards := make([]decision.ShardPlan, len(groups))
+	for i, group := range groups {
+		shards[i] = decision.ShardPlan{
+			Index: route.Name, Shard: i, Shards: len(groups), Group: group,
+			Budget: s.options.Pool.BudgetOf(group, route.Policy),
+		}
+	}
+	return shards
+}
+
+func (r *forwardRun) acquire(shard *decision.ShardPlan, tried []*replica.Handle) (*replica.Handle, time.Duration) {
+	return r.service.options.Pool.AcquireFor(shard.Group, &r.terms, tried)
+}
+
+func (r *forwardRun) exchange(ctx context.Context, handle *replica.Handle, _ *decision.ShardPlan, action decision.Action) replica.SearchResult {
+	scattered := r.forwarding.Route.Scattered()
+	return r.service.options.Pool.Forward(ctx, handle, r.forwarding.Message, action.Timeout, &r.terms, scattered)
+}
+
+// otherSnapshot is false: the shards of a route are those of one version.
+func (r *forwardRun) otherSnapshot() bool { return false }
+
+// conclude turns the run into an answer or an error.
+func (r *forwardRun) conclude() (Forwarded, error) {
+	answer := Forwarded{Attempts: r.counts.dispatched, Hedges: r.counts.hedges}
+	if r.reason == decision.CallerGaveUp {
+		return answer, failure.New(failure.Canceled, "the caller gave up")
+	}
+	if !r.forwarding.Route.Scattered() {
+		return r.concludePlain(answer)
+	}
+	answered := r.core.Answered()
+	if answered == 0 || answered < r.plan.LeastShards {
+		return answer, r.refusal(fmt.Sprintf("%d of %d shards answered, %d are needed",
+			answered, len(r.shards), max(1, r.plan.LeastShards)))
+	}
+	parts := make([][]byte, 0, answered)
+	for i := range r.shards {
+		if r.core.Status(i).Answered {
+			parts = append(parts, r.shards[i].part.Body)
+			answer.Signatures = append(answer.Signatures, r.shards[i].part.Signature)
+		}
+	}
+	answer.Missing = len(r.shards) - answered
+	answer.Records = routing.MergeTop(parts, r.forwarding.Route.TopRecords)
+	return answer, nil
+}
+
+// concludePlain hands on the replica's answer, also its own failure.
+func (r *forwardRun) concludePlain(answer Forwarded) (Forwarded, error) {
+	shard := &r.shards[0]
+	switch {
+	case shard.part != nil:
+		answer.Reply = shard.part
+	case shard.refusal != nil && r.reason != decision.DeadlineReached:
+		answer.Reply = shard.refusal
+	default:
+		return answer, r.refusal("no replica answered")
+	}
+	return answer, nil
+}
+
+// refusal is the error of a request without an answer. It says that nothing
+// ran only when each attempt was proved not to have run.
+func (r *forwardRun) refusal(what string) *failure.Error {
+	detail := what + r.lastFailure()
+	notRun := r.counts.proven == r.counts.dispatched
+	switch {
+	case r.counts.dispatched == 0:
+		return failure.New(failure.NoReplica, detail)
+	case notRun:
+		return failure.New(failure.BackendRefused, detail)
+	case r.reason == decision.DeadlineReached:
+		return failure.New(failure.DeadlineExceeded, detail)
+	default:
+		return failure.New(failure.InsufficientCoverage, detail)
+	}
+}
+
+// lastFailure names what came of a shard that has not answered.
+func (r *forwardRun) lastFailure() string {
+	for i := range r.shards {
+		if !r.core.Status(i).Answered {
+			return fmt.Sprintf("; first missing: %s (%s, %v)", r.plan.Shards[i].Group, r.core.Status(i).Reason, r.shards[i].err)
+		}
+	}
+	return ""
+}
+
+func (s *Service) recordForward(current *forwardRun, ticket admission.Ticket, took time.Duration, err error) {
+	route := current.forwarding.Route
+	s.options.Statistics.Record(route.Name, statistics.Sample{
+		Group: route.Host, Latency: took, Failed: err != nil,
+		Asked: len(current.shards), Answered: current.core.Answered(),
+		Attempts: current.counts.dispatched, Hedges: current.counts.hedges, Cancelled: current.counts.cancelled,
+	})
+	s.metrics.observe(took, err)
+	var known *failure.Error
+	if errors.As(err, &known) && known.Kind == failure.Canceled {
+		return
+	}
+	ticket.Ended(s.options.Now(), current.ended(took))
+}
--- a/internal/query/run.go
+++ b/internal/query/run.go
@@ -7,25 +7,40 @@
 	"github.com/doorpond/doorpond/client"
 	"github.com/doorpond/doorpond/internal/admission"
 	"github.com/doorpond/doorpond/internal/backendapi"
-	"github.com/doorpond/doorpond/internal/catalogue"
 	"github.com/doorpond/doorpond/internal/decision"
 	"github.com/doorpond/doorpond/internal/replica"
+	"github.com/doorpond/doorpond/internal/upstream"
 )
 
-// run carries out the decisions of one query on one snapshot. Its state
-// belongs to the goroutine of the query; sub-requests hand their results over
-// by a channel, and find nowhere to go once the run is over.
+// protocol is how one kind of request is put to the replicas of its shards.
+type protocol interface {
+	// acquire chooses a replica that was not tried yet; nil means that there is
+	// none. lateAfter is the time after which its answer is late, 0 if unknown.
+	acquire(shard *decision.ShardPlan, tried []*replica.Handle) (chosen *replica.Handle, lateAfter time.Duration)
+	// exchange sends one attempt to a replica, and returns what came of it.
+	exchange(ctx context.Context, handle *replica.Handle, shard *decision.ShardPlan, action decision.Action) replica.SearchResult
+	// otherSnapshot tells whether the query could start anew on another one.
+	otherSnapshot() bool
+}
+
+// run carries out the decisions of one query. Its state belongs to the
+// goroutine of the query; sub-requests hand their results over by a channel,
+// and find nowhere to go once the run is over.
 type run struct {
 	service  *Service
-	request  *request
-	snapshot *catalogue.Snapshot
-	selected decision.Selected
+	protocol protocol
+	plan     decision.Plan
 	core     *decision.Query
 	context  context.Context
 	inbox    Inbox
 	shards   []shardRun
 	reason   decision.FinishReason
 	counts   runCounts
+	// linger is for how long an attempt that is not needed any more may still
+	// answer: its time tells how its replica does, and its connection is kept.
+	linger time.Duration
+	// abandoned is set once the caller no longer waits.
+	abandoned bool
 }
 
 // runCounts is what a run cost.
@@ -42,28 +57,34 @@
 	tried   []*replica.Handle
 	cancels []context.CancelFunc
 	reply   *backendapi.SearchReply
+	// part is the answer to a message; refusal is a failure that a replica
+	// itself answered with.
+	part    *upstream.Reply
+	refusal *upstream.Reply
+	// err is the last failure of an attempt.
+	err error
 }
 
-// newRun plans a run; deadline is the time left from now on.
-func (s *Service) newRun(request *request, snapshot *catalogue.Snapshot, deadline time.Duration) *run {
-	selected := decision.SelectShards(snapshot, request.row, &request.query, request.id)
-	for i := range selected.Asked {
-		s.options.Pool.Plan(&selected.Asked[i], request.row)
-	}
+// newRun makes a run of a plan.
+func (s *Service) newRun(plan decision.Plan, speaks protocol) *run {
 	return &run{
-		service: s, request: request, snapshot: snapshot, selected: selected,
-		core:   decision.New(decision.Plan{Shards: selected.Asked, Policy: request.row, Deadline: deadline}),
-		inbox:  s.options.Driver.NewInbox(len(selected.Asked)),
-		shards: make([]shardRun, len(selected.Asked)),
+		service: s, protocol: speaks, plan: plan, core: decision.New(plan),
+		inbox:  s.options.Driver.NewInbox(len(plan.Shards)),
+		shards: make([]shardRun, len(plan.Shards)),
 	}
 }
 
-// execute runs until the core finishes.
+// execute runs until the core finishes. Its attempts end with it, but for
+// those that linger.
 func (r *run) execute(ctx context.Context, deadline time.Duration) {
-	sub, cancel := r.service.options.Driver.WithTimeout(ctx, deadline)
-	defer cancel()
 	defer r.inbox.Close()
-	r.context = sub
+	if r.linger > 0 {
+		r.context = r.service.options.Driver.Detached()
+	} else {
+		sub, cancel := r.service.options.Driver.WithTimeout(ctx, deadline)
+		defer cancel()
+		r.context = sub
+	}
 	r.inbox.SetTimer(deadline)
 	finished := r.step(decision.Event{Kind: decision.Started})
 	for !finished {
@@ -74,6 +95,7 @@
 		case WokenByTimer:
 			finished = r.step(decision.Event{Kind: decision.TimerFired})
 		case WokenByCaller:
+			r.abandoned = true
 			finished = r.step(decision.Event{Kind: decision.GaveUp})
 		}
 	}
@@ -86,34 +108,37 @@
 		r.counts.proven++
 		r.counts.retryAfter = max(r.counts.retryAfter, result.Result.RetryAfter)
 	}
-	shard := &r.shards[result.Shard]
-	if outcome == decision.Success && shard.reply == nil {
-		shard.reply = result.Result.Reply
-	}
-	shard.cancels[result.Attempt]()
+	r.keep(&r.shards[result.Shard], result.Result)
+	r.shards[result.Shard].cancels[result.Attempt]()
 	event := decision.Event{
 		Kind: decision.Replied, Shard: result.Shard, Attempt: result.Attempt,
 		Outcome: outcome, RetryAfter: result.Result.RetryAfter,
 	}
-	if outcome == decision.SnapshotNotHeld && r.request.restarts > 0 {
-		event.OtherSnapshot = r.service.otherSnapshot(&r.request.query, r.snapshot.ID) != nil
+	if outcome == decision.SnapshotNotHeld {
+		event.OtherSnapshot = r.protocol.otherSnapshot()
 	}
 	return event
 }
 
-// noReplica is an event that arises while actions are carried out.
-type noReplica struct{ shard, attempt int }
+// keep stores the first answer of a shard, or its last failure.
+func (r *run) keep(shard *shardRun, result replica.SearchResult) {
+	switch {
+	case result.Outcome != decision.Success:
+		shard.err = result.Err
+		shard.refusal = result.Part
+	case shard.reply == nil && shard.part == nil:
+		shard.reply, shard.part = result.Reply, result.Part
+	}
+}
 
-// step feeds the core and carries out its actions. Sends that find no replica
-// are fed back after all actions, as the core reuses their memory.
+// step feeds the core and carries out its actions. What the sends give rise to
+// is fed back after all actions, as the core reuses their memory.
 func (r *run) step(event decision.Event) (finished bool) {
-	var unsent []noReplica
+	var arisen []decision.Event
 	for _, action := range r.core.Step(r.inbox.Elapsed(), event) {
 		switch action.Kind {
 		case decision.Send:
-			if !r.send(action) {
-				unsent = append(unsent, noReplica{action.Shard, action.Attempt})
-			}
+			arisen = r.send(action, arisen)
 		case decision.Cancel:
 			r.cancel(action)
 		case decision.SetTimer:
@@ -123,11 +148,8 @@
 			return true
 		}
 	}
-	for _, missed := range unsent {
-		failed := decision.Event{
-			Kind: decision.Replied, Shard: missed.shard, Attempt: missed.attempt, Outcome: decision.NoReplica,
-		}
-		if r.step(failed) {
+	for _, next := range arisen {
+		if r.step(next) {
 			return true
 		}
 	}
@@ -136,16 +158,23 @@
 
 func (r *run) cancel(action decision.Action) {
 	r.counts.cancelled++
-	r.shards[action.Shard].cancels[action.Attempt]()
+	cancel := r.shards[action.Shard].cancels[action.Attempt]
+	if r.linger > 0 && !r.abandoned {
+		r.service.options.Driver.After(r.linger, cancel)
+		return
+	}
+	cancel()
 }
 
-// send dispatches one attempt; false means that no replica was left.
-func (r *run) send(action decision.Action) bool {
-	plan, shard := &r.selected.Asked[action.Shard], &r.shards[action.Shard]
-	handle := r.service.options.Pool.Acquire(plan.Group, r.request.row.Replicas, shard.tried)
+// send dispatches one attempt, and adds the event that this gives rise to.
+func (r *run) send(action decision.Action, arisen []decision.Event) []decision.Event {
+	plan, shard := &r.plan.Shards[action.Shard], &r.shards[action.Shard]
+	handle, lateAfter := r.protocol.acquire(plan, shard.tried)
 	if handle == nil {
 		shard.cancels = append(shard.cancels, func() {})
-		return false
+		return append(arisen, decision.Event{
+			Kind: decision.Replied, Shard: action.Shard, Attempt: action.Attempt, Outcome: decision.NoReplica,
+		})
 	}
 	attempt, cancel := r.service.options.Driver.WithCancel(r.context)
 	shard.tried = append(shard.tried, handle)
@@ -154,65 +183,26 @@
 	if action.Hedge {
 		r.counts.hedges++
 	}
-	message := r.message(plan, action)
-	r.service.options.Driver.Start(func() { r.search(attempt, handle, message, action.Shard) })
-	return true
-}
-
-func (r *run) message(plan *decision.ShardPlan, action decision.Action) *backendapi.SearchRequest {
-	query := &r.request.query
-	return &backendapi.SearchRequest{
-		QueryID: r.request.id, Attempt: action.Attempt, Snapshot: r.snapshot.ID,
-		Index: plan.Index, Shard: plan.Shard, Shards: plan.Shards,
-		Phrase: query.Phrase, Card: query.Card, Order: query.Order, Limit: query.Limit,
-		TimeoutMilliseconds: max(1, action.Timeout.Milliseconds()),
+	r.service.options.Driver.Start(func() {
+		result := r.protocol.exchange(attempt, handle, plan, action)
+		r.inbox.Deliver(AttemptResult{Shard: action.Shard, Attempt: action.Attempt, Result: result})
+	})
+	if lateAfter == 0 {
+		return arisen
 	}
-}
-
-func (r *run) search(ctx context.Context, handle *replica.Handle, message *backendapi.SearchRequest, shard int) {
-	result := r.service.options.Pool.Search(ctx, handle, message)
-	r.inbox.Deliver(AttemptResult{Shard: shard, Attempt: message.Attempt, Result: result})
+	return append(arisen, decision.Event{
+		Kind: decision.Dispatched, Shard: action.Shard, Attempt: action.Attempt, HedgeDelay: lateAfter,
+	})
 }
 
 // ended is what admission learns from the run.
 func (r *run) ended(took time.Duration) admission.Ended {
-	ended := admission.Ended{Took: took, Asked: len(r.selected.Asked), Answered: r.core.Answered()}
-	for i := range r.selected.Asked {
+	ended := admission.Ended{Took: took, Asked: len(r.plan.Shards), Answered: r.core.Answered()}
+	for i := range r.plan.Shards {
 		if r.core.Status(i).Reason == client.MissingShed {
 			ended.Refused++
-			ended.RefusedShard = r.selected.Asked[i].Group
+			ended.RefusedShard = r.plan.Shards[i].Group
 		}
 	}
 	return ended
 }
-
-// hits merges the replies; truncated is true when more hits matched.
-func (r *run) hits() (merged []client.Hit, truncated bool) {
-	matched, held := 0, 0
-	for i := range r.shards {
-		if reply := r.answered(i); reply != nil {
-			matched += reply.Total
-			held += len(reply.Hits)
-		}
-	}
-	merged = make([]client.Hit, 0, held)
-	for i := range r.shards {
-		if reply := r.answered(i); reply != nil {
-			merged = append(merged, reply.Hits...)
-		}
-	}
-	client.SortHits(merged, r.request.query.Order)
-	limit := r.request.query.Limit
-	if len(merged) > limit {
-		merged = merged[:limit]
-	}
-	return merged, matched > limit
-}
-
-// answered returns a shard's reply only if the core counts it.
-func (r *run) answered(shard int) *backendapi.SearchReply {
-	if !r.core.Status(shard).Answered {
-		return nil
-	}
-	return r.shards[shard].reply
-}
--- /dev/null
+++ b/internal/query/search.go
@@ -0,0 +1,85 @@
+package query
+
+import (
+	"context"
+	"time"
+
+	"github.com/doorpond/doorpond/client"
+	"github.com/doorpond/doorpond/internal/backendapi"
+	"github.com/doorpond/doorpond/internal/catalogue"
+	"github.com/doorpond/doorpond/internal/decision"
+	"github.com/doorpond/doorpond/internal/replica"
+)
+
+// searchRun is a run of a search on one snapshot.
+type searchRun struct {
+	*run
+	request  *request
+	snapshot *catalogue.Snapshot
+	selected decision.Selected
+}
+
+// newSearchRun plans a run; deadline is the time left from now on.
+func (s *Service) newSearchRun(request *request, snapshot *catalogue.Snapshot, deadline time.Duration) *searchRun {
+	selected := decision.SelectShards(snapshot, request.row, &request.query, request.id)
+	for i := range selected.Asked {
+		s.options.Pool.Plan(&selected.Asked[i], request.row)
+	}
+	plan := decision.Plan{Shards: selected.Asked, Policy: request.row, Deadline: deadline}
+	search := &searchRun{request: request, snapshot: snapshot, selected: selected}
+	search.run = s.newRun(plan, search)
+	return search
+}
+
+func (r *searchRun) acquire(shard *decision.ShardPlan, tried []*replica.Handle) (*replica.Handle, time.Duration) {
+	return r.service.options.Pool.Acquire(shard.Group, r.request.row.Replicas, tried), 0
+}
+
+func (r *searchRun) exchange(ctx context.Context, handle *replica.Handle, shard *decision.ShardPlan, action decision.Action) replica.SearchResult {
+	return r.service.options.Pool.Search(ctx, handle, r.message(shard, action))
+}
+
+func (r *searchRun) otherSnapshot() bool {
+	return r.request.restarts > 0 && r.service.otherSnapshot(&r.request.query, r.snapshot.ID) != nil
+}
+
+func (r *searchRun) message(plan *decision.ShardPlan, action decision.Action) *backendapi.SearchRequest {
+	query := &r.request.query
+	return &backendapi.SearchRequest{
+		QueryID: r.request.id, Attempt: action.Attempt, Snapshot: r.snapshot.ID,
+		Index: plan.Index, Shard: plan.Shard, Shards: plan.Shards,
+		Phrase: query.Phrase, Card: query.Card, Order: query.Order, Limit: query.Limit,
+		TimeoutMilliseconds: max(1, action.Timeout.Milliseconds()),
+	}
+}
+
+// hits merges the replies; truncated is true when more hits matched.
+func (r *searchRun) hits() (merged []client.Hit, truncated bool) {
+	matched, held := 0, 0
+	for i := range r.shards {
+		if reply := r.answered(i); reply != nil {
+			matched += reply.Total
+			held += len(reply.Hits)
+		}
+	}
+	merged = make([]client.Hit, 0, held)
+	for i := range r.shards {
+		if reply := r.answered(i); reply != nil {
+			merged = append(merged, reply.Hits...)
+		}
+	}
+	client.SortHits(merged, r.request.query.Order)
+	limit := r.request.query.Limit
+	if len(merged) > limit {
+		merged = merged[:limit]
+	}
+	return merged, matched > limit
+}
+
+// answered returns a shard's reply only if the core counts it.
+func (r *searchRun) answered(shard int) *backendapi.SearchReply {
+	if !r.core.Status(shard).Answered {
+		return nil
+	}
+	return r.shards[shard].reply
+}
--- a/internal/query/service.go
+++ b/internal/query/service.go
@@ -19,6 +19,7 @@
 	"github.com/doorpond/doorpond/internal/failure"
 	"github.com/doorpond/doorpond/internal/policy"
 	"github.com/doorpond/doorpond/internal/replica"
+	"github.com/doorpond/doorpond/internal/routing"
 	"github.com/doorpond/doorpond/internal/statistics"
 )
 
@@ -40,8 +41,10 @@
 
 // Service answers queries. It is safe for concurrent use.
 type Service struct {
-	options Options
-	metrics serviceMetrics
+	options  Options
+	metrics  serviceMetrics
+	usuals   replica.Usuals
+	splitter routing.Splitter
 }
 
 // NewService makes a Service.
@@ -194,10 +197,10 @@
 
 // runToEnd starts anew, whole, when the pinned snapshot was retired under the
 // query and there is another.
-func (s *Service) runToEnd(ctx context.Context, request *request, snapshot *catalogue.Snapshot) *run {
+func (s *Service) runToEnd(ctx context.Context, request *request, snapshot *catalogue.Snapshot) *searchRun {
 	for {
 		left := request.deadline - s.options.Now().Sub(request.started)
-		current := s.newRun(request, snapshot, left)
+		current := s.newSearchRun(request, snapshot, left)
 		current.execute(ctx, left)
 		if current.reason != decision.SnapshotLost {
 			return current
@@ -221,14 +224,14 @@
 	c.retryAfter = max(c.retryAfter, other.retryAfter)
 }
 
-func (r *request) total(last *run) runCounts {
+func (r *request) total(last *searchRun) runCounts {
 	total := r.earlier
 	total.add(last.counts)
 	return total
 }
 
 // conclude turns the last run into an answer or an error.
-func (s *Service) conclude(request *request, last *run) (client.Answer, error) {
+func (s *Service) conclude(request *request, last *searchRun) (client.Answer, error) {
 	total := request.total(last)
 	coverage := buildCoverage(last.snapshot, &request.query, last.selected, last.core.Status)
 	if err := refuseAnswer(request, last, total, coverage); err != nil {
@@ -244,7 +247,7 @@
 }
 
 // refuseAnswer returns the error that stands in place of an answer, or nil.
-func refuseAnswer(request *request, last *run, total runCounts, coverage client.Coverage) error {
+func refuseAnswer(request *request, last *searchRun, total runCounts, coverage client.Coverage) error {
 	notRun := total.proven == total.dispatched
 	nothing := coverage.Asked > 0 && coverage.Answered == 0
 	least := max(request.row.Completeness.Least, request.query.LeastCoverage)
@@ -286,7 +289,7 @@
 	return "none missing"
 }
 
-func (s *Service) record(request *request, last *run, took time.Duration, err error) {
+func (s *Service) record(request *request, last *searchRun, took time.Duration, err error) {
 	total := request.total(last)
 	s.options.Statistics.Record(request.row.Name, statistics.Sample{
 		Group: request.query.Group, Latency: took, Failed: err != nil,
--- /dev/null
+++ b/internal/replica/forward_message.go
@@ -0,0 +1,145 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/doorpond/doorpond/internal/decision"
+	"github.com/doorpond/doorpond/internal/policy"
+	"github.com/doorpond/doorpond/internal/routing"
+	"github.com/doorpond/doorpond/internal/upstream"
+)
+
+// Terms are what a replica for a message is chosen by.
+type Terms struct {
+	Weights policy.Replicas
+	// Usual is how long such messages take.
+	Usual *Usual
+	// Quantile of the usual time after which an answer is late.
+	Quantile float64
+	// LateAfter is used while the usual time is not known.
+	LateAfter time.Duration
+}
+
+// lateAfter returns the time after which an answer from a distance is late.
+func (t *Terms) lateAfter(handle *Handle) time.Duration {
+	if known := t.Usual.Quantile(handle.distance, t.Quantile); known > 0 {
+		return known
+	}
+	return t.LateAfter
+}
+
+// AcquireFor is Acquire for a message; the second result is the time after
+// which the chosen replica's answer is late.
+func (p *Pool) AcquireFor(groupName string, terms *Terms, tried []*Handle) (*Handle, time.Duration) {
+	found := p.current().groups[groupName]
+	if found == nil {
+		return nil, 0
+	}
+	choose := decision.ChooseReplica
+	if len(tried) > 0 {
+		choose = decision.ChooseAnother
+	}
+	now := p.options.Now()
+	describe := func(handle *Handle) decision.Candidate { return handle.candidateFor(now, terms) }
+	chosen := p.chooseFrom(found.handles, terms.Weights, tried, choose, now, describe)
+	if chosen == nil {
+		return nil, 0
+	}
+	chosen.sentAt(now)
+	return chosen, terms.lateAfter(chosen)
+}
+
+// candidateFor is candidate with the latency that a message is expected to
+// have there.
+func (h *Handle) candidateFor(now time.Time, terms *Terms) decision.Candidate {
+	candidate := h.candidate(now)
+	age := now.Sub(h.created)
+	usual := terms.Usual.Median(h.distance)
+	candidate.LatencyEWMA = time.Duration(h.speed.slowness(age) * float64(usual))
+	candidate.Warmth = 1 // the replica's own speed tells whether it is slow
+	candidate.Ejected = candidate.Ejected || h.vanished.Load()
+	candidate.Silent = h.silence.lasts(age, h.inFlight.Load()) > terms.lateAfter(h)
+	return candidate
+}
+
+func (h *Handle) sentAt(now time.Time) { h.silence.began(now.Sub(h.created), h.inFlight.Load()) }
+
+// Forward sends a message to an acquired replica, once, and releases it. Parts
+// of a scattered query must consist of whole records.
+func (p *Pool) Forward(ctx context.Context, handle *Handle, message *upstream.Message, timeout time.Duration, terms *Terms, scattered bool) SearchResult {
+	defer handle.release()
+	started := p.options.Now()
+	reply, err := handle.upstream.Exchange(ctx, p.options.Codec, message, handle.replica.Incarnation, timeout)
+	result := classifyReply(reply, err, scattered)
+	if result.Outcome == decision.Elsewhere && p.options.OnElsewhere != nil {
+		p.options.OnElsewhere(handle.replica)
+	}
+	p.learnReply(ctx, handle, result, started, terms)
+	p.metrics.outcomes[result.Outcome].Inc()
+	return result
+}
+
+// classifyReply tells what an exchange means for the query.
+func classifyReply(reply *upstream.Reply, err error, scattered bool) SearchResult {
+	switch {
+	case errors.Is(err, upstream.ErrNotSent):
+		return SearchResult{Outcome: decision.Unreached, NotRun: true, Err: err}
+	case err != nil:
+		return SearchResult{Outcome: decision.Failed, Err: err}
+	case reply.Elsewhere:
+		return SearchResult{Outcome: decision.Elsewhere, NotRun: true, Err: eris.New("another process is at the address")}
+	case reply.NotRun:
+		return SearchResult{Outcome: decision.Shed, NotRun: true, Err: eris.Errorf("refused with status %d", reply.Status)}
+	case reply.Signature == "":
+		return SearchResult{Outcome: decision.Invalid, Err: eris.Errorf("status %d without a signature", reply.Status)}
+	case scattered:
+		return classifyPart(reply)
+	case reply.Status >= serverErrors:
+		return SearchResult{Outcome: decision.Failed, Part: reply, Err: eris.Errorf("status %d", reply.Status)}
+	default:
+		return SearchResult{Outcome: decision.Success, Part: reply}
+	}
+}
+
+// serverErrors is the least status that tells of a failure of the replica.
+const serverErrors = 500
+
+func classifyPart(reply *upstream.Reply) SearchResult {
+	switch {
+	case !reply.Succeeded():
+		return SearchResult{Outcome: decision.Failed, Part: reply, Err: eris.Errorf("status %d", reply.Status)}
+	case !routing.WholeRecords(reply.Body):
+		return SearchResult{Outcome: decision.Invalid, Err: eris.Errorf("%d bytes are no whole records", len(reply.Body))}
+	default:
+		return SearchResult{Outcome: decision.Success, Part: reply}
+	}
+}
+
+// learnReply updates what is known of the replica.
+func (p *Pool) learnReply(ctx context.Context, handle *Handle, result SearchResult, started time.Time, terms *Terms) {
+	now := p.options.Now()
+	elapsed := now.Sub(started)
+	age := now.Sub(handle.created)
+	givenUp := ctx.Err() != nil
+	if !givenUp && result.Outcome != decision.Unreached {
+		handle.silence.heard(age)
+	}
+	late := elapsed > terms.lateAfter(handle)
+	if usual := terms.Usual.Median(handle.distance); usual > 0 && (result.Outcome == decision.Success || (givenUp && late)) {
+		handle.speed.observe(age, usual, float64(elapsed)/float64(usual))
+	}
+	if result.Outcome == decision.Success {
+		terms.Usual.record(handle.distance, elapsed)
+	}
+	ended := Ended{Outcome: result.Outcome, GivenUp: givenUp, Elapsed: elapsed, RetryAfter: result.RetryAfter, Late: late}
+	if result.Outcome == decision.Unreached && !errors.Is(result.Err, upstream.ErrConnectionLimit) {
+		ended.Outcome = decision.Failed // for the replica's health, not to be reached is a failure
+	}
+	if handle.Health.Observe(now, ended) {
+		p.metrics.ejections.Inc()
+	}
+}
--- a/internal/replica/handle.go
+++ b/internal/replica/handle.go
@@ -13,6 +13,7 @@
 	"github.com/doorpond/doorpond/internal/backendapi"
 	"github.com/doorpond/doorpond/internal/decision"
 	"github.com/doorpond/doorpond/internal/topology"
+	"github.com/doorpond/doorpond/internal/upstream"
 )
 
 // errConnectionBudget is returned by a dial that would exceed the budget.
@@ -26,6 +27,8 @@
 	replica   topology.Replica
 	urls      handleURLs
 	transport *http.Transport
+	// upstream carries messages; nil when there is no codec.
+	upstream  *upstream.Pool
 	multiplex bool
 	// peer is true for a way through a peer, which holds no connection here.
 	peer        bool
@@ -33,6 +36,8 @@
 	connections atomic.Int64
 	budget      atomic.Int64
 	retired     atomic.Bool
+	// vanished is true while the replica is not listed any more.
+	vanished atomic.Bool
 }
 
 type handleURLs struct {
@@ -61,6 +66,10 @@
 			status: &url.URL{Scheme: p.options.scheme(), Host: replica.Address, Path: backendapi.StatusPath},
 		},
 	}
+	if p.options.Codec != nil {
+		handle.upstream = upstream.NewPool(replica.Address, 0, p.options.DialUpstream)
+		return handle
+	}
 	handle.transport = newTransport(handle, p.options)
 	return handle
 }
@@ -88,6 +97,10 @@
 
 func (h *Handle) setBudget(budget int) {
 	previous := h.budget.Swap(int64(budget))
+	if h.upstream != nil {
+		h.upstream.SetLimit(budget)
+		return
+	}
 	if int64(budget) < previous {
 		h.transport.CloseIdleConnections()
 	}
@@ -99,6 +112,9 @@
 }
 
 func (h *Handle) closeIdle() {
+	if h.upstream != nil {
+		h.upstream.Close()
+	}
 	if h.transport != nil {
 		h.transport.CloseIdleConnections()
 	}
--- a/internal/replica/health.go
+++ b/internal/replica/health.go
@@ -63,6 +63,9 @@
 	ejectedUntil atomic.Int64 // nanoseconds after created
 	sheds        atomic.Int64 // in a row
 	shedUntil    atomic.Int64 // nanoseconds after created
+
+	speed   speed
+	silence silence
 }
 
 // NewHealth returns the health of a process that was first listed now, as a
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -54,6 +54,8 @@
 	decision.Invalid:         "invalid",
 	decision.NoReplica:       "no_replica",
 	decision.DeadlinePassed:  "deadline_passed",
+	decision.Unreached:       "unreached",
+	decision.Elsewhere:       "elsewhere",
 }
 
 func newPoolMetrics(registerer prometheus.Registerer) *poolMetrics {
--- a/internal/replica/pool.go
+++ b/internal/replica/pool.go
@@ -17,6 +17,7 @@
 	"github.com/doorpond/doorpond/internal/decision"
 	"github.com/doorpond/doorpond/internal/policy"
 	"github.com/doorpond/doorpond/internal/topology"
+	"github.com/doorpond/doorpond/internal/upstream"
 )
 
 // defaultMaxReplyBytes bounds one reply of a back end.
@@ -42,9 +43,18 @@
 	// also called for the GET of backendapi.StatusPath, without a body.
 	Post PostFunc
 	// TLS is for back ends that speak it, over HTTP/1.1; nil means plain.
-	TLS    *tls.Config
-	Now    func() time.Time
-	Random func() uint64
+	TLS *tls.Config
+	// Codec gives messages their headers; nil means that none are forwarded.
+	Codec upstream.Codec
+	// DialUpstream opens the connections of messages; nil means plain TCP.
+	DialUpstream upstream.DialFunc
+	// GroupBudget returns the retry budget of a group; nil means that all groups
+	// share one for each set of terms.
+	GroupBudget func(group string) decision.Budget
+	// OnElsewhere is told of a replica at whose address another process answers.
+	OnElsewhere func(topology.Replica)
+	Now         func() time.Time
+	Random      func() uint64
 	// Background runs work beside the requests that ask for it; nil means that
 	// a request waits for it.
 	Background func(work func())
@@ -206,6 +216,7 @@
 			handle = newHandle(p, built.state, replica)
 		}
 		handle.setBudget(budget)
+		handle.vanished.Store(replica.State == topology.ReplicaVanished)
 		next.handles[key] = handle
 		built.handles = append(built.handles, handle)
 		if shares.Probes(i) {
@@ -258,11 +269,19 @@
 // Plan fills in what a shard is waited for, and its budget.
 func (p *Pool) Plan(shard *decision.ShardPlan, row *policy.Row) {
 	if found := p.current().groups[shard.Group]; found != nil {
-		shard.Budget = p.budgets.Of(row.Retry)
+		shard.Budget = p.BudgetOf(shard.Group, row)
 		found.state.Plan(shard, row)
 	}
 }
 
+// BudgetOf returns the retry budget of a group under a policy row.
+func (p *Pool) BudgetOf(group string, row *policy.Row) decision.Budget {
+	if p.options.GroupBudget != nil {
+		return p.options.GroupBudget(group)
+	}
+	return p.budgets.Of(row.Retry)
+}
+
 // usualGroup is the number of replicas for which Acquire needs no memory.
 const usualGroup = 8
 
@@ -319,13 +338,23 @@
 }
 
 func (p *Pool) acquireFrom(handles []*Handle, weights policy.Replicas, tried []*Handle, health healthWanted, choose chooser) *Handle {
-	var space [usualGroup]decision.Candidate
-	candidates := space[:0]
 	now := p.options.Now()
-	for _, handle := range handles {
+	return p.chooseFrom(handles, weights, tried, choose, now, func(handle *Handle) decision.Candidate {
 		candidate := handle.candidate(now)
 		unfit := candidate.Ejected || candidate.BackingOff || candidate.InFlight >= candidate.Limit
-		candidate.Tried = slices.Contains(tried, handle) || (health == goodHealth && unfit)
+		candidate.Tried = health == goodHealth && unfit
+		return candidate
+	})
+}
+
+// chooseFrom describes some handles, chooses one that was not tried, and counts
+// a request in flight to it.
+func (p *Pool) chooseFrom(handles []*Handle, weights policy.Replicas, tried []*Handle, choose chooser, now time.Time, describe func(*Handle) decision.Candidate) *Handle {
+	var space [usualGroup]decision.Candidate
+	candidates := space[:0]
+	for _, handle := range handles {
+		candidate := describe(handle)
+		candidate.Tried = candidate.Tried || slices.Contains(tried, handle)
 		candidates = append(candidates, candidate)
 	}
 	if AllEjected(candidates) {
--- a/internal/replica/search.go
+++ b/internal/replica/search.go
@@ -11,6 +11,7 @@
 
 	"github.com/doorpond/doorpond/internal/backendapi"
 	"github.com/doorpond/doorpond/internal/decision"
+	"github.com/doorpond/doorpond/internal/upstream"
 )
 
 // SearchResult is what came of one sub-request.
@@ -21,7 +22,10 @@
 	RetryAfter time.Duration
 	// Reply is set on Success and has passed its checks.
 	Reply *backendapi.SearchReply
-	Err   error
+	// Part is the whole answer to a message. It is set on Success, and on
+	// Failed when the replica itself answered with a failure.
+	Part *upstream.Reply
+	Err  error
 }
 
 // Search sends one sub-request to an acquired replica, once, and releases it.
--- /dev/null
+++ b/internal/routing/row.go
@@ -0,0 +1,59 @@
+package routing
+
+import (
+	"math"
+	"time"
+
+	"github.com/doorpond/doorpond/client"
+	"github.com/doorpond/doorpond/internal/policy"
+)
+
+// Terms are what operators state of a route; PolicyRow and LeastShards turn
+// them into weights and limits.
+type Terms struct {
+	Name     string
+	Timeout  time.Duration
+	Attempts int
+	Rank     int
+	// LeastShare is the share of the shards without which there is no answer.
+	LeastShare float64
+}
+
+// The weights and limits that operators do not state.
+const (
+	// lateQuantile of the usual time after which another replica is asked.
+	lateQuantile = 0.9
+	// A farther replica must be expected to be that much faster: its bytes cross
+	// regions.
+	zoneWeight, regionWeight, farWeight = 1.25, 1.15, 1
+	// mostConcurrent leaves it to the node's adaptive limit how many requests of
+	// a route are in flight.
+	mostConcurrent = 100_000
+	// mostAttempts bounds the attempts of a policy row.
+	mostAttempts = 10
+)
+
+// priorities by rank; lower ranks have the last one.
+var priorities = [...]client.Priority{
+	client.PriorityCritical, client.PriorityHigh, client.PriorityNormal, client.PriorityBatch,
+}
+
+// PolicyRow returns the policy row of a route.
+func PolicyRow(terms Terms) *policy.Row {
+	row := policy.DefaultRow(terms.Name)
+	row.Replicas = policy.Replicas{ZoneWeight: zoneWeight, RegionWeight: regionWeight, FarWeight: farWeight}
+	row.Wait = policy.Wait{Timeout: policy.Duration(terms.Timeout), HedgeQuantile: lateQuantile}
+	row.Retry.Attempts = min(max(1, terms.Attempts), mostAttempts)
+	row.Completeness = policy.Completeness{Target: 1, Least: terms.LeastShare}
+	row.Limits.Concurrency = mostConcurrent
+	row.Priority = priorities[min(max(0, terms.Rank), len(priorities)-1)]
+	return &row
+}
+
+// shareTolerance keeps a share such as 0.9 of 10 from being rounded up.
+const shareTolerance = 1e-9
+
+// LeastShards returns how many of some shards are the least share of them.
+func LeastShards(share float64, shards int) int {
+	return max(1, int(math.Ceil(share*float64(shards)-shareTolerance)))
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -76,7 +76,7 @@
 }
 
 // check refuses impossible values; it reports the first.
-func check(settings *Settings, from location) error {
+func check(settings any, from location) error {
 	err := newValidator().Struct(settings)
 	var refused validator.ValidationErrors
 	if !errors.As(err, &refused) {
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -64,8 +64,23 @@
 	return loaded, check(&loaded, location{path: path, file: file, overrides: overrides})
 }
 
+// LoadInto reads a file over the defaults that a structure of another program
+// holds, and checks the result by the same tags. Every error about the content
+// is an *Error.
+func LoadInto(path string, into any) error {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return &Error{Source: path, Reason: "cannot be read: " + errors.Unwrap(err).Error()}
+	}
+	file, err := decode(path, content, into)
+	if err != nil {
+		return err
+	}
+	return check(into, location{path: path, file: file})
+}
+
 // decode reads YAML strictly and returns its syntax tree, for positions.
-func decode(path string, content []byte, into *Settings) (*ast.File, error) {
+func decode(path string, content []byte, into any) (*ast.File, error) {
 	file, err := parser.ParseBytes(content, 0)
 	if err != nil {
 		return nil, positioned(path, file, err)
--- a/internal/simulation/system/driver.go
+++ b/internal/simulation/system/driver.go
@@ -27,6 +27,10 @@
 	return created, func() { created.cancel(context.Canceled) }
 }
 
+func (v driver) Detached() context.Context { return newContext(v.daemon.process) }
+
+func (v driver) After(wait time.Duration, work func()) { v.daemon.process.After(wait, work) }
+
 func (v driver) NewInbox(int) query.Inbox {
 	return &inbox{daemon: v.daemon, started: v.daemon.world.engine.Now()}
 }
--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -71,6 +71,9 @@
 	ReplicaCold
 	// ReplicaLeaving takes no new requests, for good, at this incarnation.
 	ReplicaLeaving
+	// ReplicaVanished is no longer listed, without having said that it leaves;
+	// it takes requests only when no other replica is left.
+	ReplicaVanished
 )
 
 // Replica is one back-end process.
--- /dev/null
+++ b/internal/upstream/message.go
@@ -0,0 +1,50 @@
+// Package upstream carries requests to back-end replicas over HTTP/1.1, each
+// exactly once. net/http's Transport would replay a request by itself on a
+// connection that broke, and would take a surplus answer for the next one; so
+// connections are kept here, while net/http parses and writes.
+package upstream
+
+import (
+	"net/http"
+	"time"
+)
+
+// Message is one request to a replica.
+type Message struct {
+	// ID is the request's identifier as its caller chose it.
+	ID     string
+	Method string
+	// Target is the path and query, byte for byte as the caller sent them.
+	Target string
+	Host   string
+	// Header holds the end-to-end headers; it is shared and not changed.
+	Header http.Header
+	Body   []byte
+}
+
+// Reply is a replica's whole answer.
+type Reply struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	// RequestID is the identifier that the replica answers to.
+	RequestID string
+	// Signature shows which replica made the answer; empty when it is missing.
+	Signature string
+	// NotRun is true when the replica says that it has not run the request.
+	NotRun bool
+	// Elsewhere is true when another process answers at the address.
+	Elsewhere bool
+}
+
+// Succeeded is true for a status of the class of success.
+func (r *Reply) Succeeded() bool { return r.Status >= 200 && r.Status < 300 }
+
+// Codec gives the headers of a protocol their meaning.
+type Codec interface {
+	// RequestHeader returns the header of a request to a process of the named
+	// incarnation, with the time that is left.
+	RequestHeader(message *Message, incarnation string, timeout time.Duration) http.Header
+	// ReadReply fills in what an answer's header says.
+	ReadReply(reply *Reply)
+}
--- /dev/null
+++ b/internal/upstream/pool.go
@@ -0,0 +1,188 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// dialTimeout bounds the opening of a connection.
+const dialTimeout = time.Second
+
+// unacknowledgedTimeout is after how long the kernel gives up a connection
+// whose peer acknowledges nothing; a peer without power never answers.
+const unacknowledgedTimeout = 5 * time.Second
+
+// tcpUserTimeout is TCP_USER_TIMEOUT of Linux, which package syscall lacks.
+const tcpUserTimeout = 0x12
+
+// ErrConnectionLimit is returned when this node's share of a replica's
+// connections is used up; nothing was sent.
+var ErrConnectionLimit = errors.New("the share of the replica's connections is used up")
+
+// DialFunc opens a TCP connection.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+// Dial opens a TCP connection that notices a peer that has gone silent.
+func Dial(ctx context.Context, address string) (net.Conn, error) {
+	return DialContext(ctx, "tcp", address)
+}
+
+// DialContext is Dial as net/http wants it.
+func DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUserTimeout}
+	return dialer.DialContext(ctx, network, address)
+}
+
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	var failure error
+	err := raw.Control(func(descriptor uintptr) {
+		failure = syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, tcpUserTimeout,
+			int(unacknowledgedTimeout.Milliseconds()))
+	})
+	return errors.Join(err, failure)
+}
+
+// Pool keeps the connections to one replica. It is safe for concurrent use.
+type Pool struct {
+	address string
+	dial    DialFunc
+
+	mutex sync.Mutex
+	limit int
+	open  int
+	idle  []*connection // the latest used last
+	ended bool
+}
+
+// NewPool makes a Pool that opens no more than limit connections.
+func NewPool(address string, limit int, dial DialFunc) *Pool {
+	if dial == nil {
+		dial = Dial
+	}
+	return &Pool{address: address, dial: dial, limit: limit}
+}
+
+// SetLimit changes how many connections may be open.
+func (p *Pool) SetLimit(limit int) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.limit = limit
+}
+
+// Open returns the number of connections that are open or being opened.
+func (p *Pool) Open() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.open
+}
+
+// Close ends the idle connections now and the others after their answers.
+func (p *Pool) Close() {
+	p.mutex.Lock()
+	idle := p.idle
+	p.idle, p.ended = nil, true
+	p.open -= len(idle)
+	p.mutex.Unlock()
+	closeAll(idle)
+}
+
+// Sweep closes the idle connections whose time is over.
+func (p *Pool) Sweep(now time.Time) {
+	p.mutex.Lock()
+	expired := p.takeExpired(now)
+	p.mutex.Unlock()
+	closeAll(expired)
+}
+
+// takeExpired removes the idle connections whose time is over. It must be
+// called with the mutex held.
+func (p *Pool) takeExpired(now time.Time) []*connection {
+	var expired []*connection
+	kept := p.idle[:0]
+	for _, connection := range p.idle {
+		if now.Before(connection.expires) {
+			kept = append(kept, connection)
+			continue
+		}
+		expired = append(expired, connection)
+	}
+	p.idle = kept
+	p.open -= len(expired)
+	return expired
+}
+
+func closeAll(connections []*connection) {
+	for _, connection := range connections {
+		_ = connection.Close() // nothing is in flight on it
+	}
+}
+
+// acquire returns an idle connection that is still sound, or opens one.
+func (p *Pool) acquire(ctx context.Context) (*connection, error) {
+	for {
+		idle, mayOpen := p.takeIdle(time.Now())
+		if idle == nil && !mayOpen {
+			return nil, ErrConnectionLimit
+		}
+		if idle == nil {
+			return p.openOne(ctx)
+		}
+		if idle.quiet() {
+			idle.used = true
+			return idle, nil
+		}
+		p.discard(idle)
+	}
+}
+
+// takeIdle returns the idle connection used last. When there is none, mayOpen
+// tells whether one may be opened, which is counted already.
+func (p *Pool) takeIdle(now time.Time) (idle *connection, mayOpen bool) {
+	p.mutex.Lock()
+	expired := p.takeExpired(now)
+	if last := len(p.idle) - 1; last >= 0 {
+		idle = p.idle[last]
+		p.idle = p.idle[:last]
+	} else if p.open < p.limit {
+		p.open++
+		mayOpen = true
+	}
+	p.mutex.Unlock()
+	closeAll(expired)
+	return idle, mayOpen
+}
+
+func (p *Pool) openOne(ctx context.Context) (*connection, error) {
+	opened, err := p.dial(ctx, p.address)
+	if err != nil {
+		p.mutex.Lock()
+		p.open--
+		p.mutex.Unlock()
+		return nil, err
+	}
+	return newConnection(opened), nil
+}
+
+// keep gives a connection back for a time.
+func (p *Pool) keep(used *connection, rest time.Duration) {
+	p.mutex.Lock()
+	if p.ended || p.open > p.limit {
+		p.mutex.Unlock()
+		p.discard(used)
+		return
+	}
+	used.expires = time.Now().Add(rest)
+	p.idle = append(p.idle, used)
+	p.mutex.Unlock()
+}
+
+func (p *Pool) discard(broken *connection) {
+	_ = broken.Close() // it is of no use any more
+	p.mutex.Lock()
+	p.open--
+	p.mutex.Unlock()
+}
