--- a/internal/replica/forward_message.go
+++ b/internal/replica/forward_message.go
@@ -9,7 +9,6 @@
 
 	"github.com/doorpond/doorpond/internal/decision"
 	"github.com/doorpond/doorpond/internal/policy"
-	"github.com/doorpond/doorpond/internal/routing"
 	"github.com/doorpond/doorpond/internal/upstream"
 )
 
@@ -68,8 +67,8 @@
 
 func (h *Handle) sentAt(now time.Time) { h.silence.began(now.Sub(h.created), h.inFlight.Load()) }
 
-// Forward sends a message to an acquired replica, once, and releases it. Parts
-// of a scattered query must consist of whole records.
+// Forward sends a message to an acquired replica, once, and releases it. A part
+// of a scattered query must be a success.
 func (p *Pool) Forward(ctx context.Context, handle *Handle, message *upstream.Message, timeout time.Duration, terms *Terms, scattered bool) SearchResult {
 	defer handle.release()
 	started := p.options.Now()
@@ -109,14 +108,10 @@
 const serverErrors = 500
 
 func classifyPart(reply *upstream.Reply) SearchResult {
-	switch {
-	case !reply.Succeeded():
+	if !reply.Succeeded() {
 		return SearchResult{Outcome: decision.Failed, Part: reply, Err: eris.Errorf("status %d", reply.Status)}
-	case !routing.WholeRecords(reply.Body):
-		return SearchResult{Outcome: decision.Invalid, Err: eris.Errorf("%d bytes are no whole records", len(reply.Body))}
-	default:
-		return SearchResult{Outcome: decision.Success, Part: reply}
 	}
+	return SearchResult{Outcome: decision.Success, Part: reply}
 }
 
 // learnReply updates what is known of the replica.
--- a/internal/routing/merge.go
+++ b/internal/routing/merge.go
@@ -8,11 +8,9 @@
 // RecordBytes is the size of one record of a part.
 const RecordBytes = 16
 
-// WholeRecords tells whether a part's body consists of whole records.
-func WholeRecords(body []byte) bool { return len(body)%RecordBytes == 0 }
-
 // MergeTop returns the greatest records of some parts, in falling byte order.
-// Equal records all count.
+// Equal records all count. What is left of a part after its last whole record
+// is no record.
 func MergeTop(parts [][]byte, top int) []byte {
 	records := make([][]byte, 0, recordCount(parts))
 	for _, part := range parts {
