Log what was tried for each shard that has not answered

Cause: a partial answer could not be explained from its request id. Each line now holds the replicas, when they were asked and what came of it.

--- a/internal/decision/event.go
+++ b/internal/decision/event.go
@@ -29,6 +29,26 @@
 	Elsewhere
 )
 
+// outcomeNames are the names of the outcomes in logs and metrics.
+var outcomeNames = [...]string{
+	Success:         "success",
+	Failed:          "failed",
+	Shed:            "shed",
+	Draining:        "draining",
+	SnapshotNotHeld: "snapshot_not_held",
+	Invalid:         "invalid",
+	NoReplica:       "no_replica",
+	DeadlinePassed:  "deadline_passed",
+	Unreached:       "unreached",
+	Elsewhere:       "elsewhere",
+}
+
+// String returns the name of an outcome.
+func (o Outcome) String() string { return outcomeNames[o] }
+
+// Outcomes is the number of outcomes.
+const Outcomes = len(outcomeNames)
+
 // provesNotRun is true for the outcomes after which the replica certainly has
 // not run the sub-request and never will.
 func (o Outcome) provesNotRun() bool {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -187,6 +187,9 @@
 		name = route.Name
 	}
 	attributes := []any{"request", id, "route", name, "took", took.String(), "attempts", answer.Attempts, "hedges", answer.Hedges}
+	if len(answer.Unanswered) > 0 {
+		attributes = append(attributes, "unanswered", answer.Unanswered)
+	}
 	if err == nil {
 		h.options.Logger.Info("answered in part", append(attributes, "missing", answer.Missing)...)
 		return
--- a/internal/query/forward.go
+++ b/internal/query/forward.go
@@ -49,6 +49,24 @@
 	Missing    int
 	// Attempts and Hedges are what the request cost.
 	Attempts, Hedges int
+	// Unanswered says of each shard that has not answered what was tried.
+	Unanswered []Unanswered
+}
+
+// Unanswered is a shard that has not answered, as logs tell of it.
+type Unanswered struct {
+	Group    string    `json:"group"`
+	Reason   string    `json:"reason"`
+	Attempts []Attempt `json:"attempts"`
+	Error    string    `json:"error,omitempty"`
+}
+
+// Attempt is one sub-request of a shard that has not answered.
+type Attempt struct {
+	Replica string `json:"replica,omitempty"`
+	// SentMilliseconds counts from the request's start.
+	SentMilliseconds int64  `json:"sent_ms"`
+	Outcome          string `json:"outcome"`
 }
 
 // forwardRun is a run of a forwarded request.
@@ -129,7 +147,7 @@
 
 // conclude turns the run into an answer or an error.
 func (r *forwardRun) conclude() (Forwarded, error) {
-	answer := Forwarded{Attempts: r.counts.dispatched, Hedges: r.counts.hedges}
+	answer := Forwarded{Attempts: r.counts.dispatched, Hedges: r.counts.hedges, Unanswered: r.unanswered()}
 	if r.reason == decision.CallerGaveUp {
 		return answer, failure.New(failure.Canceled, "the caller gave up")
 	}
@@ -170,28 +188,42 @@
 // refusal is the error of a request without an answer. It says that nothing
 // ran only when each attempt was proved not to have run.
 func (r *forwardRun) refusal(what string) *failure.Error {
-	detail := what + r.lastFailure()
 	notRun := r.counts.proven == r.counts.dispatched
 	switch {
 	case r.counts.dispatched == 0:
-		return failure.New(failure.NoReplica, detail)
+		return failure.New(failure.NoReplica, what)
 	case notRun:
-		return failure.New(failure.BackendRefused, detail)
+		return failure.New(failure.BackendRefused, what)
 	case r.reason == decision.DeadlineReached:
-		return failure.New(failure.DeadlineExceeded, detail)
+		return failure.New(failure.DeadlineExceeded, what)
 	default:
-		return failure.New(failure.InsufficientCoverage, detail)
+		return failure.New(failure.InsufficientCoverage, what)
 	}
 }
 
-// lastFailure names what came of a shard that has not answered.
-func (r *forwardRun) lastFailure() string {
+// unanswered describes the shards that have not answered; nil when all have.
+func (r *forwardRun) unanswered() []Unanswered {
+	var missing []Unanswered
 	for i := range r.shards {
-		if !r.core.Status(i).Answered {
-			return fmt.Sprintf("; first missing: %s (%s, %v)", r.plan.Shards[i].Group, r.core.Status(i).Reason, r.shards[i].err)
+		status := r.core.Status(i)
+		if status.Answered {
+			continue
+		}
+		shard := &r.shards[i]
+		described := Unanswered{Group: r.plan.Shards[i].Group, Reason: string(status.Reason)}
+		if shard.err != nil {
+			described.Error = shard.err.Error()
+		}
+		for attempt, sent := range shard.sent {
+			one := Attempt{SentMilliseconds: sent.Milliseconds(), Outcome: shard.ended[attempt]}
+			if attempt < len(shard.tried) {
+				one.Replica = shard.tried[attempt].Address()
+			}
+			described.Attempts = append(described.Attempts, one)
 		}
+		missing = append(missing, described)
 	}
-	return ""
+	return missing
 }
 
 func (s *Service) recordForward(current *forwardRun, ticket admission.Ticket, took time.Duration, err error) {
--- a/internal/query/run.go
+++ b/internal/query/run.go
@@ -56,7 +56,10 @@
 type shardRun struct {
 	tried   []*replica.Handle
 	cancels []context.CancelFunc
-	reply   *backendapi.SearchReply
+	// sent says when each attempt was sent, and ended what came of it.
+	sent  []time.Duration
+	ended []string
+	reply *backendapi.SearchReply
 	// part is the answer to a message; refusal is a failure that a replica
 	// itself answered with.
 	part    *upstream.Reply
@@ -109,6 +112,7 @@
 		r.counts.retryAfter = max(r.counts.retryAfter, result.Result.RetryAfter)
 	}
 	r.keep(&r.shards[result.Shard], result.Result)
+	r.shards[result.Shard].ended[result.Attempt] = outcome.String()
 	r.shards[result.Shard].cancels[result.Attempt]()
 	event := decision.Event{
 		Kind: decision.Replied, Shard: result.Shard, Attempt: result.Attempt,
@@ -171,14 +175,13 @@
 	plan, shard := &r.plan.Shards[action.Shard], &r.shards[action.Shard]
 	handle, lateAfter := r.protocol.acquire(plan, shard.tried)
 	if handle == nil {
-		shard.cancels = append(shard.cancels, func() {})
+		shard.note(nil, func() {}, r.inbox.Elapsed())
 		return append(arisen, decision.Event{
 			Kind: decision.Replied, Shard: action.Shard, Attempt: action.Attempt, Outcome: decision.NoReplica,
 		})
 	}
 	attempt, cancel := r.service.options.Driver.WithCancel(r.context)
-	shard.tried = append(shard.tried, handle)
-	shard.cancels = append(shard.cancels, cancel)
+	shard.note(handle, cancel, r.inbox.Elapsed())
 	r.counts.dispatched++
 	if action.Hedge {
 		r.counts.hedges++
@@ -195,6 +198,16 @@
 	})
 }
 
+// note keeps an attempt; the handle is nil when no replica was left.
+func (s *shardRun) note(handle *replica.Handle, cancel context.CancelFunc, at time.Duration) {
+	if handle != nil {
+		s.tried = append(s.tried, handle)
+	}
+	s.cancels = append(s.cancels, cancel)
+	s.sent = append(s.sent, at)
+	s.ended = append(s.ended, "in flight")
+}
+
 // ended is what admission learns from the run.
 func (r *run) ended(took time.Duration) admission.Ended {
 	ended := admission.Ended{Took: took, Asked: len(r.plan.Shards), Answered: r.core.Answered()}
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -36,7 +36,7 @@
 }
 
 type poolMetrics struct {
-	outcomes    [len(outcomeNames)]prometheus.Counter
+	outcomes    [decision.Outcomes]prometheus.Counter
 	calls       *prometheus.CounterVec
 	connections prometheus.Gauge
 	opened      prometheus.Counter
@@ -44,20 +44,6 @@
 	forwarded   prometheus.Counter
 }
 
-// outcomeNames are the values of the label "outcome", by decision.Outcome.
-var outcomeNames = [...]string{
-	decision.Success:         "success",
-	decision.Failed:          "failed",
-	decision.Shed:            "shed",
-	decision.Draining:        "draining",
-	decision.SnapshotNotHeld: "snapshot_not_held",
-	decision.Invalid:         "invalid",
-	decision.NoReplica:       "no_replica",
-	decision.DeadlinePassed:  "deadline_passed",
-	decision.Unreached:       "unreached",
-	decision.Elsewhere:       "elsewhere",
-}
-
 func newPoolMetrics(registerer prometheus.Registerer) *poolMetrics {
 	outcomes := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "doorpondd_subrequests_total", Help: "Sub-requests that ended, by outcome; cancelled ones count as failed.",
@@ -80,8 +66,8 @@
 			Help: "Sub-requests and calls sent through a peer, as no replica was in reach.",
 		}),
 	}
-	for outcome, name := range outcomeNames {
-		metrics.outcomes[outcome] = outcomes.WithLabelValues(name)
+	for outcome := range metrics.outcomes {
+		metrics.outcomes[outcome] = outcomes.WithLabelValues(decision.Outcome(outcome).String())
 	}
 	register(registerer, outcomes, metrics.calls, metrics.connections, metrics.opened, metrics.ejections, metrics.forwarded)
 	return metrics
