Lateness by the usual median, a replica's speed by the median of three samples

Cause: hedges were not sent: a late quantile that pauses had polluted (148 to 199 ms of 220), half of the budget kept from hedges, and slow replicas that stayed preferred as one capped sample counted for little. Ruled out: the number of attempts.

--- a/internal/decision/budget.go
+++ b/internal/decision/budget.go
@@ -24,12 +24,20 @@
 	units   atomic.Int64
 	deposit atomic.Int64
 	burst   atomic.Int64
+	// reserve is the share of the burst that hedges leave to retries.
+	reserve float64
 }
 
 // NewTokenBudget makes a full bucket: ratio tokens are earned by each first
 // attempt, and at most burst are saved up.
 func NewTokenBudget(ratio, burst float64) *TokenBudget {
-	budget := &TokenBudget{}
+	return NewReservingBudget(ratio, burst, hedgeReserve)
+}
+
+// NewReservingBudget is NewTokenBudget with the share of the burst that hedges
+// leave to retries.
+func NewReservingBudget(ratio, burst, reserve float64) *TokenBudget {
+	budget := &TokenBudget{reserve: reserve}
 	budget.Configure(ratio, burst)
 	budget.units.Store(budget.burst.Load())
 	return budget
@@ -63,7 +71,7 @@
 
 // WithdrawHedge takes one token if there are more than retries may need.
 func (b *TokenBudget) WithdrawHedge() bool {
-	return b.withdraw(int64(hedgeReserve * float64(b.burst.Load())))
+	return b.withdraw(int64(b.reserve * float64(b.burst.Load())))
 }
 
 func (b *TokenBudget) withdraw(reserve int64) bool {
--- a/internal/decision/query.go
+++ b/internal/decision/query.go
@@ -204,7 +204,15 @@
 	if q.shards[shard].attempts >= q.attemptLimit() {
 		return false
 	}
-	return now+q.plan.Shards[shard].Expected < min(q.plan.Deadline, q.graceAt)
+	return now+q.plan.Shards[shard].Expected < min(q.plan.Deadline, q.graceAt, q.answerBy(now))
+}
+
+// answerBy is when the query ends if no more shards answer.
+func (q *Query) answerBy(now time.Duration) time.Duration {
+	if q.mayAnswer() && now < q.plan.AnswerBy {
+		return q.plan.AnswerBy
+	}
+	return never
 }
 
 func (q *Query) withdraw(shard int) bool {
--- a/internal/edge/budget.go
+++ b/internal/edge/budget.go
@@ -12,6 +12,9 @@
 // that start anew with a budget of their own.
 const budgetShare = 0.9
 
+// retryReserve is the share of the slack that hedges leave to retries.
+const retryReserve = 0.2
+
 // budgets holds this node's part of the retry budget of each replica group.
 // All nodes together may retry a share of the group's requests and a slack
 // besides: each earns the share on its own requests, and has an equal part of
@@ -50,7 +53,7 @@
 		}
 	}
 	if b.groups[group] == nil {
-		b.groups[group] = decision.NewTokenBudget(budgetShare*b.ratio, b.burst())
+		b.groups[group] = decision.NewReservingBudget(budgetShare*b.ratio, b.burst(), retryReserve)
 	}
 	return b.groups[group]
 }
--- a/internal/query/forward.go
+++ b/internal/query/forward.go
@@ -100,8 +100,9 @@
 
 func (s *Service) newForwardRun(forwarding *Forwarding, deadline time.Duration) *forwardRun {
 	route := forwarding.Route
+	usual := s.usuals.Of(route.Name)
 	plan := decision.Plan{
-		Shards: s.forwardShards(route), Policy: route.Policy, Deadline: deadline,
+		Shards: s.forwardShards(route, usual), Policy: route.Policy, Deadline: deadline,
 		LeastShards: route.LeastShards, RunsOnce: !route.Repeatable,
 	}
 	if route.Scattered() {
@@ -109,8 +110,7 @@
 	}
 	forward := &forwardRun{forwarding: forwarding, terms: replica.Terms{
 		Weights:   route.Policy.Replicas,
-		Usual:     s.usuals.Of(route.Name),
-		Quantile:  route.Policy.Wait.HedgeQuantile,
+		Usual:     usual,
 		LateAfter: time.Duration(unknownLateShare * float64(route.Objective)),
 	}}
 	forward.run = s.newRun(plan, forward)
@@ -118,7 +118,8 @@
 	return forward
 }
 
-func (s *Service) forwardShards(route *routing.Route) []decision.ShardPlan {
+func (s *Service) forwardShards(route *routing.Route, usual *replica.Usual) []decision.ShardPlan {
+	expected := usual.Least()
 	groups := route.Shards
 	if !route.Scattered() {
 		groups = []string{s.splitter.Pick(route)}
@@ -127,7 +128,7 @@
 	for i, group := range groups {
 		shards[i] = decision.ShardPlan{
 			Index: route.Name, Shard: i, Shards: len(groups), Group: group,
-			Budget: s.options.Pool.BudgetOf(group, route.Policy),
+			Budget: s.options.Pool.BudgetOf(group, route.Policy), Expected: expected,
 		}
 	}
 	return shards
--- a/internal/replica/forward_message.go
+++ b/internal/replica/forward_message.go
@@ -17,16 +17,14 @@
 	Weights policy.Replicas
 	// Usual is how long such messages take.
 	Usual *Usual
-	// Quantile of the usual time after which an answer is late.
-	Quantile float64
 	// LateAfter is used while the usual time is not known.
 	LateAfter time.Duration
 }
 
 // lateAfter returns the time after which an answer from a distance is late.
 func (t *Terms) lateAfter(handle *Handle) time.Duration {
-	if known := t.Usual.Quantile(handle.distance, t.Quantile); known > 0 {
-		return known
+	if usual := t.Usual.At(handle.distance); usual > 0 {
+		return lateRatio * usual
 	}
 	return t.LateAfter
 }
@@ -57,7 +55,7 @@
 func (h *Handle) candidateFor(now time.Time, terms *Terms) decision.Candidate {
 	candidate := h.candidate(now)
 	age := now.Sub(h.created)
-	usual := terms.Usual.Median(h.distance)
+	usual := terms.Usual.At(h.distance)
 	candidate.LatencyEWMA = time.Duration(h.speed.slowness(age) * float64(usual))
 	candidate.Warmth = 1 // the replica's own speed tells whether it is slow
 	candidate.Ejected = candidate.Ejected || h.vanished.Load()
@@ -124,7 +122,7 @@
 		handle.silence.heard(age)
 	}
 	late := elapsed > terms.lateAfter(handle)
-	if usual := terms.Usual.Median(handle.distance); usual > 0 && (result.Outcome == decision.Success || (givenUp && late)) {
+	if usual := terms.Usual.At(handle.distance); usual > 0 && (result.Outcome == decision.Success || (givenUp && late)) {
 		handle.speed.observe(age, usual, float64(elapsed)/float64(usual))
 	}
 	if result.Outcome == decision.Success {
--- a/internal/replica/speed.go
+++ b/internal/replica/speed.go
@@ -2,59 +2,81 @@
 
 import (
 	"math"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 )
 
 // The constants of a replica's speed.
 const (
-	// speedWeight is the weight of a new sample in the moving average.
-	speedWeight = 0.2
-	// mostSlowness bounds one sample, so that a single long request does not
-	// count for many.
-	mostSlowness = 5
+	// speedSamples is the number of latest samples of which the median counts:
+	// a single long request, or a pause, does not make a replica slow.
+	speedSamples = 3
 	// speedHalfLife is the time in which what is known of a replica that is
 	// not asked fades by half, so that it is tried again.
-	speedHalfLife = time.Second
-	// slowSample is the slowness from which on a sample counts as slow.
-	slowSample = 2
+	speedHalfLife = 2 * time.Second
+	// lateRatio is how many times its usual time an answer takes when it is
+	// late.
+	lateRatio = 2
 )
 
 // speed is how many times longer than usual a replica takes: 1 is the usual
 // time of its group's replicas at the same distance, for the same kind of
 // request. Its zero value is that of a replica of usual speed. It is safe for
-// concurrent use; samples that race each other may be lost.
+// concurrent use.
 type speed struct {
-	excess   atomic.Uint64 // bits of the moving average less 1
-	observed atomic.Int64  // time of the last sample, nanoseconds after the replica was listed
-	slowAt   atomic.Int64  // time of the last slow sample that counted
+	mutex    sync.Mutex
+	samples  [speedSamples]float64 // excess over the usual time
+	next     int
+	observed time.Duration // time of the last sample, after the replica was listed
+	lateAt   time.Duration // time of the last late sample that counted
+	median   atomic.Uint64 // bits of the median excess
+	medianAt atomic.Int64  // observed, for readers without the mutex
 }
 
 // observe takes in a request that took so many times its usual time. Requests
 // that were held up together end together, and count as one.
 func (s *speed) observe(age, usual time.Duration, slowness float64) {
-	if slowness >= slowSample {
-		last := s.slowAt.Load()
-		if last != 0 && int64(age)-last < int64(slowSample*usual) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if slowness >= lateRatio {
+		if s.lateAt != 0 && age-s.lateAt < lateRatio*usual {
 			return
 		}
-		s.slowAt.Store(int64(age))
+		s.lateAt = age
 	}
-	average := s.at(age)
-	average += speedWeight * (min(slowness, mostSlowness) - 1 - average)
-	s.excess.Store(math.Float64bits(average))
-	s.observed.Store(int64(age))
+	s.fade(age)
+	s.samples[s.next] = slowness - 1
+	s.next = (s.next + 1) % speedSamples
+	s.observed = age
+	sorted := s.samples
+	slices.Sort(sorted[:])
+	s.median.Store(math.Float64bits(sorted[speedSamples/2]))
+	s.medianAt.Store(int64(age))
 }
 
-// at returns the excess over the usual time, faded by its age.
-func (s *speed) at(age time.Duration) float64 {
-	halvings := float64(int64(age)-s.observed.Load()) / float64(speedHalfLife)
-	return math.Float64frombits(s.excess.Load()) * math.Exp2(-max(0, halvings))
+// fade lets the samples fade by the time since the last one.
+func (s *speed) fade(age time.Duration) {
+	left := fading(age - s.observed)
+	for i := range s.samples {
+		s.samples[i] *= left
+	}
+}
+
+func fading(since time.Duration) float64 {
+	return math.Exp2(-max(0, float64(since)/float64(speedHalfLife)))
 }
 
+// leastSlowness bounds how fast a replica is taken to be.
+const leastSlowness = 0.2
+
 // slowness returns how many times longer than usual a request is expected to
 // take.
-func (s *speed) slowness(age time.Duration) float64 { return max(0.2, 1+s.at(age)) }
+func (s *speed) slowness(age time.Duration) float64 {
+	excess := math.Float64frombits(s.median.Load()) * fading(age-time.Duration(s.medianAt.Load()))
+	return max(leastSlowness, 1+excess)
+}
 
 // silence notices a replica that holds requests and answers none. Its zero
 // value is ready, and it is safe for concurrent use.
--- a/internal/replica/usual.go
+++ b/internal/replica/usual.go
@@ -7,30 +7,34 @@
 	"github.com/doorpond/doorpond/internal/topology"
 )
 
-// medianQuantile is the quantile by which replicas are compared.
+// medianQuantile is the quantile that counts as the usual time: pauses and slow
+// replicas do not move it.
 const medianQuantile = 0.5
 
 // Usual is how long requests of one kind usually take, by the distance of the
 // replica. Its zero value is ready, and it is safe for concurrent use.
 type Usual struct {
-	median [topology.OtherRegion + 1]latencyWindow
-	late   [topology.OtherRegion + 1]latencyWindow
+	byDistance [topology.OtherRegion + 1]latencyWindow
 }
 
 // record adds the time of one answer.
 func (u *Usual) record(distance topology.Distance, elapsed time.Duration) {
-	u.median[distance].Record(elapsed)
-	u.late[distance].Record(elapsed)
+	u.byDistance[distance].Record(elapsed)
 }
 
-// Median returns the usual time at a distance, 0 while it is not known.
-func (u *Usual) Median(distance topology.Distance) time.Duration {
-	return u.median[distance].Quantile(medianQuantile)
+// At returns the usual time at a distance, 0 while it is not known.
+func (u *Usual) At(distance topology.Distance) time.Duration {
+	return u.byDistance[distance].Quantile(medianQuantile)
 }
 
-// Quantile returns a quantile at a distance, 0 while it is not known.
-func (u *Usual) Quantile(distance topology.Distance, quantile float64) time.Duration {
-	return u.late[distance].Quantile(quantile)
+// Least returns the usual time at the nearest distance that is known, or 0.
+func (u *Usual) Least() time.Duration {
+	for distance := range u.byDistance {
+		if known := u.At(topology.Distance(distance)); known > 0 {
+			return known
+		}
+	}
+	return 0
 }
 
 // Usuals holds what is usual for each kind of request, by name. Its zero value
--- a/internal/routing/row.go
+++ b/internal/routing/row.go
@@ -21,8 +21,6 @@
 
 // The weights and limits that operators do not state.
 const (
-	// lateQuantile of the usual time after which another replica is asked.
-	lateQuantile = 0.9
 	// A farther replica must be expected to be that much faster: its bytes cross
 	// regions.
 	zoneWeight, regionWeight, farWeight = 1.25, 1.15, 1
@@ -42,7 +40,7 @@
 func PolicyRow(terms Terms) *policy.Row {
 	row := policy.DefaultRow(terms.Name)
 	row.Replicas = policy.Replicas{ZoneWeight: zoneWeight, RegionWeight: regionWeight, FarWeight: farWeight}
-	row.Wait = policy.Wait{Timeout: policy.Duration(terms.Timeout), HedgeQuantile: lateQuantile}
+	row.Wait = policy.Wait{Timeout: policy.Duration(terms.Timeout)}
 	row.Retry.Attempts = min(max(1, terms.Attempts), mostAttempts)
 	row.Completeness = policy.Completeness{Target: 1, Least: terms.LeastShare}
 	row.Limits.Concurrency = mostConcurrent
