Changes of the store are gathered; watches wait for half of the time for news

Cause: at the start each replica's first entry woke each node's watch: 60 calls a node; and a watch a second. Ruled out: beats (they bring no events).

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -145,6 +145,7 @@
 	n.follower = follower.New(follower.Options{
 		Source: n.platform.Store, Decoder: n.platform.Codec, Keys: n.platform.Keys, Board: n.board,
 		Regions: n.settings.Regions, Self: self, Logger: n.logger,
+		Gather:      shareOf(gatherShare, n.settings.Bounds.News()),
 		VanishedFor: time.Duration(vanishedShare * float64(n.settings.Bounds.Drain)),
 	})
 	n.registry = registry.New(registry.Options{
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -54,6 +54,24 @@
 	DirectoryTTL time.Duration `yaml:"directory_ttl" validate:"gt=0,lte=10m"`
 }
 
+// News is the time within which news from the store must have been acted on.
+func (b BoundsSettings) News() time.Duration { return min(b.Drain, b.Apply) }
+
+// The parts of the time for news that its ways take.
+const (
+	watchWaitShare  = 0.5
+	watchSlackShare = 0.15
+	gatherShare     = 0.1
+)
+
+// WatchWait is how long the store may wait for news before it answers a watch,
+// and WatchSlack how much later the answer may come: a watch that has gone
+// silent is noticed in time to read the news otherwise.
+func (b BoundsSettings) WatchWait() time.Duration { return shareOf(watchWaitShare, b.News()) }
+
+// WatchSlack is described at WatchWait.
+func (b BoundsSettings) WatchSlack() time.Duration { return shareOf(watchSlackShare, b.News()) }
+
 // LoadSettings reads and checks a settings file.
 func LoadSettings(path string) (Settings, error) {
 	var loaded Settings
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -11,8 +11,6 @@
 	"strings"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/doorpond/doorpond/internal/blackboard"
 	"github.com/doorpond/doorpond/internal/routing"
 	"github.com/doorpond/doorpond/internal/store"
@@ -54,8 +52,11 @@
 	// VanishedFor is how long a replica whose entry is gone may still be asked
 	// when no other is left.
 	VanishedFor time.Duration
-	Logger      *slog.Logger
-	Now         func() time.Time
+	// Gather is how long after a change the next one is waited for, so that
+	// changes that come together cost one call.
+	Gather time.Duration
+	Logger *slog.Logger
+	Now    func() time.Time
 }
 
 // Follower follows the store; Run starts it.
@@ -112,9 +113,6 @@
 	}
 }
 
-// errMissed ends a watch whose revision went on without an event.
-var errMissed = eris.New("the watch has missed events")
-
 // follow reads everything and then watches until that fails.
 func (f *Follower) follow(ctx context.Context) error {
 	values, revision, err := f.options.Source.List(ctx, "", 0)
@@ -124,17 +122,22 @@
 	f.hear()
 	f.state.replace(f.options.Now(), values)
 	f.state.publish(f.options.Now())
-	return f.options.Source.Watch(ctx, "", revision+1, f.deliver)
+	return f.options.Source.Watch(ctx, "", revision+1, func(batch store.WatchBatch) error {
+		f.deliver(batch)
+		if len(batch.Events) > 0 {
+			sleep(ctx, f.options.Gather)
+		}
+		return nil
+	})
 }
 
-func (f *Follower) deliver(batch store.WatchBatch) error {
+func (f *Follower) deliver(batch store.WatchBatch) {
 	f.hear()
 	now := f.options.Now()
 	for _, event := range batch.Events {
 		f.state.apply(now, event)
 	}
 	f.state.publish(now)
-	return nil
 }
 
 // hear notes that the store has spoken.
