Directory: a zone's own nodes only, also a single one

Cause: callers of a zone with one node were told all nodes of the other regions besides, and five in six of their requests crossed regions.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -69,7 +69,7 @@
 	// little.
 	entryTTL = 3 * time.Second
 	// leastNodes is how many nodes a caller should know.
-	leastNodes = 2
+	leastNodes = 1
 	// directoryShare is the part of the longest time to keep addresses that is
 	// given: some callers keep them for three times as long as they are told.
 	directoryShare = 0.3
