A sub-request waits for a replica whose connections are all in use

Cause: after a restart of all nodes every waiting caller comes at once, and a shard none of whose replicas had a connection left (4 a node) counted as missing, so requests were refused within a millisecond. The decision core now postpones such an attempt by a part of the usual time. Ruled out: replicas missing from the store's list.

--- a/internal/decision/query.go
+++ b/internal/decision/query.go
@@ -22,9 +22,11 @@
 	hedgeAt  time.Duration
 	// hedgeDelay is the wait before the next look at the hedge.
 	hedgeDelay time.Duration
-	settled    bool
-	hedgeOff   bool
-	status     ShardStatus
+	// postponed is true while the first attempt waits for a replica, at hedgeAt.
+	postponed bool
+	settled   bool
+	hedgeOff  bool
+	status    ShardStatus
 }
 
 // Query decides one query. It is not safe for concurrent use.
@@ -131,6 +133,30 @@
 	return !q.plan.RunsOnce && !state.hedgeOff && state.attempts < q.attemptLimit()
 }
 
+// The wait before a sub-request that found all replicas busy is tried again:
+// a part of the usual time of a reply, within bounds.
+const (
+	busyShare   = 4
+	busyAtLeast = 2 * time.Millisecond
+	busyAtMost  = 20 * time.Millisecond
+)
+
+// postpone takes an attempt back that was not sent, as all replicas were busy,
+// and sets the time to try again. It returns false when there would be no time
+// left then.
+func (q *Query) postpone(now time.Duration, state *shardState, shard int) bool {
+	state.attempts--
+	wait := min(max(q.plan.Shards[shard].Expected/busyShare, busyAtLeast), busyAtMost)
+	if state.inFlight == 0 && !q.mayAttempt(now+wait, shard) {
+		return false
+	}
+	state.hedgeAt = now + wait
+	state.hedgeDelay = wait
+	state.postponed = state.inFlight == 0
+	q.wakeBy(state.hedgeAt)
+	return true
+}
+
 func (q *Query) attemptLimit() int { return min(q.plan.Policy.Retry.Attempts, maxAttempts) }
 
 func (q *Query) replied(now time.Duration, event Event) {
@@ -140,6 +166,9 @@
 		return
 	}
 	state.inFlight &^= bit
+	if event.Outcome == NoReplica && event.Busy && q.postpone(now, state, event.Shard) {
+		return
+	}
 	if event.Outcome == Success {
 		q.succeed(now, event.Shard)
 		return
@@ -262,6 +291,11 @@
 			continue
 		}
 		state.hedgeAt = never
+		if state.postponed {
+			state.postponed = false
+			q.send(now, i, false)
+			continue
+		}
 		switch {
 		case !q.mayAttempt(now, i):
 		case q.withdrawHedge(i):
--- a/internal/query/forward.go
+++ b/internal/query/forward.go
@@ -134,7 +134,7 @@
 	return shards
 }
 
-func (r *forwardRun) acquire(shard *decision.ShardPlan, tried []*replica.Handle) (*replica.Handle, time.Duration) {
+func (r *forwardRun) acquire(shard *decision.ShardPlan, tried []*replica.Handle) replica.Acquired {
 	return r.service.options.Pool.AcquireFor(shard.Group, &r.terms, tried)
 }
 
@@ -215,18 +215,22 @@
 		if shard.err != nil {
 			described.Error = shard.err.Error()
 		}
-		for attempt, sent := range shard.sent {
-			one := Attempt{SentMilliseconds: sent.Milliseconds(), Outcome: shard.ended[attempt]}
-			if attempt < len(shard.tried) {
-				one.Replica = shard.tried[attempt].Address()
-			}
-			described.Attempts = append(described.Attempts, one)
+		for _, tried := range shard.attempts {
+			described.Attempts = append(described.Attempts, tried.describe())
 		}
 		missing = append(missing, described)
 	}
 	return missing
 }
 
+func (a *attempt) describe() Attempt {
+	described := Attempt{SentMilliseconds: a.sent.Milliseconds(), Outcome: a.ended}
+	if a.handle != nil {
+		described.Replica = a.handle.Address()
+	}
+	return described
+}
+
 func (s *Service) recordForward(current *forwardRun, ticket admission.Ticket, took time.Duration, err error) {
 	route := current.forwarding.Route
 	s.options.Statistics.Record(route.Name, statistics.Sample{
--- a/internal/query/run.go
+++ b/internal/query/run.go
@@ -14,9 +14,8 @@
 
 // protocol is how one kind of request is put to the replicas of its shards.
 type protocol interface {
-	// acquire chooses a replica that was not tried yet; nil means that there is
-	// none. lateAfter is the time after which its answer is late, 0 if unknown.
-	acquire(shard *decision.ShardPlan, tried []*replica.Handle) (chosen *replica.Handle, lateAfter time.Duration)
+	// acquire chooses a replica that was not tried yet.
+	acquire(shard *decision.ShardPlan, tried []*replica.Handle) replica.Acquired
 	// exchange sends one attempt to a replica, and returns what came of it.
 	exchange(ctx context.Context, handle *replica.Handle, shard *decision.ShardPlan, action decision.Action) replica.SearchResult
 	// otherSnapshot tells whether the query could start anew on another one.
@@ -54,12 +53,9 @@
 }
 
 type shardRun struct {
-	tried   []*replica.Handle
-	cancels []context.CancelFunc
-	// sent says when each attempt was sent, and ended what came of it.
-	sent  []time.Duration
-	ended []string
-	reply *backendapi.SearchReply
+	tried    []*replica.Handle
+	attempts []attempt
+	reply    *backendapi.SearchReply
 	// part is the answer to a message; refusal is a failure that a replica
 	// itself answered with.
 	part    *upstream.Reply
@@ -68,6 +64,18 @@
 	err error
 }
 
+// inFlight is what has come of an attempt that has not ended.
+const inFlight = "in_flight"
+
+// attempt is one sub-request of a shard, by the core's number.
+type attempt struct {
+	// handle is nil when no replica was left to send it to.
+	handle *replica.Handle
+	cancel context.CancelFunc
+	sent   time.Duration
+	ended  string
+}
+
 // newRun makes a run of a plan.
 func (s *Service) newRun(plan decision.Plan, speaks protocol) *run {
 	return &run{
@@ -112,8 +120,9 @@
 		r.counts.retryAfter = max(r.counts.retryAfter, result.Result.RetryAfter)
 	}
 	r.keep(&r.shards[result.Shard], result.Result)
-	r.shards[result.Shard].ended[result.Attempt] = outcome.String()
-	r.shards[result.Shard].cancels[result.Attempt]()
+	ended := &r.shards[result.Shard].attempts[result.Attempt]
+	ended.ended = outcome.String()
+	ended.cancel()
 	event := decision.Event{
 		Kind: decision.Replied, Shard: result.Shard, Attempt: result.Attempt,
 		Outcome: outcome, RetryAfter: result.Result.RetryAfter,
@@ -162,7 +171,7 @@
 
 func (r *run) cancel(action decision.Action) {
 	r.counts.cancelled++
-	cancel := r.shards[action.Shard].cancels[action.Attempt]
+	cancel := r.shards[action.Shard].attempts[action.Attempt].cancel
 	if r.linger > 0 && !r.abandoned {
 		r.service.options.Driver.After(r.linger, cancel)
 		return
@@ -173,41 +182,36 @@
 // send dispatches one attempt, and adds the event that this gives rise to.
 func (r *run) send(action decision.Action, arisen []decision.Event) []decision.Event {
 	plan, shard := &r.plan.Shards[action.Shard], &r.shards[action.Shard]
-	handle, lateAfter := r.protocol.acquire(plan, shard.tried)
+	acquired := r.protocol.acquire(plan, shard.tried)
+	handle := acquired.Handle
 	if handle == nil {
-		shard.note(nil, func() {}, r.inbox.Elapsed())
+		if !acquired.Busy {
+			shard.attempts = append(shard.attempts, attempt{cancel: func() {}, ended: decision.NoReplica.String()})
+		}
 		return append(arisen, decision.Event{
-			Kind: decision.Replied, Shard: action.Shard, Attempt: action.Attempt, Outcome: decision.NoReplica,
+			Kind: decision.Replied, Shard: action.Shard, Attempt: action.Attempt,
+			Outcome: decision.NoReplica, Busy: acquired.Busy,
 		})
 	}
-	attempt, cancel := r.service.options.Driver.WithCancel(r.context)
-	shard.note(handle, cancel, r.inbox.Elapsed())
+	sub, cancel := r.service.options.Driver.WithCancel(r.context)
+	shard.tried = append(shard.tried, handle)
+	shard.attempts = append(shard.attempts, attempt{handle: handle, cancel: cancel, sent: r.inbox.Elapsed(), ended: inFlight})
 	r.counts.dispatched++
 	if action.Hedge {
 		r.counts.hedges++
 	}
 	r.service.options.Driver.Start(func() {
-		result := r.protocol.exchange(attempt, handle, plan, action)
+		result := r.protocol.exchange(sub, handle, plan, action)
 		r.inbox.Deliver(AttemptResult{Shard: action.Shard, Attempt: action.Attempt, Result: result})
 	})
-	if lateAfter == 0 {
+	if acquired.LateAfter == 0 {
 		return arisen
 	}
 	return append(arisen, decision.Event{
-		Kind: decision.Dispatched, Shard: action.Shard, Attempt: action.Attempt, HedgeDelay: lateAfter,
+		Kind: decision.Dispatched, Shard: action.Shard, Attempt: action.Attempt, HedgeDelay: acquired.LateAfter,
 	})
 }
 
-// note keeps an attempt; the handle is nil when no replica was left.
-func (s *shardRun) note(handle *replica.Handle, cancel context.CancelFunc, at time.Duration) {
-	if handle != nil {
-		s.tried = append(s.tried, handle)
-	}
-	s.cancels = append(s.cancels, cancel)
-	s.sent = append(s.sent, at)
-	s.ended = append(s.ended, "in flight")
-}
-
 // ended is what admission learns from the run.
 func (r *run) ended(took time.Duration) admission.Ended {
 	ended := admission.Ended{Took: took, Asked: len(r.plan.Shards), Answered: r.core.Answered()}
--- a/internal/query/search.go
+++ b/internal/query/search.go
@@ -31,8 +31,8 @@
 	return search
 }
 
-func (r *searchRun) acquire(shard *decision.ShardPlan, tried []*replica.Handle) (*replica.Handle, time.Duration) {
-	return r.service.options.Pool.Acquire(shard.Group, r.request.row.Replicas, tried), 0
+func (r *searchRun) acquire(shard *decision.ShardPlan, tried []*replica.Handle) replica.Acquired {
+	return replica.Acquired{Handle: r.service.options.Pool.Acquire(shard.Group, r.request.row.Replicas, tried)}
 }
 
 func (r *searchRun) exchange(ctx context.Context, handle *replica.Handle, shard *decision.ShardPlan, action decision.Action) replica.SearchResult {
--- a/internal/replica/forward_message.go
+++ b/internal/replica/forward_message.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -29,25 +30,39 @@
 	return t.LateAfter
 }
 
-// AcquireFor is Acquire for a message; the second result is the time after
-// which the chosen replica's answer is late.
-func (p *Pool) AcquireFor(groupName string, terms *Terms, tried []*Handle) (*Handle, time.Duration) {
+// Acquired is a replica chosen for a message.
+type Acquired struct {
+	// Handle is nil when there is none.
+	Handle *Handle
+	// LateAfter is the time after which the replica's answer is late.
+	LateAfter time.Duration
+	// Busy is true when there is none now, but one that only lacks connections.
+	Busy bool
+}
+
+// AcquireFor is Acquire for a message.
+func (p *Pool) AcquireFor(groupName string, terms *Terms, tried []*Handle) Acquired {
 	found := p.current().groups[groupName]
 	if found == nil {
-		return nil, 0
+		return Acquired{}
 	}
 	choose := decision.ChooseReplica
 	if len(tried) > 0 {
 		choose = decision.ChooseAnother
 	}
 	now := p.options.Now()
-	describe := func(handle *Handle) decision.Candidate { return handle.candidateFor(now, terms) }
+	busy := false
+	describe := func(handle *Handle) decision.Candidate {
+		candidate := handle.candidateFor(now, terms)
+		busy = busy || (!candidate.ConnectionAvailable && !slices.Contains(tried, handle))
+		return candidate
+	}
 	chosen := p.chooseFrom(found.handles, terms.Weights, tried, choose, now, describe)
 	if chosen == nil {
-		return nil, 0
+		return Acquired{Busy: busy}
 	}
 	chosen.sentAt(now)
-	return chosen, terms.lateAfter(chosen)
+	return Acquired{Handle: chosen, LateAfter: terms.lateAfter(chosen)}
 }
 
 // candidateFor is candidate with the latency that a message is expected to
