Resets cut a replica's limit, which is hard; an attempt that reached no replica does not count

Cause: after a restart of all nodes replicas with long queues reset connections, and each reset burnt one of two attempts while the node went on sending.

--- a/internal/decision/query.go
+++ b/internal/decision/query.go
@@ -17,6 +17,9 @@
 const maxAttempts = 16
 
 type shardState struct {
+	// sent numbers the attempts; attempts counts those that may have come to a
+	// replica, which the policy bounds.
+	sent     int
 	attempts int
 	inFlight uint16
 	hedgeAt  time.Duration
@@ -103,7 +106,8 @@
 
 func (q *Query) send(now time.Duration, shard int, hedge bool) {
 	state, plan := &q.shards[shard], &q.plan.Shards[shard]
-	attempt := state.attempts
+	attempt := state.sent
+	state.sent++
 	state.attempts++
 	state.inFlight |= 1 << attempt
 	state.hedgeAt = never
@@ -119,7 +123,7 @@
 // dispatched sets the hedge by what is usual for the chosen replica.
 func (q *Query) dispatched(now time.Duration, event Event) {
 	state := &q.shards[event.Shard]
-	latest := event.Attempt == state.attempts-1
+	latest := event.Attempt == state.sent-1
 	if event.HedgeDelay <= 0 || !latest || state.settled || !q.mayHedge(state) {
 		return
 	}
@@ -130,7 +134,7 @@
 
 // mayHedge is true while another attempt beside those in flight is allowed.
 func (q *Query) mayHedge(state *shardState) bool {
-	return !q.plan.RunsOnce && !state.hedgeOff && state.attempts < q.attemptLimit()
+	return !q.plan.RunsOnce && !state.hedgeOff && state.attempts < q.attemptLimit() && state.sent < maxAttempts
 }
 
 // The wait before a sub-request that found all replicas busy is tried again:
@@ -145,6 +149,7 @@
 // and sets the time to try again. It returns false when there would be no time
 // left then.
 func (q *Query) postpone(now time.Duration, state *shardState, shard int) bool {
+	state.sent--
 	state.attempts--
 	wait := min(max(q.plan.Shards[shard].Expected/busyShare, busyAtLeast), busyAtMost)
 	if state.inFlight == 0 && !q.mayAttempt(now+wait, shard) {
@@ -173,6 +178,9 @@
 		q.succeed(now, event.Shard)
 		return
 	}
+	if event.Outcome == Unreached {
+		state.attempts--
+	}
 	q.otherSnapshot = q.otherSnapshot || event.OtherSnapshot
 	state.status.Reason = reasonAfter(state.status.Reason, event.Outcome)
 	if event.Outcome == NoReplica {
@@ -230,7 +238,7 @@
 }
 
 func (q *Query) mayAttempt(now time.Duration, shard int) bool {
-	if q.shards[shard].attempts >= q.attemptLimit() {
+	if q.shards[shard].attempts >= q.attemptLimit() || q.shards[shard].sent >= maxAttempts {
 		return false
 	}
 	return now+q.plan.Shards[shard].Expected < min(q.plan.Deadline, q.graceAt, q.answerBy(now))
--- a/internal/replica/forward_message.go
+++ b/internal/replica/forward_message.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -72,6 +73,7 @@
 	age := now.Sub(h.created)
 	usual := terms.Usual.At(h.distance)
 	candidate.LatencyEWMA = time.Duration(h.speed.slowness(age) * float64(usual))
+	candidate.ConnectionAvailable = candidate.ConnectionAvailable && candidate.InFlight < candidate.Limit
 	candidate.Warmth = 1 // the replica's own speed tells whether it is slow
 	candidate.Ejected = candidate.Ejected || h.vanished.Load()
 	candidate.Silent = h.silence.lasts(age, h.inFlight.Load()) > terms.lateAfter(h)
@@ -147,6 +149,9 @@
 	if result.Outcome == decision.Unreached && !errors.Is(result.Err, upstream.ErrConnectionLimit) {
 		ended.Outcome = decision.Failed // for the replica's health, not to be reached is a failure
 	}
+	if errors.Is(result.Err, syscall.ECONNRESET) {
+		handle.cutLimit() // a replica that is full resets connections
+	}
 	if handle.Health.Observe(now, ended) {
 		p.metrics.ejections.Inc()
 	}
