--- /dev/null
+++ b/internal/announce/announce.go
@@ -0,0 +1,139 @@
+// Package announce lets nodes tell each other how far the store has come. One
+// node that asks the store saves the others from asking: what it learned
+// spreads in datagrams, each node passing it on to a few others. A datagram
+// may be lost, late or repeated; whoever hears nothing asks the store itself.
+package announce
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/doorpond/doorpond/internal/topology"
+)
+
+// The constants of spreading.
+const (
+	// fanout is the number of nodes that are told by each that has news.
+	fanout = 8
+	// maxDatagramBytes bounds a datagram that is read.
+	maxDatagramBytes = 512
+	// waiting is the number of announcements that may wait to be taken.
+	waiting = 64
+)
+
+// Announcement says that the store was at a revision some time ago.
+type Announcement struct {
+	// Revision is the store's.
+	Revision int64 `msgpack:"r"`
+	// Age is the time since the store said so, in milliseconds.
+	AgeMilliseconds int64 `msgpack:"a"`
+}
+
+// Age returns the time since the store said so.
+func (a Announcement) Age() time.Duration { return time.Duration(a.AgeMilliseconds) * time.Millisecond }
+
+// Options are what an Announcer needs.
+type Options struct {
+	// Address is IP:port of this node's datagrams.
+	Address string
+	// Nodes returns the nodes known now; this one is left out by its address.
+	Nodes  func() *topology.Nodes
+	Logger *slog.Logger
+}
+
+// Announcer sends and receives announcements; Run receives.
+type Announcer struct {
+	options  Options
+	socket   *net.UDPConn
+	received chan Announcement
+}
+
+// New opens the socket.
+func New(options Options) (*Announcer, error) {
+	address, err := net.ResolveUDPAddr("udp4", options.Address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "read the address %s", options.Address)
+	}
+	socket, err := net.ListenUDP("udp4", address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen for announcements on %s", options.Address)
+	}
+	if options.Logger == nil {
+		options.Logger = slog.New(slog.DiscardHandler)
+	}
+	return &Announcer{options: options, socket: socket, received: make(chan Announcement, waiting)}, nil
+}
+
+// Address returns IP:port of this node's datagrams.
+func (a *Announcer) Address() string { return a.socket.LocalAddr().String() }
+
+// Received gives the announcements of other nodes.
+func (a *Announcer) Received() <-chan Announcement { return a.received }
+
+// Run receives until ctx ends, and returns nil then.
+func (a *Announcer) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = a.socket.Close() })
+	defer stop()
+	buffer := make([]byte, maxDatagramBytes)
+	for {
+		size, _, err := a.socket.ReadFromUDP(buffer)
+		switch {
+		case ctx.Err() != nil, errors.Is(err, net.ErrClosed):
+			return nil
+		case err != nil:
+			a.options.Logger.Debug("an announcement was not read", "error", err.Error())
+			continue
+		}
+		var heard Announcement
+		if err := msgpack.Unmarshal(buffer[:size], &heard); err != nil || heard.AgeMilliseconds < 0 {
+			continue // not from a node of this version
+		}
+		select {
+		case a.received <- heard:
+		default: // the follower is busy; more will come
+		}
+	}
+}
+
+// Send tells some other nodes, chosen by chance.
+func (a *Announcer) Send(news Announcement) {
+	nodes := a.options.Nodes()
+	if nodes == nil {
+		return
+	}
+	datagram, err := msgpack.Marshal(news)
+	if err != nil {
+		return // two numbers always encode
+	}
+	for _, address := range a.targets(nodes) {
+		_, _ = a.socket.WriteToUDP(datagram, address) // may be lost as well on its way
+	}
+}
+
+func (a *Announcer) targets(nodes *topology.Nodes) []*net.UDPAddr {
+	own := a.Address()
+	var targets []*net.UDPAddr
+	for _, i := range rand.Perm(len(nodes.Nodes)) {
+		node := nodes.Nodes[i]
+		if node.PeerAddress == "" || node.PeerAddress == own {
+			continue
+		}
+		if address, err := net.ResolveUDPAddr("udp4", node.PeerAddress); err == nil {
+			targets = append(targets, address)
+		}
+		if len(targets) == fanout {
+			break
+		}
+	}
+	return targets
+}
+
+// Close closes the socket of an Announcer that was not run.
+func (a *Announcer) Close() { _ = a.socket.Close() }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/doorpond/doorpond/internal/admission"
+	"github.com/doorpond/doorpond/internal/announce"
 	"github.com/doorpond/doorpond/internal/blackboard"
 	"github.com/doorpond/doorpond/internal/directory"
 	"github.com/doorpond/doorpond/internal/drain"
@@ -93,6 +94,7 @@
 	metrics   *prometheus.Registry
 	pool      *replica.Pool
 	queries   *query.Service
+	announcer *announce.Announcer
 	follower  *follower.Follower
 	registry  *registry.Registry
 	callers   *drain.Listener
@@ -117,8 +119,16 @@
 		n.logger = slog.New(slog.DiscardHandler)
 	}
 	n.enter(blackboard.PhaseStarting)
+	var err error
+	n.announcer, err = announce.New(announce.Options{
+		Address: n.settings.Peers, Nodes: n.board.Nodes.Load, Logger: n.logger,
+	})
+	if err != nil {
+		return nil, err
+	}
 	n.assemble()
 	if err := n.listen(); err != nil {
+		n.announcer.Close()
 		return nil, err
 	}
 	return n, nil
@@ -128,7 +138,7 @@
 
 func (n *Node) assemble() {
 	place := topology.Place{Region: n.settings.Region, Zone: n.settings.Zone}
-	self := topology.Node{ID: n.settings.Node, Address: n.settings.Callers, Place: place, Ready: true}
+	self := topology.Node{ID: n.settings.Node, Address: n.settings.Callers, PeerAddress: n.announcer.Address(), Place: place, Ready: true}
 	var registerer prometheus.Registerer
 	if n.settings.Metrics != "" {
 		n.metrics = prometheus.NewRegistry()
@@ -145,7 +155,7 @@
 	n.follower = follower.New(follower.Options{
 		Source: n.platform.Store, Decoder: n.platform.Codec, Keys: n.platform.Keys, Board: n.board,
 		Regions: n.settings.Regions, Self: self, Logger: n.logger,
-		Gather:      shareOf(gatherShare, n.settings.Bounds.News()),
+		Peers: n.announcer, News: n.settings.Bounds.News(),
 		VanishedFor: time.Duration(vanishedShare * float64(n.settings.Bounds.Drain)),
 	})
 	n.registry = registry.New(registry.Options{
@@ -223,6 +233,7 @@
 	recording, stopRecording := context.WithCancel(running)
 	defer stopRecording()
 	recorded := make(chan struct{})
+	group.Go(func() error { return n.announcer.Run(running) })
 	group.Go(func() error { return n.follower.Run(running) })
 	group.Go(func() error {
 		defer close(recorded)
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -19,6 +19,8 @@
 	Callers   string `yaml:"callers" validate:"hostname_port_ip"`
 	Readiness string `yaml:"readiness" validate:"hostname_port_ip"`
 	Directory string `yaml:"directory" validate:"hostname_port_ip"`
+	// Peers is IP:port of the datagrams between nodes.
+	Peers string `yaml:"peers" validate:"hostname_port_ip"`
 	// Metrics is IP:port of the metrics listener; empty means none.
 	Metrics string `yaml:"metrics" validate:"omitempty,hostname_port_ip"`
 
@@ -57,21 +59,6 @@
 // News is the time within which news from the store must have been acted on.
 func (b BoundsSettings) News() time.Duration { return min(b.Drain, b.Apply) }
 
-// The parts of the time for news that its ways take.
-const (
-	watchWaitShare  = 0.5
-	watchSlackShare = 0.15
-	gatherShare     = 0.1
-)
-
-// WatchWait is how long the store may wait for news before it answers a watch,
-// and WatchSlack how much later the answer may come: a watch that has gone
-// silent is noticed in time to read the news otherwise.
-func (b BoundsSettings) WatchWait() time.Duration { return shareOf(watchWaitShare, b.News()) }
-
-// WatchSlack is described at WatchWait.
-func (b BoundsSettings) WatchSlack() time.Duration { return shareOf(watchSlackShare, b.News()) }
-
 // LoadSettings reads and checks a settings file.
 func LoadSettings(path string) (Settings, error) {
 	var loaded Settings
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -1,7 +1,8 @@
 // Package follower keeps the blackboard up to date with the store: the
 // operators' routes, the replicas, and the nodes of the system. One watch
-// carries all of them. A watch is evidence only while it speaks: one that has
-// been silent for longer than it promised is given up, and all is read anew.
+// carries all of them. A watch is no proof that nothing has changed: it may
+// have gone deaf. So one node at a time asks the store for its revision, tells
+// the others, and whoever knows less than that reads anew.
 package follower
 
 import (
@@ -11,6 +12,9 @@
 	"strings"
 	"time"
 
+	"github.com/rotisserie/eris"
+
+	"github.com/doorpond/doorpond/internal/announce"
 	"github.com/doorpond/doorpond/internal/blackboard"
 	"github.com/doorpond/doorpond/internal/routing"
 	"github.com/doorpond/doorpond/internal/store"
@@ -31,6 +35,12 @@
 	store.Watcher
 }
 
+// Peers spreads announcements among the nodes.
+type Peers interface {
+	Send(news announce.Announcement)
+	Received() <-chan announce.Announcement
+}
+
 // Keys say where what lies in the store.
 type Keys struct {
 	// Configuration is the key of the operators' configuration.
@@ -39,32 +49,52 @@
 	Replicas, Nodes string
 }
 
-// Options are what a Follower needs. Zero values of the last ones take
-// defaults.
+// Options are what a Follower needs.
 type Options struct {
 	Source  Source
+	Peers   Peers
 	Decoder Decoder
 	Keys    Keys
 	Board   *blackboard.Board
 	// Regions names the region of each zone.
 	Regions map[string]string
 	Self    topology.Node
+	// News is the time within which what the store says must have been acted
+	// on. How often it is asked and how long it is waited for follow from it.
+	News time.Duration
 	// VanishedFor is how long a replica whose entry is gone may still be asked
 	// when no other is left.
 	VanishedFor time.Duration
-	// Gather is how long after a change the next one is waited for, so that
-	// changes that come together cost one call.
-	Gather time.Duration
+	// Logger and Now may be left out.
 	Logger *slog.Logger
 	Now    func() time.Time
 }
 
+// The parts of the time for news.
+const (
+	// checkShare is how long a confirmation counts.
+	checkShare = 0.4
+	// rankShare is divided among the nodes, so that they ask one after the
+	// other.
+	rankShare = 0.2
+	// graceShare is what a watch may take to tell what others know already; it
+	// is over gatherShare.
+	graceShare = 0.15
+	// askShare bounds one question.
+	askShare = 0.15
+	// gatherShare is how long after a change the next one is waited for, so
+	// that changes that come together cost one call.
+	gatherShare = 0.1
+)
+
+func (o *Options) share(of float64) time.Duration { return time.Duration(of * float64(o.News)) }
+
 // Follower follows the store; Run starts it.
 type Follower struct {
-	options Options
-	state   *state
-	heard   time.Time
-	reached bool
+	options   Options
+	state     *state
+	staleness staleness
+	reached   bool
 }
 
 // The pauses between two attempts to read the store while it fails.
@@ -81,22 +111,24 @@
 	if options.Now == nil {
 		options.Now = time.Now
 	}
-	return &Follower{options: options, state: newState(&options), reached: true}
+	return &Follower{
+		options: options, state: newState(&options), reached: true,
+		staleness: staleness{checkAfter: options.share(checkShare), grace: options.share(graceShare)},
+	}
 }
 
 // Run follows the store until ctx ends, and returns nil then.
 func (f *Follower) Run(ctx context.Context) error {
 	pause := shortestPause
 	for ctx.Err() == nil {
-		heardBefore := f.heard
-		err := f.follow(ctx)
+		read, err := f.follow(ctx)
 		if ctx.Err() != nil {
 			return nil
 		}
 		f.lost(err)
-		if f.heard != heardBefore {
+		if read {
 			pause = shortestPause
-			continue // it was heard since; read again at once
+			continue // it was read since; read again at once
 		}
 		sleep(ctx, pause)
 		pause = min(2*pause, longestPause)
@@ -113,48 +145,157 @@
 	}
 }
 
-// follow reads everything and then watches until that fails.
-func (f *Follower) follow(ctx context.Context) error {
+// errBehind ends a watch that has not told what other nodes know.
+var errBehind = eris.New("the watch has missed news")
+
+// follow reads everything and then watches until that fails. read is true when
+// the reading succeeded.
+func (f *Follower) follow(ctx context.Context) (read bool, err error) {
 	values, revision, err := f.options.Source.List(ctx, "", 0)
 	if err != nil {
-		return err
+		return false, err
+	}
+	now := f.options.Now()
+	f.heard(now)
+	f.state.replace(now, values)
+	f.state.publish(now)
+	f.learned(now, revision)
+	return true, f.watch(ctx, revision)
+}
+
+// watch runs a watch beside the checks.
+func (f *Follower) watch(ctx context.Context, revision int64) error {
+	watching, cancel := context.WithCancel(ctx)
+	batches, ended := make(chan store.WatchBatch), make(chan error, 1)
+	go func() {
+		ended <- f.options.Source.Watch(watching, "", revision+1, func(batch store.WatchBatch) error {
+			select {
+			case batches <- batch:
+			case <-watching.Done():
+				return watching.Err()
+			}
+			if len(batch.Events) > 0 {
+				sleep(watching, f.options.share(gatherShare))
+			}
+			return nil
+		})
+	}()
+	defer cancel()
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		timer.Reset(f.wakeAt().Sub(f.options.Now()))
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case err := <-ended:
+			return err
+		case batch := <-batches:
+			f.deliver(batch)
+		case news := <-f.options.Peers.Received():
+			f.told(news)
+		case <-timer.C:
+			if err := f.due(ctx); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// wakeAt is when the next check or the end of a deaf watch is due.
+func (f *Follower) wakeAt() time.Time {
+	at := f.staleness.checkAt(f.rank())
+	if giveUp := f.staleness.giveUpAt(); !giveUp.IsZero() && giveUp.Before(at) {
+		return giveUp
+	}
+	return at
+}
+
+// rank is this node's place among those that are known, and sets the slot.
+func (f *Follower) rank() int {
+	nodes := f.options.Board.Nodes.Load()
+	if nodes == nil || len(nodes.Nodes) == 0 {
+		return 0
 	}
-	f.hear()
-	f.state.replace(f.options.Now(), values)
-	f.state.publish(f.options.Now())
-	return f.options.Source.Watch(ctx, "", revision+1, func(batch store.WatchBatch) error {
-		f.deliver(batch)
-		if len(batch.Events) > 0 {
-			sleep(ctx, f.options.Gather)
+	f.staleness.slot = f.options.share(rankShare) / time.Duration(len(nodes.Nodes))
+	for i := range nodes.Nodes {
+		if nodes.Nodes[i].ID == f.options.Self.ID {
+			return i
 		}
+	}
+	return len(nodes.Nodes)
+}
+
+// due does what the timer was set for.
+func (f *Follower) due(ctx context.Context) error {
+	now := f.options.Now()
+	f.state.publish(now) // replicas that were gone for long enough are dropped
+	if giveUp := f.staleness.giveUpAt(); !giveUp.IsZero() && !now.Before(giveUp) {
+		return errBehind
+	}
+	if now.Before(f.staleness.checkAt(f.rank())) {
 		return nil
-	})
+	}
+	return f.check(ctx)
+}
+
+// check asks the store for its revision and tells the others.
+func (f *Follower) check(ctx context.Context) error {
+	bounded, cancel := context.WithTimeout(ctx, f.options.share(askShare))
+	defer cancel()
+	asked := f.options.Now()
+	_, _, revision, err := f.options.Source.Get(bounded, f.options.Keys.Configuration)
+	if err != nil {
+		return err
+	}
+	now := f.options.Now()
+	f.heard(now)
+	f.staleness.confirm(now, asked, revision)
+	f.options.Peers.Send(announce.Announcement{Revision: revision, AgeMilliseconds: now.Sub(asked).Milliseconds()})
+	return nil
+}
+
+// told takes in what another node has heard, and passes news on.
+func (f *Follower) told(news announce.Announcement) {
+	now := f.options.Now()
+	if f.staleness.confirm(now, now.Add(-news.Age()), news.Revision) {
+		f.options.Peers.Send(news)
+	}
 }
 
 func (f *Follower) deliver(batch store.WatchBatch) {
-	f.hear()
 	now := f.options.Now()
+	f.heard(now)
 	for _, event := range batch.Events {
 		f.state.apply(now, event)
 	}
 	f.state.publish(now)
+	f.learned(now, batch.Revision)
+}
+
+// learned notes that everything up to a revision is known now, and tells the
+// others when that is news.
+func (f *Follower) learned(now time.Time, revision int64) {
+	f.staleness.learn(revision)
+	if f.staleness.confirm(now, now, revision) {
+		f.options.Peers.Send(announce.Announcement{Revision: revision})
+	}
 }
 
-// hear notes that the store has spoken.
-func (f *Follower) hear() {
-	f.heard = f.options.Now()
+// heard notes that the store has spoken.
+func (f *Follower) heard(now time.Time) {
 	if f.reached && f.options.Board.Store.Load() != nil {
 		return
 	}
 	f.reached = true
-	f.options.Board.Store.Publish(&blackboard.StoreStatus{Reachable: true, Since: f.heard})
+	f.options.Board.Store.Publish(&blackboard.StoreStatus{Reachable: true, Since: now})
 	f.options.Logger.Info("store reached")
 }
 
 // lost notes that the store has failed.
 func (f *Follower) lost(err error) {
-	if errors.Is(err, store.ErrCompacted) {
-		f.options.Logger.Info("store history dropped; reading anew")
+	if errors.Is(err, store.ErrCompacted) || errors.Is(err, errBehind) {
+		f.options.Logger.Info("reading the store anew", "reason", err.Error(), "known_revision", f.staleness.known)
 		return
 	}
 	if !f.reached {
@@ -164,7 +305,7 @@
 	now := f.options.Now()
 	f.options.Board.Store.Publish(&blackboard.StoreStatus{Since: now, LastError: err.Error()})
 	f.options.Logger.Warn("store lost; going on with what is known",
-		"error", err.Error(), "age", now.Sub(f.heard).String())
+		"error", err.Error(), "known_revision", f.staleness.known, "confirmed_ago", now.Sub(f.staleness.confirmedAt).String())
 }
 
 // hasPrefix tells whether a key belongs to a part of the store that is used.
