--- a/cmd/doorpond-edge/main.go
+++ b/cmd/doorpond-edge/main.go
@@ -11,6 +11,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
@@ -53,7 +54,7 @@
 		Version: edge.Version,
 		Description: `Settings come from the YAML file that --config or ` + platform.SettingsVariable + ` names.
 Exit codes: 0 stopped as planned, 1 failed, 2 settings refused.
-SIGTERM or SIGINT starts the planned stop.`,
+SIGTERM or SIGINT starts the planned stop; SIGHUP, or a change of the file, reads the settings anew.`,
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "config", Usage: "settings `FILE`", Sources: cli.EnvVars(platform.SettingsVariable), Required: true},
 		},
@@ -69,19 +70,60 @@
 }
 
 func run(ctx context.Context, command *cli.Command) error {
-	loaded, err := edge.LoadSettings(command.String("config"))
+	path := command.String("config")
+	loaded, err := edge.LoadSettings(path)
 	if err != nil {
 		return err
 	}
 	lines := eventlog.NewWriter(os.Stdout)
 	defer lines.Close()
 	node, err := edge.New(edge.Options{
-		Settings: loaded, Platform: platform.Platform(loaded), Logger: slog.New(slog.NewJSONHandler(lines, nil)),
+		Settings: loaded, Platform: platform.Platform(loaded),
+		Reload: func() (edge.Settings, error) { return edge.LoadSettings(path) },
+		Logger: slog.New(slog.NewJSONHandler(lines, nil)),
 	})
 	if err != nil {
 		return err
 	}
 	stopping, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	go followSettings(stopping, path, node.Reload)
 	return node.Run(stopping)
 }
+
+// settingsInterval is the time between two looks at the settings file, which
+// may change without a signal.
+const settingsInterval = 2 * time.Second
+
+// followSettings calls reload after SIGHUP and when the file has changed, until
+// ctx ends.
+func followSettings(ctx context.Context, path string, reload func()) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	seen := modified(path)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+		case <-ticker.C:
+			if modified(path).Equal(seen) {
+				continue
+			}
+		}
+		seen = modified(path)
+		reload()
+	}
+}
+
+// modified returns when a file was changed last, the zero time if it is not
+// there.
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
--- a/internal/edge/budget.go
+++ b/internal/edge/budget.go
@@ -21,39 +21,41 @@
 // the slack.
 type budgets struct {
 	board  *blackboard.Board
-	ratio  float64
-	slack  float64
+	bounds func() BoundsSettings
 	mutex  sync.RWMutex
 	groups map[string]*decision.TokenBudget
-	nodes  *topology.Nodes
+	// nodes and terms are what the budgets were worked out for.
+	nodes *topology.Nodes
+	terms budgetTerms
 }
 
-func newBudgets(board *blackboard.Board, bounds BoundsSettings) *budgets {
-	return &budgets{
-		board: board, ratio: bounds.RetryRatio, slack: bounds.RetrySlack,
-		groups: make(map[string]*decision.TokenBudget),
-	}
+type budgetTerms struct{ ratio, slack float64 }
+
+func newBudgets(board *blackboard.Board, bounds func() BoundsSettings) *budgets {
+	return &budgets{board: board, bounds: bounds, groups: make(map[string]*decision.TokenBudget)}
 }
 
 // of returns the budget of a group.
 func (b *budgets) of(group string) decision.Budget {
 	nodes := b.board.Nodes.Load()
+	bounds := b.bounds()
+	terms := budgetTerms{bounds.RetryRatio, bounds.RetrySlack}
 	b.mutex.RLock()
-	budget, current := b.groups[group], b.nodes == nodes
+	budget, current := b.groups[group], b.nodes == nodes && b.terms == terms
 	b.mutex.RUnlock()
 	if budget != nil && current {
 		return budget
 	}
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	if b.nodes != nodes {
-		b.nodes = nodes
+	if b.nodes != nodes || b.terms != terms {
+		b.nodes, b.terms = nodes, terms
 		for _, known := range b.groups {
-			known.Configure(budgetShare*b.ratio, b.burst())
+			known.Configure(budgetShare*terms.ratio, b.burst())
 		}
 	}
 	if b.groups[group] == nil {
-		b.groups[group] = decision.NewReservingBudget(budgetShare*b.ratio, b.burst(), retryReserve)
+		b.groups[group] = decision.NewReservingBudget(budgetShare*terms.ratio, b.burst(), retryReserve)
 	}
 	return b.groups[group]
 }
@@ -64,5 +66,5 @@
 	if b.nodes != nil {
 		shared = b.nodes.Shared
 	}
-	return budgetShare * b.slack / float64(shared)
+	return budgetShare * b.terms.slack / float64(shared)
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -61,7 +62,9 @@
 type Options struct {
 	Settings Settings
 	Platform Platform
-	Logger   *slog.Logger
+	// Reload reads the settings anew; nil means that they never change.
+	Reload func() (Settings, error)
+	Logger *slog.Logger
 }
 
 // The constants of a node.
@@ -87,7 +90,11 @@
 
 // Node is one edge node.
 type Node struct {
+	// settings are those of the start; current ones may differ in what can
+	// change while the node runs.
 	settings  Settings
+	current   atomic.Pointer[Settings]
+	reload    func() (Settings, error)
 	platform  Platform
 	logger    *slog.Logger
 	board     *blackboard.Board
@@ -114,7 +121,9 @@
 func New(options Options) (*Node, error) {
 	n := &Node{
 		settings: options.Settings, platform: options.Platform, logger: options.Logger, board: &blackboard.Board{},
+		reload: options.Reload,
 	}
+	n.current.Store(&n.settings)
 	if n.logger == nil {
 		n.logger = slog.New(slog.DiscardHandler)
 	}
@@ -144,7 +153,7 @@
 		n.metrics = prometheus.NewRegistry()
 		registerer = n.metrics
 	}
-	budgets := newBudgets(n.board, n.settings.Bounds)
+	budgets := newBudgets(n.board, func() BoundsSettings { return n.current.Load().Bounds })
 	n.pool = replica.NewPool(replica.PoolOptions{
 		Board: n.board, Self: place, Codec: n.platform.Codec, GroupBudget: budgets.of, Registerer: registerer,
 	})
@@ -175,7 +184,7 @@
 }
 
 func (n *Node) resolve(caller topology.Place) (directory.Answer, bool) {
-	ttl := time.Duration(directoryShare * float64(n.settings.Bounds.DirectoryTTL))
+	ttl := shareOf(directoryShare, n.current.Load().Bounds.DirectoryTTL)
 	return directory.Resolve(n.board.Nodes.Load(), caller, directory.Options{TTL: ttl, LeastNodes: leastNodes})
 }
 
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -25,7 +25,7 @@
 // directory at once; it serves what still comes, ending each connection with
 // its answer; then the port is closed, and what is in flight is waited for.
 func (n *Node) stop(stopRecording func()) {
-	grace := n.settings.Bounds.Grace
+	grace := n.current.Load().Bounds.Grace
 	started := time.Now()
 	n.enter(blackboard.PhaseDraining)
 	n.logger.Info("stopping", "node", n.settings.Node, "grace", grace.String(), "connections", n.open.Count())
