--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -80,7 +80,7 @@
 	// graceShare is what a watch may take to tell what others know already; it
 	// is over gatherShare.
 	graceShare = 0.15
-	// askShare bounds one question.
+	// askShare bounds one question, and the first attempt to read everything.
 	askShare = 0.15
 	// gatherShare is how long after a change the next one is waited for, so
 	// that changes that come together cost one call.
@@ -95,6 +95,10 @@
 	state     *state
 	staleness staleness
 	reached   bool
+	// patience bounds the next reading of everything. A call that the store has
+	// left without an answer will have none, so the first ones are given up
+	// soon; each failure doubles the time, for a store that is slow.
+	patience time.Duration
 }
 
 // The pauses between two attempts to read the store while it fails.
@@ -112,7 +116,7 @@
 		options.Now = time.Now
 	}
 	return &Follower{
-		options: options, state: newState(&options), reached: true,
+		options: options, state: newState(&options), reached: true, patience: options.share(askShare),
 		staleness: staleness{checkAfter: options.share(checkShare), grace: options.share(graceShare)},
 	}
 }
@@ -151,7 +155,7 @@
 // follow reads everything and then watches until that fails. read is true when
 // the reading succeeded.
 func (f *Follower) follow(ctx context.Context) (read bool, err error) {
-	values, revision, err := f.options.Source.List(ctx, "", 0)
+	values, revision, err := f.list(ctx)
 	if err != nil {
 		return false, err
 	}
@@ -163,6 +167,19 @@
 	return true, f.watch(ctx, revision)
 }
 
+// list reads everything, within its patience.
+func (f *Follower) list(ctx context.Context) ([]store.KeyValue, int64, error) {
+	bounded, cancel := context.WithTimeout(ctx, f.patience)
+	defer cancel()
+	values, revision, err := f.options.Source.List(bounded, "", 0)
+	if err != nil {
+		f.patience = min(2*f.patience, f.options.News)
+		return nil, 0, err
+	}
+	f.patience = f.options.share(askShare)
+	return values, revision, nil
+}
+
 // watch runs a watch beside the checks.
 func (f *Follower) watch(ctx context.Context, revision int64) error {
 	watching, cancel := context.WithCancel(ctx)
--- a/internal/query/forward.go
+++ b/internal/query/forward.go
@@ -135,7 +135,12 @@
 }
 
 func (r *forwardRun) acquire(shard *decision.ShardPlan, tried []*replica.Handle) replica.Acquired {
-	return r.service.options.Pool.AcquireFor(shard.Group, &r.terms, tried)
+	acquired := r.service.options.Pool.AcquireFor(shard.Group, &r.terms, tried)
+	if acquired.Handle != nil && r.plan.AnswerBy > 0 {
+		left := r.plan.AnswerBy - r.inbox.Elapsed()
+		acquired.LateAfter = max(acquired.LateAfter, left-r.terms.LateAtMost())
+	}
+	return acquired
 }
 
 func (r *forwardRun) exchange(ctx context.Context, handle *replica.Handle, _ *decision.ShardPlan, action decision.Action) replica.SearchResult {
--- a/internal/replica/forward_message.go
+++ b/internal/replica/forward_message.go
@@ -31,6 +31,15 @@
 	return t.LateAfter
 }
 
+// LateAtMost is the time after which an answer from any distance that is known
+// is late.
+func (t *Terms) LateAtMost() time.Duration {
+	if most := t.Usual.Most(); most > 0 {
+		return lateRatio * most
+	}
+	return t.LateAfter
+}
+
 // Acquired is a replica chosen for a message.
 type Acquired struct {
 	// Handle is nil when there is none.
--- a/internal/replica/usual.go
+++ b/internal/replica/usual.go
@@ -37,6 +37,16 @@
 	return 0
 }
 
+// Most returns the usual time at the farthest distance that is known, or 0.
+func (u *Usual) Most() time.Duration {
+	for distance := len(u.byDistance) - 1; distance >= 0; distance-- {
+		if known := u.At(topology.Distance(distance)); known > 0 {
+			return known
+		}
+	}
+	return 0
+}
+
 // Usuals holds what is usual for each kind of request, by name. Its zero value
 // is ready, and it is safe for concurrent use.
 type Usuals struct {
