--- a/internal/replica/health.go
+++ b/internal/replica/health.go
@@ -221,6 +221,16 @@
 	h.limit.Store(min(limit+limitScale*limitScale/limit, most))
 }
 
+// startSlots is how many requests for each of its slots a replica is sent by
+// all nodes together before it has answered: after a restart of all nodes every
+// waiting caller comes at once.
+const startSlots = 2
+
+// startSlowly begins with this node's part of what the replica bears.
+func (h *Health) startSlowly(nodes int) {
+	h.limit.Store(max(1, startSlots*h.slots.Load()/int64(max(1, nodes))) * limitScale)
+}
+
 // refused leaves the replica alone for a while; it is no failure.
 func (h *Health) refused(now time.Time, retryAfter time.Duration) {
 	h.cutLimit()
--- a/internal/replica/pool.go
+++ b/internal/replica/pool.go
@@ -214,6 +214,9 @@
 		handle := seen.handles[key]
 		if handle == nil {
 			handle = newHandle(p, built.state, replica)
+			if p.options.Codec != nil {
+				handle.startSlowly(next.plan.daemons)
+			}
 		}
 		handle.setBudget(budget)
 		handle.vanished.Store(replica.State == topology.ReplicaVanished)
