--- /dev/null
+++ b/internal/routing/routing_test.go
@@ -0,0 +1,136 @@
+package routing
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/doorpond/doorpond/client"
+	"github.com/doorpond/doorpond/internal/policy"
+)
+
+func testTable() *Table {
+	return NewTable(7, []Route{
+		{Name: "root", Host: "a.example", PathPrefix: "/"},
+		{Name: "deep", Host: "a.example", PathPrefix: "/x/y/"},
+		{Name: "shallow", Host: "a.example", PathPrefix: "/x/"},
+		{Name: "other", Host: "b.example", PathPrefix: "/x/"},
+	}, nil, Limits{})
+}
+
+func TestMatchTakesTheLongestPrefixOfTheHost(t *testing.T) {
+	cases := []struct{ host, path, want string }{
+		{"a.example", "/x/y/z", "deep"},
+		{"a.example", "/x/z", "shallow"},
+		{"a.example", "/x", "root"},
+		{"A.Example:8080", "/x/y/", "deep"},
+		{"b.example", "/x/", "other"},
+		{"b.example", "/", ""},
+		{"c.example", "/x/", ""},
+		{"", "/x/", ""},
+	}
+	table := testTable()
+	for _, test := range cases {
+		got := ""
+		if route := table.Match(test.host, test.path); route != nil {
+			got = route.Name
+		}
+		if got != test.want {
+			t.Errorf("%s%s: route %q, want %q", test.host, test.path, got, test.want)
+		}
+	}
+}
+
+func TestSplitterGivesEachShareItsWeight(t *testing.T) {
+	route := &Route{Name: "r", Shares: []Share{{"a", 5}, {"b", 3}, {"c", 2}}}
+	var splitter Splitter
+	counts := map[string]int{}
+	for sent := 1; sent <= 200; sent++ {
+		counts[splitter.Pick(route)]++
+		for _, share := range route.Shares {
+			due := float64(sent) * share.Weight / 10
+			if off := float64(counts[share.Group]) - due; off > 1 || off < -1 {
+				t.Fatalf("after %d requests %s had %d, %.1f were due", sent, share.Group, counts[share.Group], due)
+			}
+		}
+	}
+}
+
+func TestSplitterFollowsNewShares(t *testing.T) {
+	var splitter Splitter
+	old := &Route{Name: "r", Shares: []Share{{"a", 1}, {"b", 1}}}
+	splitter.Pick(old)
+	changed := &Route{Name: "r", Shares: []Share{{"b", 0}, {"c", 1}}}
+	for range 5 {
+		if got := splitter.Pick(changed); got != "c" {
+			t.Errorf("picked %s", got)
+		}
+	}
+	plain := &Route{Name: "r", Shares: []Share{{"d", 0}}}
+	if got := splitter.Pick(plain); got != "d" {
+		t.Errorf("picked %s of a single share", got)
+	}
+}
+
+func record(first byte) []byte { return bytes.Repeat([]byte{first}, RecordBytes) }
+
+func join(records ...[]byte) []byte { return bytes.Join(records, nil) }
+
+func TestMergeTop(t *testing.T) {
+	cases := []struct {
+		name  string
+		parts [][]byte
+		top   int
+		want  []byte
+	}{
+		{"none", nil, 5, []byte{}},
+		{"falling over all parts", [][]byte{join(record(2), record(9)), join(record(5))}, 5, join(record(9), record(5), record(2))},
+		{"cut to the greatest", [][]byte{join(record(2), record(9)), join(record(5))}, 2, join(record(9), record(5))},
+		{"equal records all count", [][]byte{join(record(7), record(7)), join(record(7))}, 5, join(record(7), record(7), record(7))},
+		{"a rest is no record", [][]byte{append(record(4), 0xff, 0xff), {0xff}}, 5, record(4)},
+		{"bytes are unsigned", [][]byte{join(record(0x7f), record(0x80))}, 1, record(0x80)},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			if diff := cmp.Diff(test.want, MergeTop(test.parts, test.top)); diff != "" {
+				t.Errorf("merged (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestLeastShards(t *testing.T) {
+	cases := []struct {
+		share  float64
+		shards int
+		want   int
+	}{{0.89, 10, 9}, {0.89, 15, 14}, {0.75, 10, 8}, {0.9, 10, 9}, {0.7, 10, 7}, {1, 3, 3}, {0, 3, 1}, {0.1, 10, 1}}
+	for _, test := range cases {
+		if got := LeastShards(test.share, test.shards); got != test.want {
+			t.Errorf("%g of %d: %d, want %d", test.share, test.shards, got, test.want)
+		}
+	}
+}
+
+func TestPolicyRowIsValid(t *testing.T) {
+	cases := []struct {
+		terms    Terms
+		priority client.Priority
+		attempts int
+	}{
+		{Terms{Name: "r", Timeout: time.Second, Attempts: 2, Rank: 0, LeastShare: 0.89}, client.PriorityCritical, 2},
+		{Terms{Name: "r", Timeout: time.Second, Attempts: 0, Rank: 9}, client.PriorityBatch, 1},
+		{Terms{Name: "r", Timeout: time.Second, Attempts: 99, Rank: 2}, client.PriorityNormal, mostAttempts},
+	}
+	for _, test := range cases {
+		row := PolicyRow(test.terms)
+		if err := policy.ValidateRow(row); err != nil {
+			t.Error(err)
+		}
+		if row.Priority != test.priority || row.Retry.Attempts != test.attempts {
+			t.Errorf("%+v: priority %s, attempts %d", test.terms, row.Priority, row.Retry.Attempts)
+		}
+	}
+}
