Tests of the decisions, of replica choice and of what a replica's answer means

For forwarded requests: answering with what is in, waiting for a busy replica, attempts that reached none, what may run once; pauses, slow and vanished replicas on a clock of the test's own.

--- /dev/null
+++ b/internal/decision/forward_test.go
@@ -0,0 +1,207 @@
+package decision
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/doorpond/doorpond/client"
+	"github.com/doorpond/doorpond/internal/policy"
+)
+
+// answerBy makes a plan that answers after 50 ms with two of its shards.
+func answerBy(plan *Plan, row *policy.Row) {
+	plan.AnswerBy = 50 * ms
+	plan.LeastShards = min(2, len(plan.Shards))
+	row.Retry.Attempts = 2
+}
+
+func dispatched(at time.Duration, shard, attempt int, delay time.Duration) timedEvent {
+	return timedEvent{at, Event{Kind: Dispatched, Shard: shard, Attempt: attempt, HedgeDelay: delay}}
+}
+
+func busy(at time.Duration, shard, attempt int) timedEvent {
+	return timedEvent{at, Event{Kind: Replied, Shard: shard, Attempt: attempt, Outcome: NoReplica, Busy: true}}
+}
+
+func fired(at time.Duration) timedEvent { return timedEvent{at, Event{Kind: TimerFired}} }
+
+// TestForwardedQuery has the decisions that only forwarded requests need.
+func TestForwardedQuery(t *testing.T) {
+	cases := []struct {
+		name   string
+		shards int
+		change func(*Plan, *policy.Row)
+		events []timedEvent
+		want   []string
+		status []ShardStatus
+	}{
+		{
+			name: "answers with what is in when it is time", shards: 3, change: answerBy,
+			events: []timedEvent{reply(10*ms, 0, 0, Success), reply(11*ms, 1, 0, Success), fired(50 * ms)},
+			want: []string{
+				"0s send 0/0 in 100ms", "0s send 1/0 in 100ms", "0s send 2/0 in 100ms", "0s timer 100ms",
+				"11ms timer 50ms", "50ms cancel 2/0", "50ms finish 1",
+			},
+			status: []ShardStatus{{Answered: true}, {Answered: true}, {Reason: client.MissingComplete}},
+		},
+		{
+			name: "goes on while too few are in, and ends with the one that is needed", shards: 3, change: answerBy,
+			events: []timedEvent{reply(10*ms, 0, 0, Success), fired(50 * ms), reply(70*ms, 1, 0, Success)},
+			want: []string{
+				"0s send 0/0 in 100ms", "0s send 1/0 in 100ms", "0s send 2/0 in 100ms", "0s timer 100ms",
+				"50ms timer 100ms", "70ms cancel 2/0", "70ms finish 1",
+			},
+			status: []ShardStatus{{Answered: true}, {Answered: true}, {Reason: client.MissingComplete}},
+		},
+		{
+			name: "ends at once when too few can still answer", shards: 3,
+			change: func(plan *Plan, row *policy.Row) {
+				answerBy(plan, row)
+				row.Retry.Attempts = 1
+			},
+			events: []timedEvent{reply(10*ms, 0, 0, Failed), reply(12*ms, 1, 0, Failed)},
+			want: []string{
+				"0s send 0/0 in 100ms", "0s send 1/0 in 100ms", "0s send 2/0 in 100ms", "0s timer 100ms",
+				"12ms cancel 2/0", "12ms finish 0",
+			},
+			status: []ShardStatus{{Reason: client.MissingFailed}, {Reason: client.MissingFailed}, {Reason: client.MissingFailed}},
+		},
+		{
+			name: "hedges after what is late for the chosen replica", shards: 1, change: answerBy,
+			events: []timedEvent{dispatched(0, 0, 0, 20*ms), fired(20 * ms), reply(25*ms, 0, 1, Success)},
+			want: []string{
+				"0s send 0/0 in 100ms", "0s timer 100ms", "0s timer 20ms", "20ms hedge 0/1 in 80ms", "20ms timer 100ms",
+				"25ms cancel 0/0", "25ms finish 0",
+			},
+			status: []ShardStatus{{Answered: true}},
+		},
+		{
+			name: "sends no hedge that could not answer in time", shards: 3,
+			change: func(plan *Plan, row *policy.Row) {
+				answerBy(plan, row)
+				plan.Shards[2].Expected = 20 * ms
+			},
+			events: []timedEvent{
+				dispatched(0, 2, 0, 35*ms), reply(10*ms, 0, 0, Success), reply(11*ms, 1, 0, Success), fired(35 * ms),
+			},
+			want: []string{
+				"0s send 0/0 in 100ms", "0s send 1/0 in 100ms", "0s send 2/0 in 100ms", "0s timer 100ms",
+				"0s timer 35ms", "35ms timer 50ms",
+			},
+			status: []ShardStatus{{Answered: true}, {Answered: true}, {}},
+		},
+		{
+			name: "waits for a busy replica without using an attempt up", shards: 1, change: answerBy,
+			events: []timedEvent{
+				busy(0, 0, 0), fired(2 * ms), busy(2*ms, 0, 0), fired(4 * ms), reply(9*ms, 0, 0, Failed), reply(12*ms, 0, 1, Success),
+			},
+			want: []string{
+				"0s send 0/0 in 100ms", "0s timer 100ms", "0s timer 2ms", "2ms send 0/0 in 98ms", "2ms timer 100ms",
+				"2ms timer 4ms", "4ms send 0/0 in 96ms", "4ms timer 100ms", "9ms send 0/1 in 91ms", "12ms finish 0",
+			},
+			status: []ShardStatus{{Answered: true}},
+		},
+		{
+			name: "an attempt that reached no replica does not count", shards: 1, change: answerBy,
+			events: []timedEvent{
+				reply(1*ms, 0, 0, Unreached), reply(2*ms, 0, 1, Unreached), reply(3*ms, 0, 2, Failed), reply(4*ms, 0, 3, Failed),
+			},
+			want: []string{
+				"0s send 0/0 in 100ms", "0s timer 100ms", "1ms send 0/1 in 99ms", "2ms send 0/2 in 98ms",
+				"3ms send 0/3 in 97ms", "4ms finish 0",
+			},
+			status: []ShardStatus{{Reason: client.MissingFailed}},
+		},
+		{
+			name: "what may run once is not hedged, nor tried again after an unclear end", shards: 1,
+			change: func(plan *Plan, _ *policy.Row) { plan.RunsOnce = true },
+			events: []timedEvent{dispatched(0, 0, 0, 10*ms), reply(30*ms, 0, 0, Failed)},
+			want:   []string{"0s send 0/0 in 100ms", "0s timer 100ms", "30ms finish 0"},
+			status: []ShardStatus{{Reason: client.MissingFailed}},
+		},
+		{
+			name: "what may run once is tried again after a proof that it has not run", shards: 1,
+			change: func(plan *Plan, _ *policy.Row) { plan.RunsOnce = true },
+			events: []timedEvent{reply(3*ms, 0, 0, Elsewhere), reply(5*ms, 0, 1, Shed), reply(9*ms, 0, 2, Invalid)},
+			want: []string{
+				"0s send 0/0 in 100ms", "0s timer 100ms", "3ms send 0/1 in 97ms", "5ms send 0/2 in 95ms", "9ms finish 0",
+			},
+			status: []ShardStatus{{Reason: client.MissingInvalidReply}},
+		},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			query := New(testPlan(test.shards, test.change))
+			got := trace(query, test.events)
+			if diff := cmp.Diff(test.want, got); diff != "" {
+				t.Errorf("actions (-want +got):\n%s", diff)
+			}
+			for shard, want := range test.status {
+				if diff := cmp.Diff(want, query.Status(shard)); diff != "" {
+					t.Errorf("shard %d (-want +got):\n%s", shard, diff)
+				}
+			}
+		})
+	}
+}
+
+// TestUnreachedAttemptsEnd: however many replicas are not reached, a shard's
+// attempts are bounded.
+func TestUnreachedAttemptsEnd(t *testing.T) {
+	query := New(testPlan(1, nil))
+	sent, finished := 0, false
+	feed := func(event Event) {
+		for _, action := range query.Step(ms, event) {
+			switch action.Kind {
+			case Send:
+				sent++
+			case Finish:
+				finished = true
+			}
+		}
+	}
+	feed(Event{Kind: Started})
+	for !finished && sent < 100 {
+		feed(Event{Kind: Replied, Attempt: sent - 1, Outcome: Unreached})
+	}
+	if !finished || sent > maxAttempts {
+		t.Errorf("%d attempts, finished %v", sent, finished)
+	}
+}
+
+func TestReservingBudget(t *testing.T) {
+	budget := NewReservingBudget(0, 10, 0.2)
+	hedges, retries := 0, 0
+	for budget.WithdrawHedge() {
+		hedges++
+	}
+	for budget.Withdraw() {
+		retries++
+	}
+	if hedges != 8 || retries != 2 {
+		t.Errorf("%d hedges and %d retries, want 8 and 2", hedges, retries)
+	}
+}
+
+func TestSilentReplicasAreChosenAfterBusyOnes(t *testing.T) {
+	weights := policy.Replicas{ZoneWeight: 1, RegionWeight: 1, FarWeight: 1}
+	room := Candidate{Limit: 2, Slots: 2, Warmth: 1, ConnectionAvailable: true}
+	saturated, silent, backing := room, room, room
+	saturated.InFlight, silent.Silent, backing.BackingOff = 2, true, true
+	for _, test := range []struct {
+		name       string
+		candidates []Candidate
+		want       int
+	}{
+		{"room first", []Candidate{silent, room}, 1},
+		{"saturated before silent", []Candidate{silent, saturated}, 1},
+		{"silent before refusing", []Candidate{backing, silent}, 1},
+		{"silent rather than none", []Candidate{silent}, 0},
+	} {
+		if got := ChooseReplica(test.candidates, weights, 0); got != test.want {
+			t.Errorf("%s: chose %d, want %d", test.name, got, test.want)
+		}
+	}
+}
