--- /dev/null
+++ b/internal/directory/directory_test.go
@@ -0,0 +1,64 @@
+package directory
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/doorpond/doorpond/internal/topology"
+)
+
+var (
+	placeA = topology.Place{Region: "r1", Zone: "a"}
+	placeB = topology.Place{Region: "r1", Zone: "b"}
+	placeC = topology.Place{Region: "r2", Zone: "c"}
+)
+
+func node(address string, place topology.Place, ready bool) topology.Node {
+	return topology.Node{ID: address, Address: address, Place: place, Ready: ready}
+}
+
+func TestResolve(t *testing.T) {
+	all := []topology.Node{
+		node("a1", placeA, true), node("a2", placeA, true), node("b1", placeB, true), node("c1", placeC, true),
+	}
+	cases := []struct {
+		name   string
+		nodes  []topology.Node
+		caller topology.Place
+		least  int
+		want   []string
+	}{
+		{"the caller's zone", all, placeA, 1, []string{"a1", "a2"}},
+		{"farther ones where there are too few", all, placeA, 3, []string{"a1", "a2", "b1"}},
+		{"a zone without nodes has those of its region", all, topology.Place{Region: "r1", Zone: "x"}, 1, []string{"a1", "a2", "b1"}},
+		{"an unknown place", all, topology.Place{}, 1, []string{"a1", "a2", "b1", "c1"}},
+		{"only ready nodes", []topology.Node{node("a1", placeA, false), node("c1", placeC, true)}, placeA, 1, []string{"c1"}},
+		{"all when none is ready", []topology.Node{node("a1", placeA, false), node("c1", placeC, false)}, placeA, 1, []string{"a1"}},
+		{"none", nil, placeA, 1, nil},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			answer, known := Resolve(&topology.Nodes{Nodes: test.nodes}, test.caller, Options{TTL: time.Second, LeastNodes: test.least})
+			if diff := cmp.Diff(test.want, answer.Addresses); diff != "" || known != (len(test.want) > 0) {
+				t.Errorf("known %v, addresses (-want +got):\n%s", known, diff)
+			}
+		})
+	}
+	if _, known := Resolve(nil, placeA, Options{}); known {
+		t.Error("an answer before any node is known")
+	}
+}
+
+func TestAnAnswerIsBounded(t *testing.T) {
+	nodes := &topology.Nodes{}
+	for i := range 3 * mostAddresses {
+		nodes.Nodes = append(nodes.Nodes, node(fmt.Sprint(i), placeA, true))
+	}
+	answer, _ := Resolve(nodes, placeA, Options{LeastNodes: 1})
+	if len(answer.Addresses) != mostAddresses {
+		t.Errorf("%d addresses", len(answer.Addresses))
+	}
+}
--- /dev/null
+++ b/internal/follower/follower_test.go
@@ -0,0 +1,457 @@
+package follower
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/doorpond/doorpond/internal/announce"
+	"github.com/doorpond/doorpond/internal/blackboard"
+	"github.com/doorpond/doorpond/internal/routing"
+	"github.com/doorpond/doorpond/internal/store"
+	"github.com/doorpond/doorpond/internal/topology"
+)
+
+// testDecoder reads the tests' own documents.
+type testDecoder struct{}
+
+type testTable struct {
+	Version uint64
+	Limit   int
+}
+
+func (testDecoder) Routes(value []byte) (*routing.Table, error) {
+	var read testTable
+	if err := json.Unmarshal(value, &read); err != nil {
+		return nil, err
+	}
+	services := map[string]routing.Service{"g": {Name: "g", ConnectionLimit: read.Limit}}
+	return routing.NewTable(read.Version, nil, services, routing.Limits{}), nil
+}
+
+func (testDecoder) Replica(key string, value []byte) (topology.Replica, error) {
+	var read topology.Replica
+	err := json.Unmarshal(value, &read)
+	read.Incarnation = key[len("replicas/"):]
+	return read, err
+}
+
+var testKeys = Keys{Configuration: "table", Replicas: "replicas/", Nodes: "nodes/"}
+
+func encoded(t *testing.T, value any) []byte {
+	t.Helper()
+	text, err := json.Marshal(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+func tableAt(t *testing.T, revision int64, version uint64) store.KeyValue {
+	t.Helper()
+	return store.KeyValue{Key: "table", Value: encoded(t, testTable{Version: version, Limit: 9}), ModRevision: revision}
+}
+
+func replicaAt(t *testing.T, revision int64, name string, state topology.ReplicaState) store.KeyValue {
+	t.Helper()
+	replica := topology.Replica{Address: name + ":1", Group: "g", Place: topology.Place{Zone: "z1"}, State: state}
+	return store.KeyValue{Key: "replicas/" + name, Value: encoded(t, replica), ModRevision: revision}
+}
+
+func nodeAt(t *testing.T, revision int64, id string) store.KeyValue {
+	t.Helper()
+	return store.KeyValue{Key: "nodes/" + id, Value: encoded(t, topology.Node{ID: id, Ready: true}), ModRevision: revision}
+}
+
+func newTestState(t *testing.T) (*state, *blackboard.Board) {
+	t.Helper()
+	board := &blackboard.Board{}
+	made := New(Options{
+		Decoder: testDecoder{}, Keys: testKeys, Board: board, Regions: map[string]string{"z1": "r1"},
+		Self: topology.Node{ID: "self"}, News: 3 * time.Second, VanishedFor: time.Second,
+	})
+	return made.state, board
+}
+
+var start = time.Unix(1000, 0)
+
+func states(board *blackboard.Board) map[string]topology.ReplicaState {
+	found := map[string]topology.ReplicaState{}
+	for _, replica := range board.Replicas.Load().Groups["g"] {
+		found[replica.Incarnation] = replica.State
+	}
+	return found
+}
+
+func TestTheConfigurationNeverGoesBack(t *testing.T) {
+	state, board := newTestState(t)
+	for _, step := range []struct {
+		value store.KeyValue
+		want  uint64
+	}{
+		{tableAt(t, 10, 4), 4},
+		{tableAt(t, 12, 7), 7},
+		{tableAt(t, 11, 6), 7}, // a late reading
+		{store.KeyValue{Key: "table", Value: []byte("not a document"), ModRevision: 13}, 7},
+		{tableAt(t, 14, 9), 9},
+	} {
+		state.put(step.value)
+		state.publish(start)
+		if got := board.Routes.Load().Version; got != step.want {
+			t.Errorf("revision %d: version %d in force, want %d", step.value.ModRevision, got, step.want)
+		}
+	}
+}
+
+func TestReplicasAreFollowed(t *testing.T) {
+	state, board := newTestState(t)
+	state.replace(start, []store.KeyValue{
+		tableAt(t, 1, 1), replicaAt(t, 2, "a", topology.ReplicaServing), replicaAt(t, 3, "b", topology.ReplicaServing),
+	})
+	state.publish(start)
+	first := board.Replicas.Load().Groups["g"][0]
+	if first.ConnectionLimit != 9 || first.Place.Region != "r1" {
+		t.Errorf("the replica lacks its service's limit or its region: %+v", first)
+	}
+	state.apply(start, store.Event{KeyValue: replicaAt(t, 5, "b", topology.ReplicaLeaving)})
+	state.apply(start, store.Event{KeyValue: replicaAt(t, 4, "b", topology.ReplicaServing)}) // older
+	state.publish(start)
+	want := map[string]topology.ReplicaState{"a": topology.ReplicaServing, "b": topology.ReplicaLeaving}
+	if diff := cmp.Diff(want, states(board)); diff != "" {
+		t.Errorf("replicas (-want +got):\n%s", diff)
+	}
+}
+
+// TestAVanishedReplicaStaysForAWhile: entries vanish also while the store is
+// down; one that said that it leaves is not asked any more.
+func TestAVanishedReplicaStaysForAWhile(t *testing.T) {
+	state, board := newTestState(t)
+	serving, leaving := replicaAt(t, 2, "a", topology.ReplicaServing), replicaAt(t, 3, "b", topology.ReplicaLeaving)
+	state.replace(start, []store.KeyValue{serving, leaving})
+	state.publish(start)
+	state.replace(start, nil)
+	state.publish(start.Add(900 * time.Millisecond))
+	want := map[string]topology.ReplicaState{"a": topology.ReplicaVanished, "b": topology.ReplicaLeaving}
+	if diff := cmp.Diff(want, states(board)); diff != "" {
+		t.Errorf("at first (-want +got):\n%s", diff)
+	}
+	serving.ModRevision = 9
+	state.apply(start, store.Event{KeyValue: serving})
+	state.publish(start.Add(1100 * time.Millisecond))
+	want = map[string]topology.ReplicaState{"a": topology.ReplicaServing}
+	if diff := cmp.Diff(want, states(board)); diff != "" {
+		t.Errorf("after a is back and b is forgotten (-want +got):\n%s", diff)
+	}
+}
+
+func TestBeatsDoNotPublish(t *testing.T) {
+	state, board := newTestState(t)
+	state.put(replicaAt(t, 2, "a", topology.ReplicaServing))
+	state.publish(start)
+	before := board.Replicas.Load()
+	state.put(replicaAt(t, 3, "a", topology.ReplicaServing))
+	state.publish(start)
+	if board.Replicas.Load() != before {
+		t.Error("an entry that has not changed was published anew")
+	}
+}
+
+// TestNodesThatAreGoneCountForShares: a node whose entry has lapsed may live on
+// and spend its part of what nodes share.
+func TestNodesThatAreGoneCountForShares(t *testing.T) {
+	state, board := newTestState(t)
+	state.replace(start, []store.KeyValue{nodeAt(t, 1, "n1"), nodeAt(t, 2, "n2")})
+	state.publish(start)
+	state.apply(start, store.Event{KeyValue: store.KeyValue{Key: "nodes/n2"}, Deleted: true})
+	state.publish(start.Add(time.Second))
+	nodes := board.Nodes.Load()
+	if len(nodes.Nodes) != 1 || nodes.Shared != 2 {
+		t.Errorf("%d nodes, shared by %d", len(nodes.Nodes), nodes.Shared)
+	}
+	state.publish(start.Add(2 * sharedMemory))
+	if got := board.Nodes.Load().Shared; got != 1 {
+		t.Errorf("shared by %d for ever", got)
+	}
+}
+
+func TestStaleness(t *testing.T) {
+	fresh := func() *staleness {
+		return &staleness{checkAfter: time.Second, slot: 100 * time.Millisecond, grace: 200 * time.Millisecond}
+	}
+	t.Run("each node waits for its turn", func(t *testing.T) {
+		checked := fresh()
+		checked.confirm(start, start, 5)
+		if got := checked.checkAt(3).Sub(start); got != 1300*time.Millisecond {
+			t.Errorf("the fourth node asks after %v", got)
+		}
+	})
+	t.Run("a confirmation by another node counts", func(t *testing.T) {
+		checked := fresh()
+		checked.confirm(start, start, 5)
+		checked.confirm(start.Add(time.Second), start.Add(900*time.Millisecond), 5)
+		if got := checked.checkAt(0).Sub(start); got != 1900*time.Millisecond {
+			t.Errorf("asks after %v", got)
+		}
+	})
+	t.Run("an old confirmation changes nothing", func(t *testing.T) {
+		checked := fresh()
+		checked.confirm(start, start, 5)
+		if checked.confirm(start, start.Add(-time.Minute), 4) {
+			t.Error("it is passed on")
+		}
+		if !checked.confirmedAt.Equal(start) || checked.confirmed != 5 {
+			t.Errorf("confirmed %d at %v", checked.confirmed, checked.confirmedAt)
+		}
+	})
+	t.Run("a watch that misses news is given up after the grace", func(t *testing.T) {
+		checked := fresh()
+		checked.learn(5)
+		checked.confirm(start, start, 5)
+		if !checked.giveUpAt().IsZero() {
+			t.Error("given up though nothing is missing")
+		}
+		checked.confirm(start, start, 6)
+		checked.confirm(start.Add(100*time.Millisecond), start, 7)
+		if got := checked.giveUpAt().Sub(start); got != 200*time.Millisecond {
+			t.Errorf("given up after %v", got)
+		}
+		checked.learn(7)
+		if !checked.giveUpAt().IsZero() {
+			t.Error("given up though all is known")
+		}
+	})
+}
+
+// fakeSource is a store whose watch can be deaf, and which can be silent.
+type fakeSource struct {
+	mutex    sync.Mutex
+	values   []store.KeyValue
+	revision int64
+	deaf     bool
+	silent   bool
+	lists    int
+	gets     int
+	watching []chan store.WatchBatch
+}
+
+func (s *fakeSource) put(value store.KeyValue) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.revision = value.ModRevision
+	s.values = slices.DeleteFunc(s.values, func(one store.KeyValue) bool { return one.Key == value.Key })
+	s.values = append(s.values, value)
+	for _, watch := range s.watching {
+		if !s.deaf {
+			watch <- store.WatchBatch{Revision: s.revision, Events: []store.Event{{KeyValue: value}}}
+		}
+	}
+}
+
+func (s *fakeSource) set(deaf, silent bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.deaf, s.silent = deaf, silent
+}
+
+func (s *fakeSource) counts() (lists, gets int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.lists, s.gets
+}
+
+// call waits as the store does that says nothing.
+func (s *fakeSource) call(ctx context.Context, count *int) error {
+	s.mutex.Lock()
+	*count++
+	silent := s.silent
+	s.mutex.Unlock()
+	if silent {
+		<-ctx.Done()
+		return fmt.Errorf("%w: %w", store.ErrUnavailable, ctx.Err())
+	}
+	return nil
+}
+
+func (s *fakeSource) Get(ctx context.Context, _ string) (store.KeyValue, bool, int64, error) {
+	if err := s.call(ctx, &s.gets); err != nil {
+		return store.KeyValue{}, false, 0, err
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return store.KeyValue{}, false, s.revision, nil
+}
+
+func (s *fakeSource) List(ctx context.Context, _ string, _ int) ([]store.KeyValue, int64, error) {
+	if err := s.call(ctx, &s.lists); err != nil {
+		return nil, 0, err
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return slices.Clone(s.values), s.revision, nil
+}
+
+func (s *fakeSource) Watch(ctx context.Context, _ string, _ int64, deliver func(store.WatchBatch) error) error {
+	events := make(chan store.WatchBatch, 16)
+	s.mutex.Lock()
+	s.watching = append(s.watching, events)
+	s.mutex.Unlock()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case batch := <-events:
+			if err := deliver(batch); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// fakePeers collects what is sent and hands over what is received.
+type fakePeers struct {
+	received chan announce.Announcement
+	mutex    sync.Mutex
+	sent     []announce.Announcement
+}
+
+func (p *fakePeers) Send(news announce.Announcement) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.sent = append(p.sent, news)
+}
+
+func (p *fakePeers) Received() <-chan announce.Announcement { return p.received }
+
+func (p *fakePeers) highest() int64 {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	highest := int64(0)
+	for _, news := range p.sent {
+		highest = max(highest, news.Revision)
+	}
+	return highest
+}
+
+// startFollower runs a follower with so much time for news.
+func startFollower(t *testing.T, source *fakeSource, news time.Duration) (*blackboard.Board, *fakePeers) {
+	t.Helper()
+	board, peers := &blackboard.Board{}, &fakePeers{received: make(chan announce.Announcement)}
+	made := New(Options{
+		Source: source, Peers: peers, Decoder: testDecoder{}, Keys: testKeys, Board: board,
+		Self: topology.Node{ID: "self"}, News: news, VanishedFor: time.Second,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- made.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return board, peers
+}
+
+// eventually looks until a condition holds; the limit is generous, so that the
+// speed of the machine does not decide.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(20 * time.Second)
+	for !holds() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not in time: %s", what)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+func inForce(board *blackboard.Board, version uint64) func() bool {
+	return func() bool {
+		table := board.Routes.Load()
+		return table != nil && table.Version == version
+	}
+}
+
+func TestADeafWatchIsNoticedByTheNodeItself(t *testing.T) {
+	source := &fakeSource{}
+	source.put(tableAt(t, 1, 1))
+	board, peers := startFollower(t, source, 300*time.Millisecond)
+	eventually(t, "the first table is in force", inForce(board, 1))
+	source.set(true, false)
+	source.put(tableAt(t, 2, 2))
+	eventually(t, "the second table is in force", inForce(board, 2))
+	if got := peers.highest(); got != 2 {
+		t.Errorf("told the others of revision %d", got)
+	}
+}
+
+// TestADeafWatchIsNoticedByAPeersWord: the node itself would ask later.
+func TestADeafWatchIsNoticedByAPeersWord(t *testing.T) {
+	source := &fakeSource{}
+	source.put(tableAt(t, 1, 1))
+	board, peers := startFollower(t, source, 6*time.Second)
+	eventually(t, "the first table is in force", inForce(board, 1))
+	source.set(true, false)
+	source.put(tableAt(t, 2, 2))
+	peers.received <- announce.Announcement{Revision: 2}
+	eventually(t, "the second table is in force", inForce(board, 2))
+	if lists, gets := source.counts(); lists != 2 || gets != 0 {
+		t.Errorf("%d readings and %d questions", lists, gets)
+	}
+}
+
+func TestConfirmationsOfOthersSaveCalls(t *testing.T) {
+	source := &fakeSource{}
+	source.put(tableAt(t, 1, 1))
+	board, peers := startFollower(t, source, time.Second)
+	eventually(t, "the table is in force", inForce(board, 1))
+	for range 10 {
+		time.Sleep(60 * time.Millisecond)
+		peers.received <- announce.Announcement{Revision: 1}
+	}
+	if _, gets := source.counts(); gets != 0 {
+		t.Errorf("asked the store %d times", gets)
+	}
+}
+
+// TestAStoreThatComesBackIsReadSoon: calls that a silent store has left without
+// an answer are given up, and the node that started meanwhile reads at once.
+func TestAStoreThatComesBackIsReadSoon(t *testing.T) {
+	source := &fakeSource{silent: true}
+	source.put(tableAt(t, 1, 1))
+	const news = 4 * time.Second
+	board, _ := startFollower(t, source, news)
+	eventually(t, "the store is asked", func() bool { lists, _ := source.counts(); return lists > 0 })
+	source.set(false, false)
+	back := time.Now()
+	eventually(t, "the table is in force", inForce(board, 1))
+	if took := time.Since(back); took > news/2 {
+		t.Errorf("read %v after the store was back", took)
+	}
+}
+
+func TestTheStoresStateIsPublished(t *testing.T) {
+	source := &fakeSource{}
+	source.put(tableAt(t, 1, 1))
+	board, _ := startFollower(t, source, 200*time.Millisecond)
+	reachable := func(want bool) func() bool {
+		return func() bool {
+			status := board.Store.Load()
+			return status != nil && status.Reachable == want
+		}
+	}
+	eventually(t, "the store is reached", reachable(true))
+	source.set(true, true)
+	eventually(t, "the store is lost", reachable(false))
+	if !inForce(board, 1)() {
+		t.Error("what was known is gone")
+	}
+	source.set(false, false)
+	eventually(t, "the store is reached again", reachable(true))
+}
--- /dev/null
+++ b/internal/ingress/ingress_test.go
@@ -0,0 +1,183 @@
+package ingress
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/doorpond/doorpond/internal/blackboard"
+	"github.com/doorpond/doorpond/internal/failure"
+	"github.com/doorpond/doorpond/internal/query"
+	"github.com/doorpond/doorpond/internal/routing"
+	"github.com/doorpond/doorpond/internal/upstream"
+)
+
+type testCodec struct{}
+
+func (testCodec) ReadRequest(header http.Header) (string, time.Duration) {
+	id := header.Get("Id")
+	header.Del("Id")
+	return id, 2 * time.Second
+}
+
+func (testCodec) WriteParts(header http.Header, signatures []string, missing int) {
+	header.Set("Parts", strings.Join(signatures, ","))
+	header.Set("Missing", strings.Repeat("x", missing))
+}
+
+func (testCodec) WriteRetryAfter(header http.Header, wait time.Duration) {
+	header.Set("Come-Back", wait.String())
+}
+
+// fakeForwarder gives one answer and keeps what it was asked.
+type fakeForwarder struct {
+	answer query.Forwarded
+	err    error
+	asked  *query.Forwarding
+}
+
+func (f *fakeForwarder) Forward(_ context.Context, asked *query.Forwarding) (query.Forwarded, error) {
+	f.asked = asked
+	return f.answer, f.err
+}
+
+func newTestHandler(forwarder *fakeForwarder, change func(*Options)) http.Handler {
+	board := &blackboard.Board{}
+	route := routing.Route{Name: "r", Host: "h.example", PathPrefix: "/p/"}
+	board.Routes.Publish(routing.NewTable(3, []routing.Route{route}, nil, routing.Limits{BodyBytes: 8}))
+	options := Options{Board: board, Codec: testCodec{}, Forwarder: forwarder}
+	if change != nil {
+		change(&options)
+	}
+	return New(options)
+}
+
+func request(method, target, body string) *http.Request {
+	made := httptest.NewRequest(method, "http://h.example"+target, strings.NewReader(body))
+	made.RequestURI = target
+	made.Header.Set("Id", "q1")
+	return made
+}
+
+func serveOne(handler http.Handler, r *http.Request) *httptest.ResponseRecorder {
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, r)
+	return recorder
+}
+
+func TestARequestIsPassedOnUnaltered(t *testing.T) {
+	forwarder := &fakeForwarder{answer: query.Forwarded{Reply: &upstream.Reply{
+		Status: 201, Header: http.Header{"X-Own": {"1"}, "Keep-Alive": {"timeout=3"}, "Content-Length": {"9"}}, Body: []byte("made"),
+	}}}
+	r := request(http.MethodPost, "/p//a%2fb?x=%20&y", "body")
+	r.Header.Set("Connection", "keep-alive, X-Hop")
+	r.Header.Set("X-Hop", "1")
+	r.Header.Set("Te", "trailers")
+	r.Header.Set("X-End", "2")
+	got := serveOne(newTestHandler(forwarder, nil), r)
+	want := &upstream.Message{
+		ID: "q1", Method: http.MethodPost, Target: "/p//a%2fb?x=%20&y", Host: "h.example",
+		Header: http.Header{"X-End": {"2"}}, Body: []byte("body"),
+	}
+	if diff := cmp.Diff(want, forwarder.asked.Message); diff != "" {
+		t.Errorf("message (-want +got):\n%s", diff)
+	}
+	if forwarder.asked.Wait != 2*time.Second || forwarder.asked.Route.Name != "r" {
+		t.Errorf("asked %+v", forwarder.asked)
+	}
+	if got.Code != 201 || got.Body.String() != "made" || got.Header().Get("X-Own") != "1" ||
+		got.Header().Get("Keep-Alive") != "" || got.Header().Get("Content-Length") != "4" {
+		t.Errorf("answer %d %v %q", got.Code, got.Header(), got.Body)
+	}
+}
+
+func TestAScatteredAnswerNamesItsParts(t *testing.T) {
+	forwarder := &fakeForwarder{answer: query.Forwarded{Records: []byte("records"), Signatures: []string{"s1", "s2"}, Missing: 1}}
+	got := serveOne(newTestHandler(forwarder, nil), request(http.MethodGet, "/p/", ""))
+	if got.Code != 200 || got.Body.String() != "records" || got.Header().Get("Parts") != "s1,s2" || got.Header().Get("Missing") != "x" {
+		t.Errorf("answer %d %v %q", got.Code, got.Header(), got.Body)
+	}
+}
+
+// TestRefusals has the errors, and the status that a caller is given: those
+// that promise that nothing ran come only with the proof.
+func TestRefusals(t *testing.T) {
+	cases := []struct {
+		name     string
+		err      error
+		status   int
+		comeBack bool
+	}{
+		{"no replica", failure.New(failure.NoReplica, "x"), 503, true},
+		{"all refused", failure.New(failure.BackendRefused, "x"), 503, true},
+		{"node is full", failure.New(failure.Overloaded, "x"), 429, true},
+		{"too few shards, which ran", failure.New(failure.InsufficientCoverage, "x"), 502, false},
+		{"refused after a run", failure.New(failure.BackendRefused, "x").WithNotRun(false), 502, false},
+		{"time is over", failure.New(failure.DeadlineExceeded, "x"), 504, false},
+		{"surprise", io.ErrUnexpectedEOF, 500, false},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			got := serveOne(newTestHandler(&fakeForwarder{err: test.err}, nil), request(http.MethodGet, "/p/", ""))
+			if got.Code != test.status || (got.Header().Get("Come-Back") != "") != test.comeBack {
+				t.Errorf("status %d, header %v", got.Code, got.Header())
+			}
+		})
+	}
+}
+
+func TestWhatIsNotForwarded(t *testing.T) {
+	cases := []struct {
+		name    string
+		request *http.Request
+		change  func(*Options)
+		status  int
+	}{
+		{"no route for the path", request(http.MethodGet, "/q/", ""), nil, 404},
+		{"no routes yet", request(http.MethodGet, "/p/", ""), func(o *Options) { o.Board = &blackboard.Board{} }, 503},
+		{"routes in doubt", request(http.MethodGet, "/p/", ""), func(o *Options) { o.Fresh = func() bool { return false } }, 503},
+		{"body over the limit", request(http.MethodPost, "/p/", "123456789"), nil, 413},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			forwarder := &fakeForwarder{}
+			if got := serveOne(newTestHandler(forwarder, test.change), test.request); got.Code != test.status {
+				t.Errorf("status %d, want %d", got.Code, test.status)
+			}
+			if forwarder.asked != nil {
+				t.Error("it was forwarded")
+			}
+		})
+	}
+}
+
+func TestAChunkedBodyIsBoundedToo(t *testing.T) {
+	forwarder := &fakeForwarder{}
+	handler := newTestHandler(forwarder, nil)
+	fits, over := request(http.MethodPost, "/p/", "12345678"), request(http.MethodPost, "/p/", "123456789")
+	fits.ContentLength, over.ContentLength = -1, -1
+	if serveOne(handler, fits); forwarder.asked == nil || !bytes.Equal(forwarder.asked.Message.Body, []byte("12345678")) {
+		t.Errorf("asked %+v", forwarder.asked)
+	}
+	if got := serveOne(handler, over); got.Code != 413 {
+		t.Errorf("status %d", got.Code)
+	}
+}
+
+func TestAStoppingNodeEndsItsConnections(t *testing.T) {
+	for _, phase := range []blackboard.Phase{blackboard.PhaseServing, blackboard.PhaseDraining, blackboard.PhaseClosing} {
+		forwarder := &fakeForwarder{answer: query.Forwarded{Records: []byte("x")}}
+		handler := newTestHandler(forwarder, func(o *Options) { o.Board.Phase.Publish(&phase) })
+		got := serveOne(handler, request(http.MethodGet, "/p/", ""))
+		if ends := got.Header().Get("Connection") == "close"; got.Code != 200 || ends != (phase != blackboard.PhaseServing) {
+			t.Errorf("phase %d: status %d, header %v", phase, got.Code, got.Header())
+		}
+	}
+}
