--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -107,12 +107,11 @@
 	callers   *drain.Listener
 	open      drain.Connections
 	server    *http.Server
-	auxiliary []*auxiliary
+	auxiliary map[string]*auxiliary // by name
 }
 
 // auxiliary is a listener beside that of the callers.
 type auxiliary struct {
-	name     string
 	listener net.Listener
 	server   *http.Server
 }
@@ -135,11 +134,11 @@
 	if err != nil {
 		return nil, err
 	}
-	n.assemble()
 	if err := n.listen(); err != nil {
 		n.announcer.Close()
 		return nil, err
 	}
+	n.assemble()
 	return n, nil
 }
 
@@ -147,7 +146,7 @@
 
 func (n *Node) assemble() {
 	place := topology.Place{Region: n.settings.Region, Zone: n.settings.Zone}
-	self := topology.Node{ID: n.settings.Node, Address: n.settings.Callers, PeerAddress: n.announcer.Address(), Place: place, Ready: true}
+	self := topology.Node{ID: n.settings.Node, Address: n.callers.Addr().String(), PeerAddress: n.announcer.Address(), Place: place, Ready: true}
 	var registerer prometheus.Registerer
 	if n.settings.Metrics != "" {
 		n.metrics = prometheus.NewRegistry()
@@ -175,6 +174,7 @@
 		},
 		Logger: n.logger,
 	})
+	n.addServers()
 }
 
 // ready tells whether the node takes new callers.
@@ -188,29 +188,66 @@
 	return directory.Resolve(n.board.Nodes.Load(), caller, directory.Options{TTL: ttl, LeastNodes: leastNodes})
 }
 
-// listen opens all listeners or none.
+// listen opens all listeners or none; assemble gives them their servers.
 func (n *Node) listen() error {
 	callers, err := drain.Listen(n.settings.Callers)
 	if err != nil {
 		return err
 	}
 	n.callers = callers
+	addresses := map[string]string{"readiness": n.settings.Readiness, "directory": n.settings.Directory}
+	if n.settings.Metrics != "" {
+		addresses["metrics"] = n.settings.Metrics
+	}
+	n.auxiliary = make(map[string]*auxiliary)
+	for name, address := range addresses {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			n.closeListeners()
+			return eris.Wrapf(err, "listen for %s", name)
+		}
+		n.auxiliary[name] = &auxiliary{listener: listener}
+	}
+	return nil
+}
+
+func (n *Node) closeListeners() {
+	_ = n.callers.Close()
+	for _, one := range n.auxiliary {
+		_ = one.listener.Close()
+	}
+}
+
+// addServers gives each listener its server.
+func (n *Node) addServers() {
 	n.server = n.newServer(ingress.New(ingress.Options{
 		Board: n.board, Codec: n.platform.Codec, Forwarder: n.queries, Logger: n.logger,
 	}))
 	n.open.Follow(n.server)
-	n.addAuxiliary("readiness", n.settings.Readiness, n.platform.Ready(n.ready))
-	n.addAuxiliary("directory", n.settings.Directory, n.platform.Directory(n.resolve))
+	n.auxiliary["readiness"].server = n.newServer(n.platform.Ready(n.ready))
+	n.auxiliary["directory"].server = n.newServer(n.platform.Directory(n.resolve))
 	if n.metrics != nil {
-		n.addAuxiliary("metrics", n.settings.Metrics, promhttp.HandlerFor(n.metrics, promhttp.HandlerOpts{}))
+		n.auxiliary["metrics"].server = n.newServer(promhttp.HandlerFor(n.metrics, promhttp.HandlerOpts{}))
 	}
-	for _, one := range n.auxiliary {
-		if one.listener, err = net.Listen("tcp", one.server.Addr); err != nil {
-			n.close()
-			return eris.Wrapf(err, "listen for %s", one.name)
-		}
+}
+
+// Addresses are where a node listens, with the ports it was given.
+type Addresses struct {
+	Callers, Readiness, Directory, Metrics, Peers string
+}
+
+// Addresses returns where the node listens.
+func (n *Node) Addresses() Addresses {
+	found := Addresses{
+		Callers:   n.callers.Addr().String(),
+		Readiness: n.auxiliary["readiness"].listener.Addr().String(),
+		Directory: n.auxiliary["directory"].listener.Addr().String(),
+		Peers:     n.announcer.Address(),
 	}
-	return nil
+	if metrics := n.auxiliary["metrics"]; metrics != nil {
+		found.Metrics = metrics.listener.Addr().String()
+	}
+	return found
 }
 
 func (n *Node) newServer(handler http.Handler) *http.Server {
@@ -220,12 +257,6 @@
 	}
 }
 
-func (n *Node) addAuxiliary(name, address string, handler http.Handler) {
-	server := n.newServer(handler)
-	server.Addr = address
-	n.auxiliary = append(n.auxiliary, &auxiliary{name: name, server: server})
-}
-
 func (n *Node) close() {
 	_ = n.server.Close() // nothing is left to lose
 	_ = n.callers.Close()
@@ -253,7 +284,7 @@
 		group.Go(func() error { return serve(one.server, one.listener) })
 	}
 	n.enter(blackboard.PhaseServing)
-	n.logger.Info("started", "node", n.settings.Node, "version", Version, "zone", n.settings.Zone, "callers", n.settings.Callers)
+	n.logger.Info("started", "node", n.settings.Node, "version", Version, "zone", n.settings.Zone, "callers", n.callers.Addr().String())
 	select {
 	case <-ctx.Done():
 		n.stop(func() {
