--- a/cmd/doorpond-edge/main.go
+++ b/cmd/doorpond-edge/main.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"os"
 	"os/signal"
@@ -13,10 +14,12 @@
 	"syscall"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
 
 	"github.com/doorpond/doorpond/internal/edge"
 	"github.com/doorpond/doorpond/internal/eventlog"
+	"github.com/doorpond/doorpond/internal/explain"
 	"github.com/doorpond/doorpond/internal/settings"
 	"github.com/doorpond/doorpond/platform"
 )
@@ -56,7 +59,7 @@
 Exit codes: 0 stopped as planned, 1 failed, 2 settings refused.
 SIGTERM or SIGINT starts the planned stop; SIGHUP, or a change of the file, reads the settings anew.`,
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "config", Usage: "settings `FILE`", Sources: cli.EnvVars(platform.SettingsVariable), Required: true},
+			&cli.StringFlag{Name: "config", Usage: "settings `FILE`", Sources: cli.EnvVars(platform.SettingsVariable)},
 		},
 		Commands: []*cli.Command{{
 			Name: "check", Usage: "check the settings file and do nothing else",
@@ -64,12 +67,50 @@
 				_, err := edge.LoadSettings(command.String("config"))
 				return err
 			},
+		}, {
+			Name: "explain", Usage: "tell the story of one request from the nodes' logs",
+			ArgsUsage:   "REQUEST [FILE...]",
+			Description: "Reads the logs of any number of nodes from files, or from standard input.",
+			Action: func(_ context.Context, command *cli.Command) error {
+				return explainRequest(command.Args().Slice(), os.Stdin, os.Stdout)
+			},
 		}},
 		Action: run,
 	}
 }
 
+// explainRequest reads the logs that arguments name and tells of a request.
+func explainRequest(arguments []string, in io.Reader, out io.Writer) error {
+	if len(arguments) == 0 {
+		return &settings.Error{Source: "command line", Reason: "explain takes a REQUEST"}
+	}
+	if len(arguments) == 1 {
+		lines, err := explain.Read(in)
+		if err != nil {
+			return err
+		}
+		return explain.Story(lines, arguments[0], out)
+	}
+	var lines []explain.Line
+	for _, path := range arguments[1:] {
+		file, err := os.Open(path)
+		if err != nil {
+			return eris.Wrap(err, "open the logs")
+		}
+		read, err := explain.Read(file)
+		_ = file.Close() // it was only read
+		if err != nil {
+			return err
+		}
+		lines = append(lines, read...)
+	}
+	return explain.Story(lines, arguments[0], out)
+}
+
 func run(ctx context.Context, command *cli.Command) error {
+	if command.Args().Present() {
+		return &settings.Error{Source: "command line", Reason: "unknown command " + command.Args().First()}
+	}
 	path := command.String("config")
 	loaded, err := edge.LoadSettings(path)
 	if err != nil {
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,49 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+)
+
+const logs = `started by hand
+  1.2 node-a {"time":"2026-01-01T10:00:01Z","level":"WARN","msg":"store lost; going on with what is known","error":"silent"}
+  1.3 node-b {"time":"2026-01-01T10:00:02Z","level":"INFO","msg":"replica gone","address":"10.0.0.9:1"}
+  0.1 node-a {"time":"2026-01-01T09:50:00Z","level":"INFO","msg":"started"}
+  1.4 node-a {"time":"2026-01-01T10:00:03.5Z","level":"INFO","msg":"request answered in part","request":"q1","route":"r","missing":1,"shards":[{"group":"g3","reason":"failed","error":"reset","attempts":[{"replica":"10.0.0.1:1","sent_ms":0,"outcome":"failed"},{"sent_ms":12,"outcome":"no_replica"}]}]}
+  1.5 node-b {"time":"2026-01-01T10:00:04Z","level":"INFO","msg":"request answered","request":"q2"}
+{"broken":
+`
+
+func TestStory(t *testing.T) {
+	lines, err := Read(strings.NewReader(logs))
+	if err != nil || len(lines) != 5 {
+		t.Fatalf("%d lines, error %v", len(lines), err)
+	}
+	var told strings.Builder
+	if err := Story(lines, "q1", &told); err != nil {
+		t.Fatal(err)
+	}
+	want := `      2.5s before: store lost; going on with what is known error="silent"
+10:00:03.500 node-a: request answered in part
+    missing: 1
+    request: "q1"
+    route: "r"
+    shard g3: failed reset
+      at 0 ms to 10.0.0.1:1: failed
+      at 12 ms to no replica: no_replica
+`
+	if told.String() != want {
+		t.Errorf("story:\n%s\nwant:\n%s", told.String(), want)
+	}
+}
+
+func TestNoStory(t *testing.T) {
+	lines, err := Read(strings.NewReader(logs))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var told strings.Builder
+	if err := Story(lines, "q9", &told); err == nil || told.Len() > 0 {
+		t.Errorf("error %v, story %q", err, told.String())
+	}
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"log/slog"
 	"net/http"
@@ -47,7 +46,10 @@
 }
 
 // Handler serves callers' requests.
-type Handler struct{ options Options }
+type Handler struct {
+	options Options
+	lines   *requestLog
+}
 
 // New makes a Handler.
 func New(options Options) *Handler {
@@ -57,7 +59,7 @@
 	if options.Logger == nil {
 		options.Logger = slog.New(slog.DiscardHandler)
 	}
-	return &Handler{options: options}
+	return &Handler{options: options, lines: newRequestLog(options.Logger, options.Board)}
 }
 
 // defaultBodyBytes bounds a body while no limit is known.
@@ -76,7 +78,7 @@
 	} else {
 		h.write(w, answer)
 	}
-	h.log(r, id, route, &answer, err, time.Since(started))
+	h.lines.tell(outcome{host: r.Host, id: id, route: route, answer: &answer, err: err, took: time.Since(started)})
 }
 
 func (h *Handler) forward(r *http.Request, id string, wait time.Duration) (*routing.Route, query.Forwarded, error) {
@@ -176,27 +178,3 @@
 		return false
 	}
 }
-
-// log tells of a request that was not answered whole.
-func (h *Handler) log(r *http.Request, id string, route *routing.Route, answer *query.Forwarded, err error, took time.Duration) {
-	if err == nil && answer.Missing == 0 {
-		return
-	}
-	name := ""
-	if route != nil {
-		name = route.Name
-	}
-	attributes := []any{"request", id, "route", name, "took", took.String(), "attempts", answer.Attempts, "hedges", answer.Hedges}
-	if len(answer.Unanswered) > 0 {
-		attributes = append(attributes, "unanswered", answer.Unanswered)
-	}
-	if err == nil {
-		h.options.Logger.Info("answered in part", append(attributes, "missing", answer.Missing)...)
-		return
-	}
-	var known *failure.Error
-	if errors.As(err, &known) {
-		attributes = append(attributes, "kind", string(known.Kind), "not_run", known.NotRun)
-	}
-	h.options.Logger.Info("not answered", append(attributes, "host", r.Host, "reason", err.Error())...)
-}
--- /dev/null
+++ b/internal/ingress/log.go
@@ -0,0 +1,115 @@
+package ingress
+
+import (
+	"errors"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/doorpond/doorpond/internal/blackboard"
+	"github.com/doorpond/doorpond/internal/failure"
+	"github.com/doorpond/doorpond/internal/query"
+	"github.com/doorpond/doorpond/internal/routing"
+)
+
+// The lines a second about requests, by whether there is something to explain.
+// What is over them is counted, and said in the next line.
+const (
+	plainLines       = 1
+	noteworthyLines  = 40
+	plainBurst       = 5
+	noteworthyBurst  = 200
+	messageAnswered  = "request answered"
+	messagePartial   = "request answered in part"
+	messageLate      = "request answered late"
+	messageNotServed = "request not answered"
+)
+
+// outcome is what came of one request.
+type outcome struct {
+	host, id string
+	// route is nil when there was none.
+	route  *routing.Route
+	answer *query.Forwarded
+	err    error
+	took   time.Duration
+}
+
+// noteworthy is true when a caller may ask what happened.
+func (o *outcome) noteworthy() bool { return o.err != nil || o.answer.Missing > 0 || o.answer.Late }
+
+func (o *outcome) message() string {
+	switch {
+	case o.err != nil:
+		return messageNotServed
+	case o.answer.Missing > 0:
+		return messagePartial
+	case o.answer.Late:
+		return messageLate
+	default:
+		return messageAnswered
+	}
+}
+
+// requestLog writes one line about a request, as far as its rates allow.
+type requestLog struct {
+	logger            *slog.Logger
+	board             *blackboard.Board
+	plain, noteworthy *rate.Limiter
+	omitted           atomic.Int64
+}
+
+func newRequestLog(logger *slog.Logger, board *blackboard.Board) *requestLog {
+	return &requestLog{
+		logger: logger, board: board,
+		plain:      rate.NewLimiter(plainLines, plainBurst),
+		noteworthy: rate.NewLimiter(noteworthyLines, noteworthyBurst),
+	}
+}
+
+func (l *requestLog) tell(about outcome) {
+	limiter := l.plain
+	if about.noteworthy() {
+		limiter = l.noteworthy
+	}
+	if !limiter.Allow() {
+		l.omitted.Add(1)
+		return
+	}
+	l.logger.Info(about.message(), l.attributes(&about)...)
+}
+
+// attributes are what the request was decided by, and what came of it.
+func (l *requestLog) attributes(about *outcome) []any {
+	attributes := []any{"request", about.id, "took_ms", about.took.Milliseconds()}
+	if omitted := l.omitted.Swap(0); omitted > 0 {
+		attributes = append(attributes, "omitted_lines", omitted)
+	}
+	if table := l.board.Routes.Load(); table != nil {
+		attributes = append(attributes, "configuration", table.Version)
+	}
+	if status := l.board.Store.Load(); status != nil && !status.Reachable {
+		attributes = append(attributes, "store_lost_ms", time.Since(status.Since).Milliseconds())
+	}
+	if about.route != nil {
+		attributes = append(attributes, "route", about.route.Name, "attempts", about.answer.Attempts, "hedges", about.answer.Hedges)
+	} else {
+		attributes = append(attributes, "host", about.host)
+	}
+	if about.answer.Missing > 0 {
+		attributes = append(attributes, "missing", about.answer.Missing)
+	}
+	if len(about.answer.Trace) > 0 {
+		attributes = append(attributes, "shards", about.answer.Trace)
+	}
+	var known *failure.Error
+	if errors.As(about.err, &known) {
+		attributes = append(attributes, "kind", string(known.Kind), "not_run", known.NotRun)
+	}
+	if about.err != nil {
+		attributes = append(attributes, "reason", about.err.Error())
+	}
+	return attributes
+}
--- a/internal/query/forward.go
+++ b/internal/query/forward.go
@@ -49,20 +49,23 @@
 	Missing    int
 	// Attempts and Hedges are what the request cost.
 	Attempts, Hedges int
-	// Unanswered says of each shard that has not answered what was tried.
-	Unanswered []Unanswered
+	// Late is true when the answer came after the route's objective.
+	Late bool
+	// Trace says, for an answer that is late, partial or a failure, what was
+	// tried at each shard that has not answered at its first attempt.
+	Trace []ShardTrace
 }
 
-// Unanswered is a shard that has not answered, as logs tell of it.
-type Unanswered struct {
-	Group    string    `json:"group"`
-	Reason   string    `json:"reason"`
-	Attempts []Attempt `json:"attempts"`
-	Error    string    `json:"error,omitempty"`
+// ShardTrace is a shard as logs tell of it. Reason is empty when it answered.
+type ShardTrace struct {
+	Group    string         `json:"group"`
+	Reason   string         `json:"reason,omitempty"`
+	Attempts []AttemptTrace `json:"attempts"`
+	Error    string         `json:"error,omitempty"`
 }
 
-// Attempt is one sub-request of a shard that has not answered.
-type Attempt struct {
+// AttemptTrace is one sub-request.
+type AttemptTrace struct {
 	Replica string `json:"replica,omitempty"`
 	// SentMilliseconds counts from the request's start.
 	SentMilliseconds int64  `json:"sent_ms"`
@@ -153,7 +156,11 @@
 
 // conclude turns the run into an answer or an error.
 func (r *forwardRun) conclude() (Forwarded, error) {
-	answer := Forwarded{Attempts: r.counts.dispatched, Hedges: r.counts.hedges, Unanswered: r.unanswered()}
+	answer := Forwarded{Attempts: r.counts.dispatched, Hedges: r.counts.hedges}
+	answer.Late = r.inbox.Elapsed() > r.forwarding.Route.Objective
+	if answer.Late || r.core.Answered() < len(r.shards) {
+		answer.Trace = r.trace()
+	}
 	if r.reason == decision.CallerGaveUp {
 		return answer, failure.New(failure.Canceled, "the caller gave up")
 	}
@@ -207,29 +214,28 @@
 	}
 }
 
-// unanswered describes the shards that have not answered; nil when all have.
-func (r *forwardRun) unanswered() []Unanswered {
-	var missing []Unanswered
+// trace describes the shards that have not answered at their first attempt.
+func (r *forwardRun) trace() []ShardTrace {
+	var traced []ShardTrace
 	for i := range r.shards {
-		status := r.core.Status(i)
-		if status.Answered {
+		shard, status := &r.shards[i], r.core.Status(i)
+		if status.Answered && len(shard.attempts) == 1 {
 			continue
 		}
-		shard := &r.shards[i]
-		described := Unanswered{Group: r.plan.Shards[i].Group, Reason: string(status.Reason)}
+		described := ShardTrace{Group: r.plan.Shards[i].Group, Reason: string(status.Reason)}
 		if shard.err != nil {
 			described.Error = shard.err.Error()
 		}
 		for _, tried := range shard.attempts {
 			described.Attempts = append(described.Attempts, tried.describe())
 		}
-		missing = append(missing, described)
+		traced = append(traced, described)
 	}
-	return missing
+	return traced
 }
 
-func (a *attempt) describe() Attempt {
-	described := Attempt{SentMilliseconds: a.sent.Milliseconds(), Outcome: a.ended}
+func (a *attempt) describe() AttemptTrace {
+	described := AttemptTrace{SentMilliseconds: a.sent.Milliseconds(), Outcome: a.ended}
 	if a.handle != nil {
 		described.Replica = a.handle.Address()
 	}
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -44,8 +44,6 @@
 	}
 }
 
-var errNotIdle = errors.New("the connection is closed or holds unasked bytes")
-
 // quiet tells whether an idle connection is open and holds no unasked byte: a
 // byte that nobody waits for belongs to no request.
 func (c *connection) quiet() bool {
