--- a/internal/lab/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -41,13 +41,13 @@
 	platform *platform.Platform
 	cluster  *cluster.Cluster
 	clients  []*client.Client
-	// step of steps progress lines was written last.
-	step, steps int
+	// step is the progress line written last.
+	step, lastStep int
 }
 
 // Run runs the demo. It fails if any answer is wrong.
 func Run(ctx context.Context, options Options) error {
-	d := &demo{options: options, steps: lastStep}
+	d := &demo{options: options, lastStep: lastStep}
 	d.progress("starting the stand-ins of store, machine list and back ends")
 	started, err := platform.Start(ctx, platform.DefaultConfig(testdata.Corpus))
 	if err != nil {
@@ -114,7 +114,7 @@
 
 func (d *demo) progress(format string, arguments ...any) {
 	d.step++
-	fmt.Fprintf(d.options.Progress, "[%d/%d] %s\n", d.step, d.steps, fmt.Sprintf(format, arguments...))
+	fmt.Fprintf(d.options.Progress, "[%d/%d] %s\n", d.step, d.lastStep, fmt.Sprintf(format, arguments...))
 }
 
 // lastStep is the number of progress lines.
--- a/internal/lab/demo/platform.go
+++ b/internal/lab/demo/platform.go
@@ -36,7 +36,7 @@
 // RunPlatform runs edge nodes for callers who run no process of ours, on
 // stand-ins of the users' platform. It fails if any answer is wrong.
 func RunPlatform(ctx context.Context, options Options) error {
-	d := &platformDemo{demo: demo{options: options, steps: lastPlatformStep}}
+	d := &platformDemo{demo: demo{options: options, lastStep: lastPlatformStep}}
 	d.progress("starting the stand-ins of the platform's store and of the replicas")
 	deployment, err := standin.Start(standin.Shape{Zones: platformZones, Shards: platformShards, Work: platformWork})
 	if err != nil {
