Admission learns of late first attempts; plain requests are offered soon or refused

Ruled out: the limit itself, which was never cut. Still red: the plain service is refused for the other's sake.

--- a/internal/decision/forward_test.go
+++ b/internal/decision/forward_test.go
@@ -103,6 +103,16 @@
 			},
 			status: []ShardStatus{{Answered: true}},
 		},
+		{
+			name: "a request of one shard that cannot be offered soon ends without having run", shards: 1,
+			change: func(plan *Plan, _ *policy.Row) { plan.OfferBy = 5 * ms },
+			events: []timedEvent{busy(0, 0, 0), fired(2 * ms), busy(2*ms, 0, 0), fired(4 * ms), busy(4*ms, 0, 0)},
+			want: []string{
+				"0s send 0/0 in 100ms", "0s timer 100ms", "0s timer 2ms", "2ms send 0/0 in 98ms", "2ms timer 100ms",
+				"2ms timer 4ms", "4ms send 0/0 in 96ms", "4ms timer 100ms", "4ms finish 0",
+			},
+			status: []ShardStatus{{Reason: client.MissingNoReplica}},
+		},
 		{
 			name: "an attempt that reached no replica does not count", shards: 1, change: answerBy,
 			events: []timedEvent{
--- a/internal/decision/plan.go
+++ b/internal/decision/plan.go
@@ -40,6 +40,10 @@
 	// query ends at once when it can no longer be reached. 0 means that any
 	// number is an answer.
 	LeastShards int
+	// OfferBy, counted from the query's start, is the time by which a query of
+	// one shard must have been sent to a replica, or ends without having run: a
+	// caller that is told soon can come back in time. 0 means that it waits.
+	OfferBy time.Duration
 	// RunsOnce is true when no sub-request may run twice: there are no hedges,
 	// and another attempt is made only after proof that none has run.
 	RunsOnce bool
--- a/internal/decision/query.go
+++ b/internal/decision/query.go
@@ -155,6 +155,9 @@
 	if state.inFlight == 0 && !q.mayAttempt(now+wait, shard) {
 		return false
 	}
+	if q.plan.OfferBy > 0 && len(q.shards) == 1 && state.attempts == 0 && now+wait > q.plan.OfferBy {
+		return false
+	}
 	state.hedgeAt = now + wait
 	state.hedgeDelay = wait
 	state.postponed = state.inFlight == 0
--- a/internal/query/forward.go
+++ b/internal/query/forward.go
@@ -23,6 +23,12 @@
 	// unknownLateShare of the objective is how long an answer is waited for
 	// before a hedge, while the usual times are not known.
 	unknownLateShare = 0.25
+	// offerShare of the objective is the time by which a plain request must have
+	// been sent to a replica.
+	offerShare = 0.25
+	// delayShare of the objective is how long sending all first attempts may
+	// take: beyond it, this node or the replicas have too much to do.
+	delayShare = 0.125
 	// lingerTime is for how long an attempt that is not needed any more may
 	// still answer. Replicas must have stopped half a second after a caller
 	// has left.
@@ -108,7 +114,9 @@
 		Shards: s.forwardShards(route, usual), Policy: route.Policy, Deadline: deadline,
 		LeastShards: route.LeastShards, RunsOnce: !route.Repeatable,
 	}
-	if route.Scattered() {
+	if !route.Scattered() {
+		plan.OfferBy = time.Duration(offerShare * float64(route.Objective))
+	} else {
 		plan.AnswerBy = time.Duration(answerShare * float64(route.Objective))
 	}
 	forward := &forwardRun{forwarding: forwarding, terms: replica.Terms{
@@ -254,5 +262,16 @@
 	if errors.As(err, &known) && known.Kind == failure.Canceled {
 		return
 	}
-	ticket.Ended(s.options.Now(), current.ended(took))
+	ticket.Ended(s.options.Now(), current.endedAfterDelay(took))
+}
+
+// endedAfterDelay is what admission learns: a request whose first attempts were
+// sent late, or not at all, is a sign of overload, also when it was answered.
+func (r *forwardRun) endedAfterDelay(took time.Duration) admission.Ended {
+	ended := r.ended(took)
+	delayed := r.firstSent > time.Duration(delayShare*float64(r.forwarding.Route.Objective))
+	if delayed || r.counts.dispatched == 0 {
+		ended.Refused = ended.Asked
+	}
+	return ended
 }
