--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -129,7 +129,7 @@
 	if c.inFlight.Add(1) > limit {
 		c.inFlight.Add(-1)
 		state.inFlight.Add(-1)
-		return Ticket{}, c.refuse("priority", failure.Overloaded,
+		return Ticket{}, c.overloaded(now, "priority",
 			fmt.Sprintf("daemon is at its limit of %d queries for priority %s", limit, priority))
 	}
 	return Ticket{controller: c, policy: state}, nil
@@ -140,6 +140,19 @@
 	return failure.New(kind, detail)
 }
 
+// overloaded is a refusal for load. An overload is taken to last for as long
+// again as it has lasted, so that is when to come back.
+func (c *Controller) overloaded(now time.Time, reason, detail string) *failure.Error {
+	refused := c.refuse(reason, failure.Overloaded, detail)
+	return refused.WithRetryAfter(min(max(refused.RetryAfter, c.limit.lasted(now)), longestRetryAfter))
+}
+
+// longestRetryAfter bounds the time to come back.
+const longestRetryAfter = 5 * time.Second
+
+// Loaded is true while this node has lately had to refuse for load.
+func (c *Controller) Loaded(now time.Time) bool { return c.limit.lasted(now) > 0 }
+
 func (c *Controller) state(name string) *policyState {
 	if state, known := c.policies.Load(name); known {
 		return state.(*policyState)
--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -35,6 +35,7 @@
 	units     atomic.Int64
 	most      int64
 	cutAt     atomic.Int64  // Unix nanoseconds
+	overSince atomic.Int64  // time of the first cut of an overload, Unix nanoseconds
 	lastShard atomic.Uint64 // hash of the shard of the last sign
 }
 
@@ -87,10 +88,21 @@
 	if now.UnixNano()-last < int64(pause) || !l.cutAt.CompareAndSwap(last, now.UnixNano()) {
 		return
 	}
+	if now.UnixNano()-last > int64(calmAfter) {
+		l.overSince.Store(now.UnixNano())
+	}
 	held := min(l.units.Load(), inFlight*limitScale)
 	l.units.Store(max(leastLimit*limitScale, int64(limitCut*float64(held))))
 }
 
+// lasted returns for how long there has been an overload, 0 if there is none.
+func (l *adaptiveLimit) lasted(now time.Time) time.Duration {
+	if now.UnixNano()-l.cutAt.Load() > int64(calmAfter) {
+		return 0
+	}
+	return time.Duration(now.UnixNano() - l.overSince.Load())
+}
+
 // raise is only for a limit that is in use.
 func (l *adaptiveLimit) raise(now time.Time, inFlight int64) {
 	units := l.units.Load()
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -28,7 +28,7 @@
 }
 
 // Resolve returns the ready nodes nearest to a caller: those of its zone, and
-// farther ones as far as there are too few. When no node is ready, all are
+// farther ones as far as there are too few that are not loaded. When no node is ready, all are
 // named: one of them may have become ready. known is false when there is none
 // at all.
 func Resolve(nodes *topology.Nodes, caller topology.Place, options Options) (answer Answer, known bool) {
@@ -44,13 +44,17 @@
 
 func nearest(nodes []topology.Node, caller topology.Place, least int, wanted func(topology.Node) bool) []string {
 	var chosen []string
+	idle := 0
 	for distance := topology.SameZone; distance <= topology.OtherRegion; distance++ {
 		for _, node := range nodes {
 			if len(chosen) < mostAddresses && wanted(node) && caller.DistanceTo(node.Place) == distance {
 				chosen = append(chosen, node.Address)
+				if !node.Loaded {
+					idle++
+				}
 			}
 		}
-		if len(chosen) >= max(1, least) {
+		if idle >= max(1, least) {
 			return chosen
 		}
 	}
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -20,6 +20,12 @@
 	return topology.Node{ID: address, Address: address, Place: place, Ready: ready}
 }
 
+func loaded(address string, place topology.Place) topology.Node {
+	made := node(address, place, true)
+	made.Loaded = true
+	return made
+}
+
 func TestResolve(t *testing.T) {
 	all := []topology.Node{
 		node("a1", placeA, true), node("a2", placeA, true), node("b1", placeB, true), node("c1", placeC, true),
@@ -37,6 +43,8 @@
 		{"an unknown place", all, topology.Place{}, 1, []string{"a1", "a2", "b1", "c1"}},
 		{"only ready nodes", []topology.Node{node("a1", placeA, false), node("c1", placeC, true)}, placeA, 1, []string{"c1"}},
 		{"all when none is ready", []topology.Node{node("a1", placeA, false), node("c1", placeC, false)}, placeA, 1, []string{"a1"}},
+		{"farther ones where all near ones are loaded", []topology.Node{loaded("a1", placeA), node("b1", placeB, true), node("c1", placeC, true)}, placeA, 1, []string{"a1", "b1"}},
+		{"loaded ones count where others are not", []topology.Node{loaded("a1", placeA), node("a2", placeA, true), node("b1", placeB, true)}, placeA, 1, []string{"a1", "a2"}},
 		{"none", nil, placeA, 1, nil},
 	}
 	for _, test := range cases {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -169,7 +170,7 @@
 	n.registry = registry.New(registry.Options{
 		Store: n.platform.Store, Key: n.platform.Keys.Nodes + n.settings.Node, TTL: max(entryTTL, n.settings.Store.LeastTTL),
 		Node: func() topology.Node {
-			self.Ready = n.ready()
+			self.Ready, self.Loaded = n.ready(), n.queries.Loaded()
 			return self
 		},
 		Logger: n.logger,
@@ -185,7 +186,21 @@
 
 func (n *Node) resolve(caller topology.Place) (directory.Answer, bool) {
 	ttl := shareOf(directoryShare, n.current.Load().Bounds.DirectoryTTL)
-	return directory.Resolve(n.board.Nodes.Load(), caller, directory.Options{TTL: ttl, LeastNodes: leastNodes})
+	return directory.Resolve(n.nodes(), caller, directory.Options{TTL: ttl, LeastNodes: leastNodes})
+}
+
+// nodes returns the nodes with what this one knows of itself now.
+func (n *Node) nodes() *topology.Nodes {
+	recorded := n.board.Nodes.Load()
+	if recorded == nil || !n.queries.Loaded() {
+		return recorded
+	}
+	current := *recorded
+	current.Nodes = slices.Clone(recorded.Nodes)
+	for i := range current.Nodes {
+		current.Nodes[i].Loaded = current.Nodes[i].Loaded || current.Nodes[i].ID == n.settings.Node
+	}
+	return &current
 }
 
 // listen opens all listeners or none; assemble gives them their servers.
--- a/internal/query/forward.go
+++ b/internal/query/forward.go
@@ -95,23 +95,37 @@
 	if forwarding.Wait > 0 {
 		deadline = min(deadline, forwarding.Wait)
 	}
-	ticket, err := s.options.Admission.Admit(row, row.Priority, started, deadline)
+	groups := s.groupsOf(forwarding.Route)
+	ticket, err := s.targets.Of(groups[0]).Admit(row, row.Priority, started, deadline)
 	if err != nil {
+		s.metrics.observe(s.options.Now().Sub(started), err)
 		return Forwarded{}, err
 	}
 	defer ticket.Release()
-	current := s.newForwardRun(forwarding, deadline)
+	current := s.newForwardRun(forwarding, groups, deadline)
 	current.execute(ctx, deadline)
 	answer, err := current.conclude()
 	s.recordForward(current, ticket, s.options.Now().Sub(started), err)
 	return answer, err
 }
 
-func (s *Service) newForwardRun(forwarding *Forwarding, deadline time.Duration) *forwardRun {
+// Loaded is true while this node has lately had to refuse requests for load.
+func (s *Service) Loaded() bool { return s.targets.Loaded(s.options.Now()) }
+
+// groupsOf returns the replica groups that a request goes to, one for each
+// shard. The first one names them all: an index has its own.
+func (s *Service) groupsOf(route *routing.Route) []string {
+	if route.Scattered() {
+		return route.Shards
+	}
+	return []string{s.splitter.Pick(route)}
+}
+
+func (s *Service) newForwardRun(forwarding *Forwarding, groups []string, deadline time.Duration) *forwardRun {
 	route := forwarding.Route
 	usual := s.usuals.Of(route.Name)
 	plan := decision.Plan{
-		Shards: s.forwardShards(route, usual), Policy: route.Policy, Deadline: deadline,
+		Shards: s.forwardShards(route, groups, usual), Policy: route.Policy, Deadline: deadline,
 		LeastShards: route.LeastShards, RunsOnce: !route.Repeatable,
 	}
 	if !route.Scattered() {
@@ -129,12 +143,8 @@
 	return forward
 }
 
-func (s *Service) forwardShards(route *routing.Route, usual *replica.Usual) []decision.ShardPlan {
+func (s *Service) forwardShards(route *routing.Route, groups []string, usual *replica.Usual) []decision.ShardPlan {
 	expected := usual.Least()
-	groups := route.Shards
-	if !route.Scattered() {
-		groups = []string{s.splitter.Pick(route)}
-	}
 	shards := make([]decision.ShardPlan, len(groups))
 	for i, group := range groups {
 		shards[i] = decision.ShardPlan{
--- a/internal/query/service.go
+++ b/internal/query/service.go
@@ -44,6 +44,7 @@
 	options  Options
 	metrics  serviceMetrics
 	usuals   replica.Usuals
+	targets  *admission.Targets
 	splitter routing.Splitter
 }
 
@@ -64,7 +65,10 @@
 	if options.Admission == nil {
 		options.Admission = admission.New(admission.Options{Registerer: options.Registerer})
 	}
-	return &Service{options: options, metrics: newServiceMetrics(options.Registerer)}
+	return &Service{
+		options: options, metrics: newServiceMetrics(options.Registerer),
+		targets: admission.NewTargets(admission.Options{}),
+	}
 }
 
 // request is one query with everything it has pinned.
--- a/internal/topology/node.go
+++ b/internal/topology/node.go
@@ -11,6 +11,8 @@
 	Place       Place  `json:"place" msgpack:"l"`
 	// Ready is true while the node takes new callers.
 	Ready bool `json:"ready" msgpack:"r"`
+	// Loaded is true while the node has lately had to refuse requests for load.
+	Loaded bool `json:"loaded,omitempty" msgpack:"o"`
 }
 
 // Nodes is every recorded node, sorted by ID.
