--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -36,6 +36,7 @@
 	most      int64
 	cutAt     atomic.Int64  // Unix nanoseconds
 	overSince atomic.Int64  // time of the first cut of an overload, Unix nanoseconds
+	onTimeAt  atomic.Int64  // time of the last request that was not delayed, Unix nanoseconds
 	lastShard atomic.Uint64 // hash of the shard of the last sign
 }
 
@@ -59,12 +60,25 @@
 	Refused  int
 	// RefusedShard names one of the refused shards.
 	RefusedShard string
+	// Delayed is true when the sub-requests were sent late, or not at all, as
+	// there was too much to do.
+	Delayed bool
+	// Patience is for how long all must be delayed before that counts as an
+	// overload: a burst that is soon worked off is none.
+	Patience time.Duration
 }
 
 func (e *Ended) whole() bool { return e.Answered == e.Asked }
 
 func (l *adaptiveLimit) observe(now time.Time, inFlight int64, ended *Ended) {
+	if !ended.Delayed {
+		l.onTimeAt.Store(now.UnixNano())
+	}
 	switch {
+	case ended.Delayed:
+		if l.lasted(now) > 0 || now.UnixNano()-l.onTimeAt.Load() > int64(ended.Patience) {
+			l.cut(now, inFlight, ended.Took)
+		}
 	case ended.Refused > 0:
 		if l.signOfOverload(ended) {
 			l.cut(now, inFlight, ended.Took)
--- a/internal/admission/overload_test.go
+++ b/internal/admission/overload_test.go
@@ -17,7 +17,7 @@
 		if err != nil {
 			continue
 		}
-		ticket.Ended(now, Ended{Took: time.Millisecond, Asked: 1, Refused: 1, RefusedShard: "g"})
+		ticket.Ended(now, Ended{Took: time.Millisecond, Asked: 1, Answered: 1, Delayed: true})
 		ticket.Release()
 	}
 	return now
@@ -54,6 +54,33 @@
 
 func shortest() time.Duration { return failure.New(failure.Overloaded, "").RetryAfter }
 
+// TestABurstThatIsSoonWorkedOffIsNoOverload: only when nothing was on time for
+// as long as the patience is the limit cut.
+func TestABurstThatIsSoonWorkedOffIsNoOverload(t *testing.T) {
+	const patience = 250 * time.Millisecond
+	var limit adaptiveLimit
+	limit.start(defaultTotal)
+	now := time.Unix(1000, 0)
+	ended := func(delayed bool) {
+		limit.observe(now, 50, &Ended{Took: time.Millisecond, Asked: 1, Answered: 1, Delayed: delayed, Patience: patience})
+	}
+	for range 10 {
+		ended(false)
+		for range 10 {
+			now = now.Add(patience / 12)
+			ended(true)
+		}
+	}
+	if got := limit.units.Load(); got != defaultTotal*limitScale {
+		t.Errorf("the limit is %d after bursts", got/limitScale)
+	}
+	now = now.Add(patience)
+	ended(true)
+	if got := limit.units.Load(); got >= 50*limitScale {
+		t.Errorf("the limit is %d though nothing is on time", got/limitScale)
+	}
+}
+
 // TestAnOverloadOfOneTargetLeavesTheOthersAlone.
 func TestAnOverloadOfOneTargetLeavesTheOthersAlone(t *testing.T) {
 	targets := NewTargets(Options{})
--- a/internal/query/forward.go
+++ b/internal/query/forward.go
@@ -276,12 +276,13 @@
 }
 
 // endedAfterDelay is what admission learns: a request whose first attempts were
-// sent late, or not at all, is a sign of overload, also when it was answered.
+// sent late, or not at all, may be a sign of overload, also when it was
+// answered.
 func (r *forwardRun) endedAfterDelay(took time.Duration) admission.Ended {
 	ended := r.ended(took)
-	delayed := r.firstSent > time.Duration(delayShare*float64(r.forwarding.Route.Objective))
-	if delayed || r.counts.dispatched == 0 {
-		ended.Refused = ended.Asked
-	}
+	objective := r.forwarding.Route.Objective
+	late := r.firstSent > time.Duration(delayShare*float64(objective))
+	ended.Delayed = late || r.counts.dispatched == 0
+	ended.Patience = objective
 	return ended
 }
