--- a/internal/decision/forward_test.go
+++ b/internal/decision/forward_test.go
@@ -113,6 +113,17 @@
 			},
 			status: []ShardStatus{{Reason: client.MissingNoReplica}},
 		},
+		{
+			name: "sends nothing in the step that ends the query", shards: 3, change: answerBy,
+			events: []timedEvent{
+				reply(10*ms, 0, 0, Success), reply(11*ms, 1, 0, Success), busy(47*ms, 2, 0), fired(52 * ms),
+			},
+			want: []string{
+				"0s send 0/0 in 100ms", "0s send 1/0 in 100ms", "0s send 2/0 in 100ms", "0s timer 100ms",
+				"11ms timer 50ms", "47ms timer 49ms", "52ms finish 1",
+			},
+			status: []ShardStatus{{Answered: true}, {Answered: true}, {Reason: client.MissingComplete}},
+		},
 		{
 			name: "an attempt that reached no replica does not count", shards: 1, change: answerBy,
 			events: []timedEvent{
--- a/internal/decision/query.go
+++ b/internal/decision/query.go
@@ -79,7 +79,9 @@
 		q.replied(now, event)
 	case TimerFired:
 		q.timerAt = never
-		q.fire(now)
+		if !q.isOver(now) {
+			q.fire(now)
+		}
 	case GaveUp:
 		q.finish(CallerGaveUp, client.MissingTimeout)
 	case Dispatched:
@@ -327,17 +329,22 @@
 		q.finish(SnapshotLost, client.MissingSnapshot)
 	case now >= q.plan.Deadline:
 		q.finish(DeadlineReached, client.MissingTimeout)
-	case now >= q.graceAt:
-		q.finish(CompleteEnough, client.MissingComplete)
 	case q.outOfReach():
 		q.finish(AllSettled, client.MissingFailed)
-	case q.mayAnswer() && now >= q.plan.AnswerBy:
+	case q.isOver(now):
 		q.finish(CompleteEnough, client.MissingComplete)
 	default:
 		q.setTimer()
 	}
 }
 
+// isOver is true when the time has come to end, whatever has answered: nothing
+// is sent any more then.
+func (q *Query) isOver(now time.Duration) bool {
+	answerNow := q.mayAnswer() && now >= q.plan.AnswerBy
+	return now >= q.plan.Deadline || now >= q.graceAt || answerNow
+}
+
 // outOfReach is true when too few shards can still answer.
 func (q *Query) outOfReach() bool {
 	lost := q.settled - q.answered
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -268,7 +268,7 @@
 func (n *Node) newServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: slog.NewLogLogger(n.logger.Handler(), slog.LevelDebug),
+		ErrorLog: slog.NewLogLogger(n.logger.Handler(), slog.LevelError),
 	}
 }
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -5,9 +5,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"time"
@@ -70,6 +72,7 @@
 	if phase := h.options.Board.Phase.Load(); phase != nil && *phase >= blackboard.PhaseDraining {
 		w.Header().Set("Connection", "close")
 	}
+	defer h.answerAfterPanic(w, r)
 	started := time.Now()
 	id, wait := h.options.Codec.ReadRequest(r.Header)
 	route, answer, err := h.forward(r, id, wait)
@@ -81,6 +84,17 @@
 	h.lines.tell(outcome{host: r.Host, id: id, route: route, answer: &answer, err: err, took: time.Since(started)})
 }
 
+// answerAfterPanic gives a request that met a fault of this program its final
+// answer: net/http would end the connection without one.
+func (h *Handler) answerAfterPanic(w http.ResponseWriter, r *http.Request) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	h.options.Logger.Error("a handler panicked", "host", r.Host, "cause", fmt.Sprint(cause), "stack", string(debug.Stack()))
+	h.refuse(w, failure.New(failure.Internal, "a fault of this program"))
+}
+
 func (h *Handler) forward(r *http.Request, id string, wait time.Duration) (*routing.Route, query.Forwarded, error) {
 	table := h.options.Board.Routes.Load()
 	if table == nil {
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -158,6 +158,20 @@
 	}
 }
 
+// panickingForwarder has a fault.
+type panickingForwarder struct{}
+
+func (panickingForwarder) Forward(context.Context, *query.Forwarding) (query.Forwarded, error) {
+	panic("fault")
+}
+
+func TestAFaultOfTheProgramIsAnswered(t *testing.T) {
+	handler := newTestHandler(nil, func(o *Options) { o.Forwarder = panickingForwarder{} })
+	if got := serveOne(handler, request(http.MethodGet, "/p/", "")); got.Code != http.StatusInternalServerError {
+		t.Errorf("status %d", got.Code)
+	}
+}
+
 func TestAChunkedBodyIsBoundedToo(t *testing.T) {
 	forwarder := &fakeForwarder{}
 	handler := newTestHandler(forwarder, nil)
--- a/internal/query/run.go
+++ b/internal/query/run.go
@@ -171,9 +171,15 @@
 	return false
 }
 
+// cancel gives an attempt up. The core may give up one that was not sent, as
+// all replicas were busy, before it is told so.
 func (r *run) cancel(action decision.Action) {
+	attempts := r.shards[action.Shard].attempts
+	if action.Attempt >= len(attempts) {
+		return
+	}
 	r.counts.cancelled++
-	cancel := r.shards[action.Shard].attempts[action.Attempt].cancel
+	cancel := attempts[action.Attempt].cancel
 	if r.linger > 0 && !r.abandoned {
 		r.service.options.Driver.After(r.linger, cancel)
 		return
--- /dev/null
+++ b/internal/query/run_internal_test.go
@@ -0,0 +1,56 @@
+package query
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/doorpond/doorpond/internal/decision"
+	"github.com/doorpond/doorpond/internal/policy"
+	"github.com/doorpond/doorpond/internal/replica"
+)
+
+// busyProtocol finds every replica busy.
+type busyProtocol struct{}
+
+func (busyProtocol) acquire(*decision.ShardPlan, []*replica.Handle) replica.Acquired {
+	return replica.Acquired{Busy: true}
+}
+
+func (busyProtocol) exchange(context.Context, *replica.Handle, *decision.ShardPlan, decision.Action) replica.SearchResult {
+	panic("nothing is sent")
+}
+
+func (busyProtocol) otherSnapshot() bool { return false }
+
+// scriptedInbox is an Inbox whose clock stands where a test puts it.
+type scriptedInbox struct{ now time.Duration }
+
+func (i *scriptedInbox) Elapsed() time.Duration { return i.now }
+func (i *scriptedInbox) SetTimer(time.Duration) {}
+func (i *scriptedInbox) Deliver(AttemptResult)  {}
+func (i *scriptedInbox) Next(context.Context) (AttemptResult, Woken) {
+	return AttemptResult{}, WokenByTimer
+}
+func (i *scriptedInbox) Close() {}
+
+// TestAnAttemptThatWasNotSentIsNotCancelled: the core gives up an attempt for
+// which the run has found no replica, and whose failure it was not told yet.
+func TestAnAttemptThatWasNotSentIsNotCancelled(t *testing.T) {
+	row := &policy.Row{Retry: policy.Retry{Attempts: 2}, Completeness: policy.Completeness{Target: 1}}
+	inbox := &scriptedInbox{}
+	shards := make([]decision.ShardPlan, 2)
+	plan := decision.Plan{Shards: shards, Policy: row, Deadline: time.Second}
+	under := &run{
+		service: &Service{options: Options{Driver: goroutines{}}}, protocol: busyProtocol{}, plan: plan,
+		core: decision.New(plan), context: context.Background(), inbox: inbox, shards: make([]shardRun, len(shards)),
+	}
+	if under.step(decision.Event{Kind: decision.Started}) {
+		t.Fatal("ended though replicas are only busy")
+	}
+	under.cancel(decision.Action{Kind: decision.Cancel, Shard: 1, Attempt: 0})
+	inbox.now = plan.Deadline
+	if !under.step(decision.Event{Kind: decision.TimerFired}) || under.reason != decision.DeadlineReached {
+		t.Errorf("not ended at the deadline; reason %d", under.reason)
+	}
+}
