--- a/internal/replica/speed.go
+++ b/internal/replica/speed.go
@@ -68,14 +68,19 @@
 	return math.Exp2(-max(0, float64(since)/float64(speedHalfLife)))
 }
 
-// leastSlowness bounds how fast a replica is taken to be.
-const leastSlowness = 0.2
+// leastExcess is the excess from which on a replica counts as slow. Requests
+// differ among themselves by less than that, and a farther replica must not be
+// preferred for it.
+const leastExcess = 0.5
 
 // slowness returns how many times longer than usual a request is expected to
-// take.
+// take: 1, or more for a slow replica.
 func (s *speed) slowness(age time.Duration) float64 {
 	excess := math.Float64frombits(s.median.Load()) * fading(age-time.Duration(s.medianAt.Load()))
-	return max(leastSlowness, 1+excess)
+	if excess < leastExcess {
+		return 1
+	}
+	return 1 + excess
 }
 
 // silence notices a replica that holds requests and answers none. Its zero
