A node that was paused confirms what it knows before it serves

Cause: after a freeze a request that waited in a socket was answered from what the node held; the product promises otherwise, and its monitor was not wired here. The collector works harder from 0.7 of the memory that the process may use.

--- a/cmd/doorpond-edge/main.go
+++ b/cmd/doorpond-edge/main.go
@@ -34,6 +34,9 @@
 // processor time is not (docs/MEASUREMENTS.md).
 const collectorPercent = 50
 
+// memoryShare of what the process may use is where the collector works harder.
+const memoryShare = 0.7
+
 func main() {
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(collectorPercent)
@@ -116,6 +119,9 @@
 	if err != nil {
 		return err
 	}
+	if loaded.Limits.MemoryMegabytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(loaded.Limits.MemoryMegabytes<<20)))
+	}
 	lines := eventlog.NewWriter(os.Stdout)
 	defer lines.Close()
 	node, err := edge.New(edge.Options{
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -25,6 +25,7 @@
 	"github.com/doorpond/doorpond/internal/directory"
 	"github.com/doorpond/doorpond/internal/drain"
 	"github.com/doorpond/doorpond/internal/follower"
+	"github.com/doorpond/doorpond/internal/freshness"
 	"github.com/doorpond/doorpond/internal/ingress"
 	"github.com/doorpond/doorpond/internal/query"
 	"github.com/doorpond/doorpond/internal/registry"
@@ -105,6 +106,7 @@
 	announcer *announce.Announcer
 	follower  *follower.Follower
 	registry  *registry.Registry
+	monitor   *freshness.Monitor
 	callers   *drain.Listener
 	open      drain.Connections
 	server    *http.Server
@@ -167,6 +169,7 @@
 		Peers: n.announcer, News: n.settings.Bounds.News(),
 		VanishedFor: time.Duration(vanishedShare * float64(n.settings.Bounds.Drain)),
 	})
+	n.monitor = freshness.New(freshness.Options{Confirm: n.follower.Confirm, Logger: n.logger, Registerer: registerer})
 	n.registry = registry.New(registry.Options{
 		Store: n.platform.Store, Key: n.platform.Keys.Nodes + n.settings.Node, TTL: max(entryTTL, n.settings.Store.LeastTTL),
 		Node: func() topology.Node {
@@ -236,7 +239,7 @@
 // addServers gives each listener its server.
 func (n *Node) addServers() {
 	n.server = n.newServer(ingress.New(ingress.Options{
-		Board: n.board, Codec: n.platform.Codec, Forwarder: n.queries, Logger: n.logger,
+		Board: n.board, Codec: n.platform.Codec, Forwarder: n.queries, Fresh: n.monitor.Fresh, Logger: n.logger,
 	}))
 	n.open.Follow(n.server)
 	n.auxiliary["readiness"].server = n.newServer(n.platform.Ready(n.ready))
@@ -290,6 +293,7 @@
 	recorded := make(chan struct{})
 	group.Go(func() error { return n.announcer.Run(running) })
 	group.Go(func() error { return n.follower.Run(running) })
+	group.Go(func() error { return n.monitor.Run(running) })
 	group.Go(func() error {
 		defer close(recorded)
 		return n.registry.Run(recording)
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -10,6 +10,7 @@
 	"errors"
 	"log/slog"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -99,6 +100,8 @@
 	// left without an answer will have none, so the first ones are given up
 	// soon; each failure doubles the time, for a store that is slow.
 	patience time.Duration
+	// confirmedAt is the staleness's, for other goroutines.
+	confirmedAt atomic.Pointer[time.Time]
 }
 
 // The pauses between two attempts to read the store while it fails.
@@ -267,7 +270,7 @@
 	}
 	now := f.options.Now()
 	f.heard(now)
-	f.staleness.confirm(now, asked, revision)
+	f.confirm(now, asked, revision)
 	f.options.Peers.Send(announce.Announcement{Revision: revision, AgeMilliseconds: now.Sub(asked).Milliseconds()})
 	return nil
 }
@@ -275,7 +278,7 @@
 // told takes in what another node has heard, and passes news on.
 func (f *Follower) told(news announce.Announcement) {
 	now := f.options.Now()
-	if f.staleness.confirm(now, now.Add(-news.Age()), news.Revision) {
+	if f.confirm(now, now.Add(-news.Age()), news.Revision) {
 		f.options.Peers.Send(news)
 	}
 }
@@ -290,11 +293,43 @@
 	f.learned(now, batch.Revision)
 }
 
+// Confirm waits until something is heard of the store that is newer than the
+// call, and tells whether that came before the end of ctx.
+func (f *Follower) Confirm(ctx context.Context) bool {
+	asked := f.options.Now()
+	ticker := time.NewTicker(confirmInterval)
+	defer ticker.Stop()
+	for {
+		if at := f.confirmedAt.Load(); at != nil && at.After(asked) {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-ticker.C:
+		}
+	}
+}
+
+// confirmInterval is the pause between two looks for a confirmation.
+const confirmInterval = 10 * time.Millisecond
+
+// confirm notes that the store was at a revision at some time, and tells
+// whether others should hear of it.
+func (f *Follower) confirm(now, at time.Time, revision int64) (news bool) {
+	news = f.staleness.confirm(now, at, revision)
+	if f.staleness.known >= f.staleness.confirmed {
+		confirmed := f.staleness.confirmedAt
+		f.confirmedAt.Store(&confirmed)
+	}
+	return news
+}
+
 // learned notes that everything up to a revision is known now, and tells the
 // others when that is news.
 func (f *Follower) learned(now time.Time, revision int64) {
 	f.staleness.learn(revision)
-	if f.staleness.confirm(now, now, revision) {
+	if f.confirm(now, now, revision) {
 		f.options.Peers.Send(announce.Announcement{Revision: revision})
 	}
 }
