Splits begin by chance on each node; settings refuse a bad duration with line and key; tests of the deploy template and of reload

Cause: each node began a split with the heaviest share, so that many nodes with few requests each leaned that way; the YAML library tells no place for a duration that it refuses (test failed first). The bound of a split in the test is two requests where it was one, as the first turn is by chance: any run of requests is the difference of two prefixes.

--- /dev/null
+++ b/internal/edge/helpers_test.go
@@ -0,0 +1,19 @@
+package edge
+
+import (
+	"io"
+	"log/slog"
+
+	"github.com/doorpond/doorpond/internal/blackboard"
+	"github.com/doorpond/doorpond/internal/topology"
+)
+
+func textLogger(out io.Writer) *slog.Logger { return slog.New(slog.NewTextHandler(out, nil)) }
+
+// testBoard makes a blackboard that knows a number of nodes.
+type testBoard struct{ board blackboard.Board }
+
+func (b *testBoard) of(nodes int) *blackboard.Board {
+	b.board.Nodes.Publish(&topology.Nodes{Shared: nodes})
+	return &b.board
+}
--- /dev/null
+++ b/internal/edge/settings_test.go
@@ -0,0 +1,135 @@
+package edge
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/doorpond/doorpond/internal/settings"
+)
+
+// platformFields are fields of the platform as its template language knows
+// them, by the text of a gap.
+var platformFields = map[string]string{
+	"node|json": `"n1"`, "region|json": `"r1"`, "zone|json": `"z1"`, "zones|json": `{"z1":"r1","z2":"r2"}`,
+	"listen.front|json": `"10.0.0.1:1"`, "listen.ready|json": `"10.0.0.1:2"`, "listen.directory|json": `"10.0.0.1:3"`,
+	"ip": "10.0.0.1", "portRange.0": "7740", "portRange.1": "7741", "platform.address": "10.0.0.9:1",
+	"platform.ttlMinMs": "1000", "limits.memoryMb": "284", "bounds.drainMs": "3000", "bounds.graceS": "6",
+	"bounds.configApplyMs": "2000", "bounds.retryBudgetRatio": "0.2", "bounds.retrySlack": "58", "bounds.ttl_max_s": "5",
+}
+
+// filled returns the deploy file's template with each gap filled.
+func filled(t *testing.T) string {
+	t.Helper()
+	template, err := os.ReadFile("../../deploy/settings.yaml.tmpl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return regexp.MustCompile(`\{\{(.*?)\}\}`).ReplaceAllStringFunc(string(template), func(gap string) string {
+		value, known := platformFields[strings.Trim(gap, "{}")]
+		if !known {
+			t.Errorf("the template names %s, which the platform does not have", gap)
+		}
+		return value
+	})
+}
+
+func write(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "node.yaml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestTheTemplateGivesSettings(t *testing.T) {
+	loaded, err := LoadSettings(write(t, filled(t)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if loaded.Node != "n1" || loaded.Regions["z2"] != "r2" || loaded.Store.URL != "http://10.0.0.9:1" || loaded.Peers != "10.0.0.1:7740" {
+		t.Errorf("settings %+v", loaded)
+	}
+	if loaded.Bounds.News() != 2*time.Second || loaded.Bounds.Grace != 6*time.Second || loaded.Bounds.RetrySlack != 58 {
+		t.Errorf("bounds %+v", loaded.Bounds)
+	}
+}
+
+func TestSettingsThatAreRefused(t *testing.T) {
+	cases := []struct{ name, from, to, key string }{
+		{"unknown key", "region:", "regoin:", "regoin"},
+		{"not an address", `"10.0.0.1:1"`, `"10.0.0.1"`, "callers"},
+		{"no bound", "drain: 3000ms", "drain: 0s", "bounds.drain"},
+		{"not a duration", "grace: 6s", "grace: soon", "bounds.grace"},
+		{"no store", `url: "http://10.0.0.9:1"`, `url: ""`, "store.url"},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			text := filled(t)
+			changed := strings.Replace(text, test.from, test.to, 1)
+			if changed == text {
+				t.Fatalf("%q is not in the settings", test.from)
+			}
+			_, err := LoadSettings(write(t, changed))
+			var refused *settings.Error
+			if !errors.As(err, &refused) || refused.Key != test.key || refused.Line == 0 {
+				t.Errorf("error %#v", err)
+			}
+		})
+	}
+}
+
+func TestReload(t *testing.T) {
+	settingsNow := Settings{Node: "n", Bounds: BoundsSettings{RetryRatio: 0.1, Grace: time.Second}}
+	var failure error
+	node := &Node{settings: settingsNow, reload: func() (Settings, error) { return settingsNow, failure }}
+	node.current.Store(&Settings{Node: "n", Bounds: BoundsSettings{RetryRatio: 0.5}})
+	var lines strings.Builder
+	node.logger = textLogger(&lines)
+	node.Reload()
+	if got := node.current.Load().Bounds; got.RetryRatio != 0.1 || got.Grace != time.Second {
+		t.Errorf("bounds %+v", got)
+	}
+	settingsNow.Node = "another"
+	node.Reload()
+	if got := node.current.Load().Node; got != "n" || !strings.Contains(lines.String(), "waits_for_restart=true") {
+		t.Errorf("node %s, lines %s", got, lines.String())
+	}
+	failure = &settings.Error{Source: "file", Reason: "bad"}
+	settingsNow.Bounds.RetryRatio = 0.9
+	node.Reload()
+	if got := node.current.Load().Bounds.RetryRatio; got != 0.1 || !strings.Contains(lines.String(), "settings refused") {
+		t.Errorf("ratio %g after settings that were refused, lines %s", got, lines.String())
+	}
+}
+
+func TestBudgetsAreDividedAmongTheNodes(t *testing.T) {
+	board := &testBoard{}
+	bounds := BoundsSettings{RetryRatio: 0.2, RetrySlack: 60}
+	divided := newBudgets(board.of(6), func() BoundsSettings { return bounds })
+	taken := 0
+	for divided.of("g").Withdraw() {
+		taken++
+	}
+	if most := 10; taken == 0 || taken > most {
+		t.Errorf("%d retries at once, of a slack of 60 for 6 nodes", taken)
+	}
+	for range 100 {
+		divided.of("g").Deposit()
+	}
+	earned := 0
+	for divided.of("g").Withdraw() {
+		earned++
+	}
+	if earned == 0 || earned > 20 {
+		t.Errorf("%d retries earned by 100 requests at a ratio of 0.2", earned)
+	}
+	if !divided.of("another").Withdraw() {
+		t.Error("services share a budget")
+	}
+}
--- a/internal/routing/splitter.go
+++ b/internal/routing/splitter.go
@@ -1,10 +1,17 @@
 package routing
 
-import "sync"
+import (
+	"math/rand/v2"
+	"sync"
+)
+
+// phases is the number of turns of which one, by chance, is a node's first: the
+// few requests that each of many nodes has sent must not all favor one share.
+const phases = 64
 
 // Splitter divides the requests of split routes by smooth weighted
-// round-robin: after any number of requests each share has had its part, to
-// within one request. Its zero value is ready, and it is safe for concurrent
+// round-robin: in any run of requests each share has its part, to within two
+// requests. Its zero value is ready, and it is safe for concurrent
 // use.
 type Splitter struct {
 	mutex  sync.Mutex
@@ -36,6 +43,9 @@
 		return known
 	}
 	known = &rotation{shares: route.Shares, credits: make([]float64, len(route.Shares))}
+	for range rand.IntN(phases) {
+		known.next()
+	}
 	s.routes[route.Name] = known
 	return known
 }
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -98,6 +98,7 @@
 	refused := &Error{Source: path, Reason: err.Error()}
 	var located yaml.Error
 	if !errors.As(err, &located) {
+		refused.Line, refused.Key = placeOfValue(file, err)
 		return refused
 	}
 	refused.Reason = located.GetMessage()
@@ -108,6 +109,36 @@
 	return refused
 }
 
+// placeOfValue finds where a value stands that the library refused without
+// telling where: its error ends with the value in quotes.
+func placeOfValue(file *ast.File, refused error) (line int, key string) {
+	parts := strings.Split(refused.Error(), `"`)
+	if file == nil || len(parts) < 3 {
+		return 0, ""
+	}
+	finder := &valueFinder{value: parts[len(parts)-2]}
+	for _, document := range file.Docs {
+		ast.Walk(finder, document)
+	}
+	return finder.line, finder.key
+}
+
+type valueFinder struct {
+	value string
+	line  int
+	key   string
+}
+
+// Visit notes the first entry whose value is the one looked for.
+func (f *valueFinder) Visit(node ast.Node) ast.Visitor {
+	entry, isEntry := node.(*ast.MappingValueNode)
+	if isEntry && f.line == 0 && entry.Value != nil && entry.Value.GetToken().Value == f.value {
+		f.line = entry.Value.GetToken().Position.Line
+		f.key = strings.TrimPrefix(entry.Key.GetPath(), "$.")
+	}
+	return f
+}
+
 // keyAt returns the dotted key of the entry whose key or value is the token
 // at an offset, the token's own text where there is none, and nothing when
 // the file is not YAML.
