--- a/cmd/doorpond-edge/main.go
+++ b/cmd/doorpond-edge/main.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"io"
 	"log/slog"
 	"os"
@@ -20,16 +18,11 @@
 	"github.com/doorpond/doorpond/internal/edge"
 	"github.com/doorpond/doorpond/internal/eventlog"
 	"github.com/doorpond/doorpond/internal/explain"
+	"github.com/doorpond/doorpond/internal/program"
 	"github.com/doorpond/doorpond/internal/settings"
 	"github.com/doorpond/doorpond/platform"
 )
 
-// The exit codes.
-const (
-	exitFailed          = 1
-	exitInvalidSettings = 2
-)
-
 // collectorPercent keeps the heap small: memory is dear on these machines, and
 // processor time is not (docs/MEASUREMENTS.md).
 const collectorPercent = 50
@@ -41,16 +34,7 @@
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(collectorPercent)
 	}
-	err := command().Run(context.Background(), os.Args)
-	if err == nil {
-		return
-	}
-	fmt.Fprintln(os.Stderr, "doorpond-edge:", err)
-	var invalid *settings.Error
-	if errors.As(err, &invalid) {
-		os.Exit(exitInvalidSettings)
-	}
-	os.Exit(exitFailed)
+	program.Main(command())
 }
 
 func command() *cli.Command {
--- a/cmd/doorpondd/main.go
+++ b/cmd/doorpondd/main.go
@@ -4,8 +4,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
-	"fmt"
 	"log/slog"
 	"os"
 	"os/signal"
@@ -16,15 +14,10 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/doorpond/doorpond/internal/daemon"
+	"github.com/doorpond/doorpond/internal/program"
 	"github.com/doorpond/doorpond/internal/settings"
 )
 
-// The exit codes.
-const (
-	exitFailed          = 1
-	exitInvalidSettings = 2
-)
-
 // collectorPercent lets the heap grow to five times what is live between
 // collections. The live heap is small and requests make short-lived garbage:
 // this took 13% of a sub-request's processor time (docs/MEASUREMENTS.md).
@@ -39,16 +32,7 @@
 
 func main() {
 	tuneCollector()
-	err := command().Run(context.Background(), os.Args)
-	if err == nil {
-		return
-	}
-	fmt.Fprintln(os.Stderr, "doorpondd:", err)
-	var invalid *settings.Error
-	if errors.As(err, &invalid) {
-		os.Exit(exitInvalidSettings)
-	}
-	os.Exit(exitFailed)
+	program.Main(command())
 }
 
 func command() *cli.Command {
