--- /dev/null
+++ b/internal/query/forward_bench_test.go
@@ -0,0 +1,127 @@
+package query_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/doorpond/doorpond/client"
+	"github.com/doorpond/doorpond/internal/blackboard"
+	"github.com/doorpond/doorpond/internal/query"
+	"github.com/doorpond/doorpond/internal/replica"
+	"github.com/doorpond/doorpond/internal/routing"
+	"github.com/doorpond/doorpond/internal/topology"
+	"github.com/doorpond/doorpond/internal/upstream"
+)
+
+// benchCodec names the headers of the benchmark's back ends.
+type benchCodec struct{}
+
+func (benchCodec) RequestHeader(message *upstream.Message, incarnation string, timeout time.Duration) http.Header {
+	return http.Header{"Id": {message.ID}, "Process": {incarnation}, "Left": {timeout.String()}}
+}
+
+func (benchCodec) ReadReply(reply *upstream.Reply) {
+	reply.RequestID, reply.Signature = reply.Header.Get("Id"), reply.Header.Get("Signature")
+}
+
+const benchShards = 10
+
+// startRecords starts a back end for each shard, each with 20 records.
+func startRecords(b *testing.B) []string {
+	records := make([]byte, 20*routing.RecordBytes)
+	var addresses []string
+	for range benchShards {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Id", r.Header.Get("Id"))
+			w.Header().Set("Signature", "s")
+			_, _ = w.Write(records)
+		}))
+		b.Cleanup(server.Close)
+		addresses = append(addresses, server.Listener.Addr().String())
+	}
+	return addresses
+}
+
+// BenchmarkTenShards has, in one run, a forwarded request to ten shards, a plain
+// one, a search over ten shards by the product's own protocol, and bare exchanges
+// of net/http with the same back ends. The back ends are hollow and in this
+// process; their processor time is part of the figures.
+func BenchmarkTenShards(b *testing.B) {
+	b.Run("forwarded", func(b *testing.B) { benchmarkForward(b, true) })
+	b.Run("plain", func(b *testing.B) { benchmarkForward(b, false) })
+	b.Run("search", benchmarkTenSearched)
+	b.Run("bare", benchmarkBare)
+}
+
+func benchmarkForward(b *testing.B, scattered bool) {
+	board := &blackboard.Board{}
+	route := &routing.Route{
+		Name: "r", Policy: routing.PolicyRow(routing.Terms{Name: "r", Timeout: time.Minute, Attempts: 2}),
+		Objective: time.Minute, Repeatable: true,
+	}
+	groups := make(map[string][]topology.Replica)
+	for i, address := range startRecords(b) {
+		name := fmt.Sprint("g", i)
+		groups[name] = []topology.Replica{{Address: address, Incarnation: "1", Group: name, Slots: 8, ConnectionLimit: 40}}
+		route.Shards = append(route.Shards, name)
+	}
+	if scattered {
+		route.LeastShards, route.TopRecords = benchShards, 20
+	} else {
+		route.Shares, route.Shards = []routing.Share{{Group: route.Shards[0], Weight: 1}}, nil
+	}
+	board.Replicas.Publish(&topology.Replicas{Groups: groups})
+	pool := replica.NewPool(replica.PoolOptions{Board: board, Codec: benchCodec{}})
+	b.Cleanup(pool.Close)
+	service := query.NewService(query.Options{Board: board, Pool: pool})
+	message := &upstream.Message{ID: "m", Method: http.MethodGet, Target: "/", Host: "h"}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := service.Forward(context.Background(), &query.Forwarding{Message: message, Route: route}); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func benchmarkTenSearched(b *testing.B) {
+	board := &blackboard.Board{}
+	publishHollow(board, startHollow(b, benchShards, replica.ProtocolHTTP1), benchShards)
+	pool := replica.NewPool(replica.PoolOptions{Board: board, Protocol: replica.ProtocolHTTP1})
+	b.Cleanup(pool.Close)
+	service := query.NewService(query.Options{Board: board, Pool: pool})
+	asked := client.Query{Group: "gate", Corpus: "cards", Phrase: "fare"}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := service.Search(b.Context(), asked); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func benchmarkBare(b *testing.B) {
+	addresses := startRecords(b)
+	bare := &http.Client{Transport: &http.Transport{DisableCompression: true}}
+	exchange := func(address string) {
+		response, err := bare.Get("http://" + address + "/")
+		if err != nil {
+			b.Error(err)
+			return
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		var exchanges sync.WaitGroup
+		for _, address := range addresses {
+			exchanges.Go(func() { exchange(address) })
+		}
+		exchanges.Wait()
+	}
+}
