--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -203,8 +203,8 @@
 // the store may have lapsed, or be older than its load.
 func (n *Node) nodes() *topology.Nodes {
 	recorded := n.board.Nodes.Load()
-	if recorded == nil {
-		return nil
+	if recorded == nil || n.board.Routes.Load() == nil {
+		return nil // another directory knows more
 	}
 	own := recorded.Self
 	own.Ready, own.Loaded = n.ready(), n.queries.Loaded()
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -171,7 +171,9 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, f.options.share(askShare))
 	defer cancel()
-	handed, err := f.options.Others.Read(bounded)
+	var handed handover.Snapshot
+	var err error
+	f.attend(func() { handed, err = f.options.Others.Read(bounded) })
 	if err != nil || handed.Revision < f.staleness.known {
 		return // the next attempt asks another one
 	}
@@ -185,22 +187,60 @@
 	f.confirm(now, now.Add(-handed.Age()), handed.Revision)
 }
 
+// attend forgets vanished replicas in time and hears other nodes while some
+// work, which must end by itself, waits for an answer.
+func (f *Follower) attend(work func()) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		work()
+	}()
+	for {
+		f.state.publish(f.options.Now())
+		timer := time.NewTimer(f.untilForgetting())
+		select {
+		case <-done:
+			timer.Stop()
+			return
+		case <-timer.C:
+		case news := <-f.options.Peers.Received():
+			f.told(news)
+		}
+		timer.Stop()
+	}
+}
+
+// untilForgetting is the time until the next vanished replica is forgotten.
+func (f *Follower) untilForgetting() time.Duration {
+	at := f.state.forgetAt()
+	if at.IsZero() {
+		return longestPause
+	}
+	return at.Sub(f.options.Now())
+}
+
 // wait lets some time pass, and ends sooner when another node knows more.
 func (f *Follower) wait(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
+	until := f.options.Now().Add(pause)
 	for {
+		f.state.publish(f.options.Now())
+		timer := time.NewTimer(min(until.Sub(f.options.Now()), f.untilForgetting()))
 		select {
 		case <-ctx.Done():
+			timer.Stop()
 			return
 		case <-timer.C:
-			return
+			if !f.options.Now().Before(until) {
+				return
+			}
 		case news := <-f.options.Peers.Received():
 			f.told(news)
 			if f.staleness.confirmed > f.staleness.known {
+				timer.Stop()
 				return
 			}
 		}
+		timer.Stop()
 	}
 }
 
@@ -246,7 +286,10 @@
 func (f *Follower) list(ctx context.Context) ([]store.KeyValue, int64, error) {
 	bounded, cancel := context.WithTimeout(ctx, f.patience)
 	defer cancel()
-	values, revision, err := f.options.Source.List(bounded, "", 0)
+	var values []store.KeyValue
+	var revision int64
+	var err error
+	f.attend(func() { values, revision, err = f.options.Source.List(bounded, "", 0) })
 	if err != nil {
 		f.patience = min(2*f.patience, f.options.News)
 		return nil, 0, err
@@ -294,13 +337,21 @@
 	}
 }
 
-// wakeAt is when the next check or the end of a deaf watch is due.
+// wakeAt is when the next check, the end of a deaf watch, or the forgetting of a
+// vanished replica is due.
 func (f *Follower) wakeAt() time.Time {
-	at := f.staleness.checkAt(f.rank())
-	if giveUp := f.staleness.giveUpAt(); !giveUp.IsZero() && giveUp.Before(at) {
-		return giveUp
+	return earliest(f.staleness.checkAt(f.rank()), f.staleness.giveUpAt(), f.state.forgetAt())
+}
+
+// earliest returns the first of some times; zero ones do not count.
+func earliest(times ...time.Time) time.Time {
+	var first time.Time
+	for _, at := range times {
+		if !at.IsZero() && (first.IsZero() || at.Before(first)) {
+			first = at
+		}
 	}
-	return at
+	return first
 }
 
 // rank is this node's place among those that are known, and sets the slot.
@@ -336,7 +387,9 @@
 	bounded, cancel := context.WithTimeout(ctx, f.options.share(askShare))
 	defer cancel()
 	asked := f.options.Now()
-	_, _, revision, err := f.options.Source.Get(bounded, f.options.Keys.Configuration)
+	var revision int64
+	var err error
+	f.attend(func() { _, _, revision, err = f.options.Source.Get(bounded, f.options.Keys.Configuration) })
 	if err != nil {
 		return err
 	}
--- a/internal/follower/state.go
+++ b/internal/follower/state.go
@@ -202,6 +202,21 @@
 	}
 }
 
+// forgetAt returns when the next vanished replica is forgotten; zero when none
+// has vanished.
+func (s *state) forgetAt() time.Time {
+	var next time.Time
+	for _, entry := range s.replicas {
+		if entry.goneAt.IsZero() {
+			continue
+		}
+		if at := entry.goneAt.Add(s.options.VanishedFor); next.IsZero() || at.Before(next) {
+			next = at
+		}
+	}
+	return next
+}
+
 func (s *state) groups() map[string][]topology.Replica {
 	groups := make(map[string][]topology.Replica)
 	for _, entry := range s.replicas {
