A shard out of reach is no overload

An overload is now when fewer shards than an answer needs were sent on time. The test fails with the code before.

--- a/internal/query/forward.go
+++ b/internal/query/forward.go
@@ -277,12 +277,25 @@
 
 // endedAfterDelay is what admission learns: a request whose first attempts were
 // sent late, or not at all, may be a sign of overload, also when it was
-// answered.
+// answered. A few shards that are out of reach are none: the answer does
+// without them.
 func (r *forwardRun) endedAfterDelay(took time.Duration) admission.Ended {
 	ended := r.ended(took)
 	objective := r.forwarding.Route.Objective
-	late := r.firstSent > time.Duration(delayShare*float64(objective))
-	ended.Delayed = late || r.counts.dispatched == 0
+	onTime := r.sentBy(time.Duration(delayShare * float64(objective)))
+	ended.Delayed = onTime < max(1, r.plan.LeastShards)
 	ended.Patience = objective
 	return ended
 }
+
+// sentBy counts the shards whose first attempt was sent by some time.
+func (r *forwardRun) sentBy(at time.Duration) int {
+	sent := 0
+	for i := range r.shards {
+		attempts := r.shards[i].attempts
+		if len(attempts) > 0 && attempts[0].handle != nil && attempts[0].sent <= at {
+			sent++
+		}
+	}
+	return sent
+}
--- a/internal/query/run.go
+++ b/internal/query/run.go
@@ -38,8 +38,6 @@
 	// linger is for how long an attempt that is not needed any more may still
 	// answer: its time tells how its replica does, and its connection is kept.
 	linger time.Duration
-	// firstSent is when the last shard's first attempt was sent.
-	firstSent time.Duration
 	// abandoned is set once the caller no longer waits.
 	abandoned bool
 }
@@ -201,9 +199,6 @@
 			Outcome: decision.NoReplica, Busy: acquired.Busy,
 		})
 	}
-	if len(shard.attempts) == 0 {
-		r.firstSent = r.inbox.Elapsed()
-	}
 	sub, cancel := r.service.options.Driver.WithCancel(r.context)
 	shard.tried = append(shard.tried, handle)
 	shard.attempts = append(shard.attempts, attempt{handle: handle, cancel: cancel, sent: r.inbox.Elapsed(), ended: inFlight})
--- a/internal/query/run_internal_test.go
+++ b/internal/query/run_internal_test.go
@@ -8,6 +8,7 @@
 	"github.com/doorpond/doorpond/internal/decision"
 	"github.com/doorpond/doorpond/internal/policy"
 	"github.com/doorpond/doorpond/internal/replica"
+	"github.com/doorpond/doorpond/internal/routing"
 )
 
 // busyProtocol finds every replica busy.
@@ -54,3 +55,42 @@
 		t.Errorf("not ended at the deadline; reason %d", under.reason)
 	}
 }
+
+// TestAShardOutOfReachIsNoOverload: admission must not refuse requests for a
+// shard that the answer can do without.
+func TestAShardOutOfReachIsNoOverload(t *testing.T) {
+	const objective = 200 * time.Millisecond
+	sentAt := func(at time.Duration) shardRun {
+		return shardRun{attempts: []attempt{{handle: &replica.Handle{}, sent: at}}}
+	}
+	onTime, late, never := sentAt(time.Millisecond), sentAt(objective/2), shardRun{}
+	cases := []struct {
+		name    string
+		shards  []shardRun
+		least   int
+		delayed bool
+	}{
+		{"all on time", []shardRun{onTime, onTime, onTime}, 2, false},
+		{"one shard out of reach", []shardRun{onTime, never, onTime}, 2, false},
+		{"one shard late", []shardRun{onTime, late, onTime}, 2, false},
+		{"too many late", []shardRun{onTime, late, never}, 2, true},
+		{"all are needed", []shardRun{onTime, late, onTime}, 3, true},
+		{"plain, on time", []shardRun{onTime}, 0, false},
+		{"plain, late", []shardRun{late}, 0, true},
+		{"plain, never sent", []shardRun{{attempts: []attempt{{ended: "no_replica"}}}}, 0, true},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			plan := decision.Plan{
+				Shards: make([]decision.ShardPlan, len(test.shards)), LeastShards: test.least, Policy: &policy.Row{},
+			}
+			under := &forwardRun{
+				run:        &run{plan: plan, core: decision.New(plan), shards: test.shards},
+				forwarding: &Forwarding{Route: &routing.Route{Objective: objective}},
+			}
+			if got := under.endedAfterDelay(objective); got.Delayed != test.delayed || got.Patience != objective {
+				t.Errorf("ended %+v, want delayed %v", got, test.delayed)
+			}
+		})
+	}
+}
