--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -66,7 +66,7 @@
 	}
 	made.eventually("all nodes are ready and known", func() bool {
 		for _, node := range made.nodes {
-			if made.get(node.Addresses().Readiness, "/-/ready") != http.StatusOK {
+			if made.get(node.Addresses().Readiness, standin.ReadyPath) != http.StatusOK {
 				return false
 			}
 		}
@@ -138,7 +138,7 @@
 	}
 	id, response, err := s.send(standin.PlainPath)
 	want := "answer of " + standin.PlainService + " to " + id
-	if err != nil || string(response.Body) != want || response.Header.Get("Server-Stamp") != standin.PlainService+"."+id {
+	if err != nil || string(response.Body) != want || response.Signature() != standin.PlainService+"."+id {
 		t.Errorf("answer %q %v, error %v", response.Body, response.Header, err)
 	}
 	if _, response, _ := s.send("/nowhere/"); response.Status != http.StatusNotFound {
@@ -374,7 +374,7 @@
 	stopped := make(chan error, 1)
 	go func() { stopped <- s.nodes[0].Stop() }()
 	s.eventually("the stopping node is not ready", func() bool {
-		return s.get(s.nodes[0].Addresses().Readiness, "/-/ready") != http.StatusOK
+		return s.get(s.nodes[0].Addresses().Readiness, standin.ReadyPath) != http.StatusOK
 	})
 	s.eventually("the stopping node is not named", func() bool {
 		fresh := &standin.Client{Region: "region-a", Zone: "a", Directories: s.caller.Directories[1:], HTTP: s.caller.HTTP}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -114,13 +114,6 @@
 	snapshot atomic.Pointer[snapshot]
 }
 
-// snapshot is what is known of the store, as of a confirmation.
-type snapshot struct {
-	revision    int64
-	confirmedAt time.Time
-	values      []store.KeyValue
-}
-
 // The pauses between two attempts to read the store while it fails.
 const (
 	shortestPause = 100 * time.Millisecond
@@ -161,100 +154,6 @@
 	return nil
 }
 
-// askOthers takes over what another node knows, when that may be more: the
-// store may refuse this node alone.
-func (f *Follower) askOthers(ctx context.Context) {
-	now := f.options.Now()
-	current := f.staleness.known >= f.staleness.confirmed && now.Before(f.staleness.checkAt(0))
-	if f.options.Others == nil || current {
-		return
-	}
-	bounded, cancel := context.WithTimeout(ctx, f.options.share(askShare))
-	defer cancel()
-	var handed handover.Snapshot
-	var err error
-	f.attend(func() { handed, err = f.options.Others.Read(bounded) })
-	if err != nil || handed.Revision < f.staleness.known {
-		return // the next attempt asks another one
-	}
-	now = f.options.Now()
-	if handed.Revision > f.staleness.known {
-		f.options.Logger.Info("state taken over from another node", "revision", handed.Revision, "known_revision", f.staleness.known, "age", handed.Age().String())
-		f.state.replace(now, handed.Values)
-		f.state.publish(now)
-		f.staleness.learn(handed.Revision)
-	}
-	f.confirm(now, now.Add(-handed.Age()), handed.Revision)
-}
-
-// attend forgets vanished replicas in time and hears other nodes while some
-// work, which must end by itself, waits for an answer.
-func (f *Follower) attend(work func()) {
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		work()
-	}()
-	for {
-		f.state.publish(f.options.Now())
-		timer := time.NewTimer(f.untilForgetting())
-		select {
-		case <-done:
-			timer.Stop()
-			return
-		case <-timer.C:
-		case news := <-f.options.Peers.Received():
-			f.told(news)
-		}
-		timer.Stop()
-	}
-}
-
-// untilForgetting is the time until the next vanished replica is forgotten.
-func (f *Follower) untilForgetting() time.Duration {
-	at := f.state.forgetAt()
-	if at.IsZero() {
-		return longestPause
-	}
-	return at.Sub(f.options.Now())
-}
-
-// wait lets some time pass, and ends sooner when another node knows more.
-func (f *Follower) wait(ctx context.Context, pause time.Duration) {
-	until := f.options.Now().Add(pause)
-	for {
-		f.state.publish(f.options.Now())
-		timer := time.NewTimer(min(until.Sub(f.options.Now()), f.untilForgetting()))
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return
-		case <-timer.C:
-			if !f.options.Now().Before(until) {
-				return
-			}
-		case news := <-f.options.Peers.Received():
-			f.told(news)
-			if f.staleness.confirmed > f.staleness.known {
-				timer.Stop()
-				return
-			}
-		}
-		timer.Stop()
-	}
-}
-
-// Snapshot returns what this node knows, for another node; known is false
-// before the first reading.
-func (f *Follower) Snapshot() (handed handover.Snapshot, known bool) {
-	held := f.snapshot.Load()
-	if held == nil {
-		return handover.Snapshot{}, false
-	}
-	age := f.options.Now().Sub(held.confirmedAt).Milliseconds()
-	return handover.Snapshot{Revision: held.revision, AgeMilliseconds: max(0, age), Values: held.values}, true
-}
-
 func sleep(ctx context.Context, pause time.Duration) {
 	timer := time.NewTimer(pause)
 	defer timer.Stop()
@@ -418,27 +317,6 @@
 	f.learned(now, batch.Revision)
 }
 
-// Confirm waits until something is heard of the store that is newer than the
-// call, and tells whether that came before the end of ctx.
-func (f *Follower) Confirm(ctx context.Context) bool {
-	asked := f.options.Now()
-	ticker := time.NewTicker(confirmInterval)
-	defer ticker.Stop()
-	for {
-		if at := f.confirmedAt.Load(); at != nil && at.After(asked) {
-			return true
-		}
-		select {
-		case <-ctx.Done():
-			return false
-		case <-ticker.C:
-		}
-	}
-}
-
-// confirmInterval is the pause between two looks for a confirmation.
-const confirmInterval = 10 * time.Millisecond
-
 // confirm notes that the store was at a revision at some time, and tells
 // whether others should hear of it.
 func (f *Follower) confirm(now, at time.Time, revision int64) (news bool) {
@@ -451,18 +329,6 @@
 	return news
 }
 
-// keepSnapshot notes what is known now, for other nodes.
-func (f *Follower) keepSnapshot() {
-	kept := &snapshot{revision: f.staleness.known, confirmedAt: f.staleness.confirmedAt}
-	if held := f.snapshot.Load(); held != nil && !f.state.valuesChanged {
-		kept.values = held.values
-	} else {
-		kept.values = f.state.list()
-	}
-	f.state.valuesChanged = false
-	f.snapshot.Store(kept)
-}
-
 // learned notes that everything up to a revision is known now, and tells the
 // others when that is news.
 func (f *Follower) learned(now time.Time, revision int64) {
--- /dev/null
+++ b/internal/follower/others.go
@@ -0,0 +1,65 @@
+package follower
+
+import (
+	"context"
+	"time"
+
+	"github.com/doorpond/doorpond/internal/handover"
+	"github.com/doorpond/doorpond/internal/store"
+)
+
+// snapshot is what is known of the store, as of a confirmation.
+type snapshot struct {
+	revision    int64
+	confirmedAt time.Time
+	values      []store.KeyValue
+}
+
+// askOthers takes over what another node knows, when that may be more: the
+// store may refuse this node alone.
+func (f *Follower) askOthers(ctx context.Context) {
+	now := f.options.Now()
+	current := f.staleness.known >= f.staleness.confirmed && now.Before(f.staleness.checkAt(0))
+	if f.options.Others == nil || current {
+		return
+	}
+	bounded, cancel := context.WithTimeout(ctx, f.options.share(askShare))
+	defer cancel()
+	var handed handover.Snapshot
+	var err error
+	f.attend(func() { handed, err = f.options.Others.Read(bounded) })
+	if err != nil || handed.Revision < f.staleness.known {
+		return // the next attempt asks another one
+	}
+	now = f.options.Now()
+	if handed.Revision > f.staleness.known {
+		f.options.Logger.Info("state taken over from another node", "revision", handed.Revision, "known_revision", f.staleness.known, "age", handed.Age().String())
+		f.state.replace(now, handed.Values)
+		f.state.publish(now)
+		f.staleness.learn(handed.Revision)
+	}
+	f.confirm(now, now.Add(-handed.Age()), handed.Revision)
+}
+
+// Snapshot returns what this node knows, for another node; known is false
+// before the first reading.
+func (f *Follower) Snapshot() (handed handover.Snapshot, known bool) {
+	held := f.snapshot.Load()
+	if held == nil {
+		return handover.Snapshot{}, false
+	}
+	age := f.options.Now().Sub(held.confirmedAt).Milliseconds()
+	return handover.Snapshot{Revision: held.revision, AgeMilliseconds: max(0, age), Values: held.values}, true
+}
+
+// keepSnapshot notes what is known now, for other nodes.
+func (f *Follower) keepSnapshot() {
+	kept := &snapshot{revision: f.staleness.known, confirmedAt: f.staleness.confirmedAt}
+	if held := f.snapshot.Load(); held != nil && !f.state.valuesChanged {
+		kept.values = held.values
+	} else {
+		kept.values = f.state.list()
+	}
+	f.state.valuesChanged = false
+	f.snapshot.Store(kept)
+}
