--- a/internal/admission/overload_test.go
+++ b/internal/admission/overload_test.go
@@ -84,11 +84,12 @@
 // TestAnOverloadOfOneTargetLeavesTheOthersAlone.
 func TestAnOverloadOfOneTargetLeavesTheOthersAlone(t *testing.T) {
 	targets := NewTargets(Options{})
-	now := overload(targets.Of("a"), time.Unix(1000, 0), time.Second)
+	first := targets.Of("a")
+	now := overload(first, time.Unix(1000, 0), time.Second)
 	if !targets.Loaded(now) {
 		t.Error("the overload is not told")
 	}
-	if targets.Of("b").Loaded(now) || targets.Of("a") != targets.Of("a") {
+	if targets.Of("b").Loaded(now) || targets.Of("a") != first {
 		t.Error("targets share a controller, or have several")
 	}
 	if units := targets.Of("b").limit.units.Load(); units != defaultTotal*limitScale {
