--- a/internal/query/forward.go
+++ b/internal/query/forward.go
@@ -159,11 +159,18 @@
 	acquired := r.service.options.Pool.AcquireFor(shard.Group, &r.terms, tried)
 	if acquired.Handle != nil && r.plan.AnswerBy > 0 {
 		left := r.plan.AnswerBy - r.inbox.Elapsed()
-		acquired.LateAfter = max(acquired.LateAfter, left-r.terms.LateAtMost())
+		acquired.LateAfter = hedgeAfter(acquired.LateAfter, left, r.terms.LateAtMost())
 	}
 	return acquired
 }
 
+// hedgeAfter is the wait before a hedge: until the answer is late, or as long as
+// still leaves the hedge its own late time before the answer is due, but no
+// longer than half of what is left, as little is known of where it will go.
+func hedgeAfter(late, left, lateElsewhere time.Duration) time.Duration {
+	return max(late, min(left-lateElsewhere, left/2))
+}
+
 func (r *forwardRun) exchange(ctx context.Context, handle *replica.Handle, _ *decision.ShardPlan, action decision.Action) replica.SearchResult {
 	scattered := r.forwarding.Route.Scattered()
 	return r.service.options.Pool.Forward(ctx, handle, r.forwarding.Message, action.Timeout, &r.terms, scattered)
--- a/internal/query/run_internal_test.go
+++ b/internal/query/run_internal_test.go
@@ -94,3 +94,22 @@
 		})
 	}
 }
+
+func TestHedgeAfter(t *testing.T) {
+	const ms = time.Millisecond
+	cases := []struct {
+		name                string
+		late, left, another time.Duration
+		want                time.Duration
+	}{
+		{"leaves the hedge its own late time", 20 * ms, 105 * ms, 70 * ms, 35 * ms},
+		{"not before the answer is late", 60 * ms, 105 * ms, 70 * ms, 60 * ms},
+		{"half of the time where replicas are fast", 4 * ms, 220 * ms, 8 * ms, 110 * ms},
+		{"no time left", 20 * ms, -5 * ms, 70 * ms, 20 * ms},
+	}
+	for _, test := range cases {
+		if got := hedgeAfter(test.late, test.left, test.another); got != test.want {
+			t.Errorf("%s: %v, want %v", test.name, got, test.want)
+		}
+	}
+}
