--- a/internal/decision/forward_test.go
+++ b/internal/decision/forward_test.go
@@ -4,8 +4,6 @@
 	"testing"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
-
 	"github.com/doorpond/doorpond/client"
 	"github.com/doorpond/doorpond/internal/policy"
 )
@@ -154,16 +152,7 @@
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
-			query := New(testPlan(test.shards, test.change))
-			got := trace(query, test.events)
-			if diff := cmp.Diff(test.want, got); diff != "" {
-				t.Errorf("actions (-want +got):\n%s", diff)
-			}
-			for shard, want := range test.status {
-				if diff := cmp.Diff(want, query.Status(shard)); diff != "" {
-					t.Errorf("shard %d (-want +got):\n%s", shard, diff)
-				}
-			}
+			checkTrace(t, testPlan(test.shards, test.change), test.events, test.want, test.status)
 		})
 	}
 }
--- a/internal/decision/query_test.go
+++ b/internal/decision/query_test.go
@@ -73,6 +73,21 @@
 	}
 }
 
+// checkTrace plays events and compares the actions, and what became of the
+// shards.
+func checkTrace(t *testing.T, plan Plan, events []timedEvent, want []string, status []ShardStatus) {
+	t.Helper()
+	query := New(plan)
+	if diff := cmp.Diff(want, trace(query, events)); diff != "" {
+		t.Errorf("actions (-want +got):\n%s", diff)
+	}
+	for shard, wanted := range status {
+		if diff := cmp.Diff(wanted, query.Status(shard)); diff != "" {
+			t.Errorf("shard %d (-want +got):\n%s", shard, diff)
+		}
+	}
+}
+
 func TestQuery(t *testing.T) {
 	hedged := func(plan *Plan, _ *policy.Row) {
 		for i := range plan.Shards {
@@ -198,16 +213,7 @@
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
-			query := New(testPlan(test.shards, test.change))
-			got := trace(query, test.events)
-			if diff := cmp.Diff(test.want, got); diff != "" {
-				t.Errorf("actions (-want +got):\n%s", diff)
-			}
-			for shard, want := range test.status {
-				if diff := cmp.Diff(want, query.Status(shard)); diff != "" {
-					t.Errorf("shard %d (-want +got):\n%s", shard, diff)
-				}
-			}
+			checkTrace(t, testPlan(test.shards, test.change), test.events, test.want, test.status)
 		})
 	}
 }
