Callers are led to a few entry nodes of each zone; the others stand by

Cause: on the grown sites 70 and 88 nodes share 130 queries a second, so a node meets each replica about once in two seconds. It learns of a slow replica by a late request of its own, has one connection to each replica (67 for 70 nodes), and its part of the retry slack is two tokens.

Ruled out: the processor (0.004 of a core a node), the hedges' budget as a whole (under a fifth of the requests), the replicas' slots (a quarter in use).

Change: the directory names, of each zone, the ready nodes with the most processor time, one more than may be lost at once (a setting), and one more for each that is loaded: by refusals, or by its processor time (package processor). Entry nodes divide the replicas' connections and four fifths of the retry slack. A part of the slack under one token may be earned; it granted nothing for ever before.

--- a/internal/decision/budget.go
+++ b/internal/decision/budget.go
@@ -15,6 +15,9 @@
 	WithdrawHedge() bool
 }
 
+// leastBurst is the least number of tokens that may be saved up.
+const leastBurst = 1
+
 // tokenScale is the number of budget units in one attempt.
 const tokenScale = 1000
 
@@ -39,15 +42,16 @@
 func NewReservingBudget(ratio, burst, reserve float64) *TokenBudget {
 	budget := &TokenBudget{reserve: reserve}
 	budget.Configure(ratio, burst)
-	budget.units.Store(budget.burst.Load())
+	budget.units.Store(int64(math.Round(burst * tokenScale)))
 	return budget
 }
 
 // Configure changes the ratio and the burst; tokens saved up are kept as far
-// as the new burst allows.
+// as the new burst allows. A burst under one token leaves room for one that was
+// earned, as otherwise nothing could ever be granted.
 func (b *TokenBudget) Configure(ratio, burst float64) {
 	b.deposit.Store(int64(math.Round(ratio * tokenScale)))
-	b.burst.Store(int64(math.Round(burst * tokenScale)))
+	b.burst.Store(int64(math.Round(max(burst, leastBurst) * tokenScale)))
 }
 
 // Deposit adds what one first attempt earns.
@@ -77,7 +81,7 @@
 func (b *TokenBudget) withdraw(reserve int64) bool {
 	for {
 		units := b.units.Load()
-		if units < tokenScale+reserve {
+		if units < min(tokenScale+reserve, b.burst.Load()) {
 			return false
 		}
 		if b.units.CompareAndSwap(units, units-tokenScale) {
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -22,41 +22,38 @@
 // Options bound an answer.
 type Options struct {
 	TTL time.Duration
-	// LeastNodes is how many nodes a caller should know, so that it can go on
-	// when some of them are lost.
-	LeastNodes int
+	// EntryNodes is how many nodes of each zone callers should know, so that
+	// they can go on when some of them are lost.
+	EntryNodes int
 }
 
-// Resolve returns the ready nodes nearest to a caller: those of its zone, and
-// farther ones as far as there are too few that are not loaded. When no node is ready, all are
-// named: one of them may have become ready. known is false when there is none
-// at all.
+// Resolve returns the entry nodes nearest to a caller: those of its zone, and
+// farther ones as long as all of them are loaded or there are none. When no node
+// is ready, all of the nearest are named: one of them may have become ready.
+// known is false when there is none at all.
 func Resolve(nodes *topology.Nodes, caller topology.Place, options Options) (answer Answer, known bool) {
 	if nodes == nil {
 		return Answer{}, false
 	}
-	chosen := nearest(nodes.Nodes, caller, options.LeastNodes, func(node topology.Node) bool { return node.Ready })
+	chosen := nearest(EntryNodes(nodes.Nodes, options.EntryNodes), caller)
 	if len(chosen) == 0 {
-		chosen = nearest(nodes.Nodes, caller, options.LeastNodes, func(topology.Node) bool { return true })
+		chosen = nearest(nodes.Nodes, caller)
 	}
 	return Answer{Addresses: chosen, TTL: options.TTL}, len(chosen) > 0
 }
 
-func nearest(nodes []topology.Node, caller topology.Place, least int, wanted func(topology.Node) bool) []string {
+// nearest returns the nodes of the nearest distances up to the first one that
+// has a node that is not loaded.
+func nearest(nodes []topology.Node, caller topology.Place) []string {
 	var chosen []string
-	idle := 0
-	for distance := topology.SameZone; distance <= topology.OtherRegion; distance++ {
+	idle := false
+	for distance := topology.SameZone; distance <= topology.OtherRegion && !idle; distance++ {
 		for _, node := range nodes {
-			if len(chosen) < mostAddresses && wanted(node) && caller.DistanceTo(node.Place) == distance {
+			if len(chosen) < mostAddresses && caller.DistanceTo(node.Place) == distance {
 				chosen = append(chosen, node.Address)
-				if !node.Loaded {
-					idle++
-				}
+				idle = idle || !node.Loaded
 			}
 		}
-		if idle >= max(1, least) {
-			return chosen
-		}
 	}
 	return chosen
 }
--- /dev/null
+++ b/internal/directory/entry_test.go
@@ -0,0 +1,49 @@
+package directory
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/doorpond/doorpond/internal/topology"
+)
+
+func sized(address string, place topology.Place, processors float64) topology.Node {
+	made := node(address, place, true)
+	made.Processors = processors
+	return made
+}
+
+func TestEntryNodes(t *testing.T) {
+	cases := []struct {
+		name  string
+		nodes []topology.Node
+		want  []string
+	}{
+		{"the same number of each zone", []topology.Node{
+			node("a1", placeA, true), node("a2", placeA, true), node("a3", placeA, true),
+			node("b1", placeB, true), node("c1", placeC, true), node("c2", placeC, true), node("c3", placeC, true),
+		}, []string{"a1", "a2", "b1", "c1", "c2"}},
+		{"those with the most processor time", []topology.Node{
+			sized("a1", placeA, 0.2), sized("a2", placeA, 0.8), sized("a3", placeA, 0.2), sized("a4", placeA, 0.8),
+		}, []string{"a2", "a4"}},
+		{"one more for each that is loaded", []topology.Node{
+			loaded("a1", placeA), node("a2", placeA, true), loaded("a3", placeA), node("a4", placeA, true), node("a5", placeA, true),
+		}, []string{"a1", "a2", "a3", "a4"}},
+		{"none that is not ready", []topology.Node{
+			node("a1", placeA, false), node("a2", placeA, true), node("a3", placeA, true),
+		}, []string{"a2", "a3"}},
+		{"none", nil, nil},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			var got []string
+			for _, entry := range EntryNodes(test.nodes, 2) {
+				got = append(got, entry.ID)
+			}
+			if diff := cmp.Diff(test.want, got); diff != "" {
+				t.Errorf("entry nodes (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/edge/budget.go
+++ b/internal/edge/budget.go
@@ -15,10 +15,14 @@
 // retryReserve is the share of the slack that hedges leave to retries.
 const retryReserve = 0.2
 
+// standbyShare is the part of the slack that is left to the nodes to which
+// callers are not led: some come to them all the same.
+const standbyShare = 0.2
+
 // budgets holds this node's part of the retry budget of each replica group.
 // All nodes together may retry a share of the group's requests and a slack
-// besides: each earns the share on its own requests, and has an equal part of
-// the slack.
+// besides: each earns the share on its own requests, and has a part of the
+// slack, equal among the entry nodes.
 type budgets struct {
 	board  *blackboard.Board
 	bounds func() BoundsSettings
@@ -62,9 +66,17 @@
 
 // burst is this node's part of the slack.
 func (b *budgets) burst() float64 {
-	shared := 1
-	if b.nodes != nil {
-		shared = b.nodes.Shared
+	slack := budgetShare * b.terms.slack
+	if b.nodes == nil {
+		return slack
+	}
+	standby := len(b.nodes.Nodes) - len(b.nodes.Entries)
+	switch {
+	case standby <= 0:
+		return slack / float64(b.nodes.Shared)
+	case b.nodes.SelfIsEntry():
+		return (1 - standbyShare) * slack / float64(b.nodes.Shared)
+	default:
+		return standbyShare * slack / float64(standby)
 	}
-	return budgetShare * b.terms.slack / float64(shared)
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -28,6 +28,7 @@
 	"github.com/doorpond/doorpond/internal/freshness"
 	"github.com/doorpond/doorpond/internal/handover"
 	"github.com/doorpond/doorpond/internal/ingress"
+	"github.com/doorpond/doorpond/internal/processor"
 	"github.com/doorpond/doorpond/internal/query"
 	"github.com/doorpond/doorpond/internal/registry"
 	"github.com/doorpond/doorpond/internal/replica"
@@ -75,8 +76,6 @@
 	// entryTTL is how long a node's entry outlives it, if the store allows so
 	// little.
 	entryTTL = 3 * time.Second
-	// leastNodes is how many nodes a caller should know.
-	leastNodes = 1
 	// directoryShare is the part of the longest time to keep addresses that is
 	// given: some callers keep them for three times as long as they are told.
 	directoryShare = 0.3
@@ -108,6 +107,7 @@
 	follower  *follower.Follower
 	registry  *registry.Registry
 	monitor   *freshness.Monitor
+	processor *processor.Meter
 	callers   *drain.Listener
 	open      drain.Connections
 	server    *http.Server
@@ -151,12 +151,14 @@
 func (n *Node) assemble() {
 	place := topology.Place{Region: n.settings.Region, Zone: n.settings.Zone}
 	self := topology.Node{ID: n.settings.Node, Address: n.callers.Addr().String(), PeerAddress: n.announcer.Address(),
-		StateAddress: n.auxiliary["state"].listener.Addr().String(), Place: place, Ready: true}
+		StateAddress: n.auxiliary["state"].listener.Addr().String(), Place: place, Ready: true,
+		Processors: n.settings.Limits.Processors()}
 	var registerer prometheus.Registerer
 	if n.settings.Metrics != "" {
 		n.metrics = prometheus.NewRegistry()
 		registerer = n.metrics
 	}
+	n.processor = processor.New(processor.Options{Processors: n.settings.Limits.Processors(), Logger: n.logger})
 	budgets := newBudgets(n.board, func() BoundsSettings { return n.current.Load().Bounds })
 	n.pool = replica.NewPool(replica.PoolOptions{
 		Board: n.board, Self: place, Codec: n.platform.Codec, GroupBudget: budgets.of, Registerer: registerer,
@@ -167,7 +169,7 @@
 	})
 	n.follower = follower.New(follower.Options{
 		Source: n.platform.Store, Decoder: n.platform.Codec, Keys: n.platform.Keys, Board: n.board,
-		Regions: n.settings.Regions, Self: self, Logger: n.logger,
+		Regions: n.settings.Regions, Self: self, Logger: n.logger, EntryNodes: n.settings.Bounds.EntryNodes(),
 		Peers: n.announcer, Others: handover.NewReader(stateClient(), n.board.Nodes.Load), News: n.settings.Bounds.News(),
 		VanishedFor: time.Duration(vanishedShare * float64(n.settings.Bounds.Drain)),
 	})
@@ -175,7 +177,7 @@
 	n.registry = registry.New(registry.Options{
 		Store: n.platform.Store, Key: n.platform.Keys.Nodes + n.settings.Node, TTL: max(entryTTL, n.settings.Store.LeastTTL),
 		Node: func() topology.Node {
-			self.Ready, self.Loaded = n.ready(), n.queries.Loaded()
+			self.Ready, self.Loaded = n.ready(), n.loaded()
 			return self
 		},
 		Logger: n.logger,
@@ -194,9 +196,12 @@
 		n.board.Routes.Load() != nil && n.board.Replicas.Load() != nil
 }
 
+// loaded tells whether callers should be led to further nodes beside this one.
+func (n *Node) loaded() bool { return n.queries.Loaded() || n.processor.Loaded() }
+
 func (n *Node) resolve(caller topology.Place) (directory.Answer, bool) {
 	ttl := shareOf(directoryShare, n.current.Load().Bounds.DirectoryTTL)
-	return directory.Resolve(n.nodes(), caller, directory.Options{TTL: ttl, LeastNodes: leastNodes})
+	return directory.Resolve(n.nodes(), caller, directory.Options{TTL: ttl, EntryNodes: n.settings.Bounds.EntryNodes()})
 }
 
 // nodes returns the nodes with what this one knows of itself now: its entry in
@@ -207,7 +212,7 @@
 		return nil // another directory knows more
 	}
 	own := recorded.Self
-	own.Ready, own.Loaded = n.ready(), n.queries.Loaded()
+	own.Ready, own.Loaded = n.ready(), n.loaded()
 	at := slices.IndexFunc(recorded.Nodes, func(node topology.Node) bool { return node.ID == own.ID })
 	if at >= 0 && recorded.Nodes[at] == own {
 		return recorded
@@ -311,6 +316,7 @@
 	group.Go(func() error { return n.announcer.Run(running) })
 	group.Go(func() error { return n.follower.Run(running) })
 	group.Go(func() error { return n.monitor.Run(running) })
+	group.Go(func() error { return n.processor.Run(running) })
 	group.Go(func() error {
 		defer close(recorded)
 		return n.registry.Run(recording)
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -40,6 +40,10 @@
 // LimitSettings is what the node may use.
 type LimitSettings struct {
 	MemoryMegabytes int `yaml:"memory_mb" validate:"gte=0"`
+	// ProcessorShare is the part of a core that each thread may use, and Cores
+	// the number of cores; 0 means one whole core.
+	ProcessorShare float64 `yaml:"processor_share" validate:"gte=0"`
+	Cores          float64 `yaml:"cores" validate:"gte=0"`
 }
 
 // BoundsSettings is what the system promises.
@@ -56,6 +60,24 @@
 	RetrySlack float64 `yaml:"retry_slack" validate:"gte=0"`
 	// DirectoryTTL is the longest time for which callers keep addresses.
 	DirectoryTTL time.Duration `yaml:"directory_ttl" validate:"gt=0,lte=10m"`
+	// LostNodes is the number of nodes whose loss at once callers must hardly
+	// notice.
+	LostNodes int `yaml:"lost_nodes" validate:"gte=0"`
+}
+
+// EntryNodes is how many nodes of a zone callers are led to.
+func (b BoundsSettings) EntryNodes() int { return b.LostNodes + 1 }
+
+// Processors is the processor time that the node may use, in cores.
+func (l LimitSettings) Processors() float64 {
+	processors := 1.0
+	if l.ProcessorShare > 0 {
+		processors = l.ProcessorShare
+	}
+	if l.Cores > 0 {
+		processors *= l.Cores
+	}
+	return processors
 }
 
 // News is the time within which news from the store must have been acted on.
--- a/internal/edge/settings_test.go
+++ b/internal/edge/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/doorpond/doorpond/internal/settings"
+	"github.com/doorpond/doorpond/internal/topology"
 )
 
 // platformFields are fields of the platform as its template language knows
@@ -20,6 +22,7 @@
 	"ip": "10.0.0.1", "portRange.0": "7740", "portRange.1": "7741", "platform.address": "10.0.0.9:1",
 	"platform.ttlMinMs": "1000", "limits.memoryMb": "284", "bounds.drainMs": "3000", "bounds.graceS": "6",
 	"bounds.configApplyMs": "2000", "bounds.retryBudgetRatio": "0.2", "bounds.retrySlack": "58", "bounds.ttl_max_s": "5",
+	"limits.cpuShare": "0.4", "limits.cores": "1", "faultTolerance.machines": "1",
 }
 
 // filled returns the deploy file's template with each gap filled.
@@ -133,3 +136,32 @@
 		t.Error("services share a budget")
 	}
 }
+
+// TestStandbyNodesHaveASmallPartOfTheSlack: callers come to them now and then,
+// and all parts together are within the slack.
+func TestStandbyNodesHaveASmallPartOfTheSlack(t *testing.T) {
+	nodes := &topology.Nodes{Nodes: make([]topology.Node, 10), Shared: 4}
+	for i := range nodes.Nodes {
+		nodes.Nodes[i].ID = fmt.Sprint("n", i)
+	}
+	nodes.Entries = nodes.Nodes[:4]
+	granted := func(self int) int {
+		own := *nodes
+		own.Self = nodes.Nodes[self]
+		board := &testBoard{}
+		board.board.Nodes.Publish(&own)
+		divided := newBudgets(&board.board, func() BoundsSettings { return BoundsSettings{RetryRatio: 0.2, RetrySlack: 60} })
+		taken := 0
+		for divided.of("g").Withdraw() {
+			taken++
+		}
+		return taken
+	}
+	entry, standby := granted(0), granted(9)
+	if entry <= 2*standby || standby == 0 {
+		t.Errorf("an entry node has %d retries at once, a standby node %d", entry, standby)
+	}
+	if all := 4*entry + 6*standby; all > 60 {
+		t.Errorf("all nodes together have %d retries at once, of a slack of 60", all)
+	}
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -68,6 +68,8 @@
 	// Regions names the region of each zone.
 	Regions map[string]string
 	Self    topology.Node
+	// EntryNodes is how many nodes of each zone callers are led to.
+	EntryNodes int
 	// News is the time within which what the store says must have been acted
 	// on. How often it is asked and how long it is waited for follow from it.
 	News time.Duration
--- a/internal/follower/state.go
+++ b/internal/follower/state.go
@@ -6,13 +6,15 @@
 	"slices"
 	"time"
 
+	"github.com/doorpond/doorpond/internal/directory"
 	"github.com/doorpond/doorpond/internal/routing"
 	"github.com/doorpond/doorpond/internal/store"
 	"github.com/doorpond/doorpond/internal/topology"
 )
 
-// sharedMemory is how long a node that is gone still counts for what nodes
-// share: it may be there and have lost its entry only.
+// sharedMemory is how long a node to which callers are not led any more still
+// counts for what entry nodes share: it may be there and have lost its record
+// only, and what it has spent counts for a while.
 const sharedMemory = 30 * time.Second
 
 // state is what the follower knows. It belongs to the follower's goroutine.
@@ -23,8 +25,9 @@
 	// values are the store's, as they are handed over to other nodes.
 	values        map[string]store.KeyValue
 	valuesChanged bool
-	// lastSeen says when a node's entry was there last.
-	lastSeen map[string]time.Time
+	// entryUntil says until when a node was one to which callers are led; zero
+	// while it is one.
+	entryUntil map[string]time.Time
 
 	table           *routing.Table
 	replicasChanged bool
@@ -46,11 +49,11 @@
 
 func newState(options *Options) *state {
 	return &state{
-		options:  options,
-		replicas: make(map[string]replicaEntry),
-		nodes:    make(map[string]nodeEntry),
-		values:   make(map[string]store.KeyValue),
-		lastSeen: make(map[string]time.Time),
+		options:    options,
+		replicas:   make(map[string]replicaEntry),
+		nodes:      make(map[string]nodeEntry),
+		values:     make(map[string]store.KeyValue),
+		entryUntil: make(map[string]time.Time),
 	}
 }
 
@@ -154,9 +157,8 @@
 		s.replicasChanged = true
 		s.options.Logger.Info("replica gone", "address", known.replica.Address, "incarnation", known.replica.Incarnation)
 	}
-	if known, found := s.nodes[key]; found {
+	if _, found := s.nodes[key]; found {
 		delete(s.nodes, key)
-		s.lastSeen[known.node.ID] = now
 		s.nodesChanged = true
 	}
 }
@@ -181,7 +183,7 @@
 		s.options.Board.Replicas.Publish(&topology.Replicas{Groups: s.groups()})
 	}
 	if s.nodesChanged || s.options.Board.Nodes.Load() == nil {
-		s.publishNodes()
+		s.publishNodes(now)
 	}
 	s.tableChanged, s.replicasChanged, s.nodesChanged = false, false, false
 }
@@ -194,9 +196,9 @@
 			s.replicasChanged = true
 		}
 	}
-	for id, seen := range s.lastSeen {
-		if now.Sub(seen) >= sharedMemory {
-			delete(s.lastSeen, id)
+	for id, until := range s.entryUntil {
+		if !until.IsZero() && now.Sub(until) >= sharedMemory {
+			delete(s.entryUntil, id)
 			s.nodesChanged = true
 		}
 	}
@@ -237,21 +239,37 @@
 	return groups
 }
 
-func (s *state) publishNodes() {
+func (s *state) publishNodes(now time.Time) {
 	nodes := &topology.Nodes{Self: s.options.Self}
-	members := &topology.Members{Self: member(s.options.Self)}
-	for _, entry := range s.nodes {
-		nodes.Nodes = append(nodes.Nodes, entry.node)
-		members.Members = append(members.Members, member(entry.node))
-		delete(s.lastSeen, entry.node.ID)
+	for _, known := range s.nodes {
+		nodes.Nodes = append(nodes.Nodes, known.node)
 	}
-	nodes.Shared = max(1, len(nodes.Nodes)+len(s.lastSeen))
 	slices.SortFunc(nodes.Nodes, func(a, b topology.Node) int { return cmp.Compare(a.ID, b.ID) })
-	slices.SortFunc(members.Members, func(a, b topology.Member) int { return cmp.Compare(a.ID, b.ID) })
+	nodes.Entries = directory.EntryNodes(nodes.Nodes, s.options.EntryNodes)
+	s.noteEntries(now, nodes.Entries)
+	nodes.Shared = max(1, len(s.entryUntil))
+	members := &topology.Members{Self: member(s.options.Self)}
+	for _, node := range nodes.Entries {
+		members.Members = append(members.Members, member(node))
+	}
 	s.options.Board.Nodes.Publish(nodes)
 	s.options.Board.Members.Publish(members)
 }
 
+// noteEntries keeps who is an entry node, and who was one of late.
+func (s *state) noteEntries(now time.Time, entries []topology.Node) {
+	isEntry := make(map[string]bool, len(entries))
+	for _, node := range entries {
+		isEntry[node.ID] = true
+		s.entryUntil[node.ID] = time.Time{}
+	}
+	for id, until := range s.entryUntil {
+		if until.IsZero() && !isEntry[id] {
+			s.entryUntil[id] = now
+		}
+	}
+}
+
 // member is a node as those that divide connections see it.
 func member(node topology.Node) topology.Member {
 	return topology.Member{ID: node.ID, PeerAddress: node.PeerAddress, Place: node.Place}
--- a/internal/follower/state_test.go
+++ b/internal/follower/state_test.go
@@ -1,11 +1,13 @@
 package follower
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/doorpond/doorpond/internal/blackboard"
 	"github.com/doorpond/doorpond/internal/store"
 	"github.com/doorpond/doorpond/internal/topology"
 )
@@ -148,3 +150,31 @@
 		}
 	})
 }
+
+// TestEntryNodesAreTheMembers: the connections to the replicas are divided among
+// the nodes to which callers are led, and one that was such a node has its part
+// of what they share for a while.
+func TestEntryNodesAreTheMembers(t *testing.T) {
+	state, board := newTestState(t)
+	state.replace(start, []store.KeyValue{nodeAt(t, 1, "n2"), nodeAt(t, 2, "n3"), nodeAt(t, 3, "n4")})
+	state.publish(start)
+	if got := entryIDs(board); !slices.Equal(got, []string{"n2", "n3"}) {
+		t.Errorf("entry nodes %v", got)
+	}
+	state.apply(start, store.Event{KeyValue: nodeAt(t, 4, "n1")}) // goes before n3
+	state.publish(start.Add(time.Second))
+	if got, shared := entryIDs(board), board.Nodes.Load().Shared; !slices.Equal(got, []string{"n1", "n2"}) || shared != 3 {
+		t.Errorf("entry nodes %v, shared by %d", got, shared)
+	}
+	if got := len(board.Members.Load().Members); got != 2 {
+		t.Errorf("%d members", got)
+	}
+}
+
+func entryIDs(board *blackboard.Board) []string {
+	var found []string
+	for _, node := range board.Nodes.Load().Entries {
+		found = append(found, node.ID)
+	}
+	return found
+}
--- /dev/null
+++ b/internal/processor/processor_test.go
@@ -0,0 +1,37 @@
+package processor
+
+import (
+	"testing"
+	"time"
+)
+
+func TestLoaded(t *testing.T) {
+	var used time.Duration
+	meter := New(Options{Processors: 0.5, Used: func() time.Duration { return used }})
+	for i, step := range []struct {
+		used time.Duration // in one second
+		want bool
+	}{
+		{240 * time.Millisecond, false},
+		{260 * time.Millisecond, true},
+		{110 * time.Millisecond, true}, // a part of its load has gone to another node
+		{90 * time.Millisecond, false},
+		{240 * time.Millisecond, false},
+	} {
+		used += step.used
+		meter.read(time.Second)
+		if got := meter.Loaded(); got != step.want {
+			t.Errorf("step %d: loaded %v, want %v", i, got, step.want)
+		}
+	}
+}
+
+func TestTheProcessorTimeOfTheProcessIsCounted(t *testing.T) {
+	before := processTime()
+	for begun := time.Now(); time.Since(begun) < 30*time.Millisecond; {
+		continue
+	}
+	if after := processTime(); after <= before {
+		t.Errorf("%v before, %v after some work", before, after)
+	}
+}
--- a/internal/topology/node.go
+++ b/internal/topology/node.go
@@ -1,5 +1,7 @@
 package topology
 
+import "slices"
+
 // Node is one node of the system as it has recorded itself in the store.
 type Node struct {
 	// ID is unique for each start of the process.
@@ -13,15 +15,26 @@
 	Place        Place  `json:"place" msgpack:"l"`
 	// Ready is true while the node takes new callers.
 	Ready bool `json:"ready" msgpack:"r"`
-	// Loaded is true while the node has lately had to refuse requests for load.
+	// Loaded is true while the node has lately had to refuse requests for load, or
+	// has used much of its processor time.
 	Loaded bool `json:"loaded,omitempty" msgpack:"o"`
+	// Processors is the processor time that the node may use, in cores.
+	Processors float64 `json:"processors,omitempty" msgpack:"c"`
 }
 
 // Nodes is every recorded node, sorted by ID.
 type Nodes struct {
 	Self  Node
 	Nodes []Node
-	// Shared is the number of nodes, live or only lately gone, that a shared
+	// Entries are those that callers are led to. They hold the connections to
+	// the replicas and most of the shared retry budget; the others stand by.
+	Entries []Node
+	// Shared is the number of entry nodes, present or of late, that a shared
 	// budget is divided by.
 	Shared int
 }
+
+// SelfIsEntry tells whether callers are led to this node.
+func (n *Nodes) SelfIsEntry() bool {
+	return slices.ContainsFunc(n.Entries, func(entry Node) bool { return entry.ID == n.Self.ID })
+}
