A soak of the real nodes: separate processes, faults from outside, promises checked

The users ask for a randomized soak that runs the real programs and injects faults from outside them. doorpond-lab soak starts six doorpond-edge processes on the platform's stand-in, with a loopback proxy before the store for each node and before each replica. The faults of a seed: signals to nodes (kill, pause, planned stop, hang-up), links to the store and to replicas (delayed, reset, held one way, silenced), the store's own faults, replicas that pause, break off, refuse, end, drain or vanish, and new configurations. It checks whole answers, requests that run once, refusals that have not run, answers to what was passed on, news in time, the retry budget, processes that end by themselves, and a calm in which all must be served whole.

Weighed: net/http clients repeat a GET on a broken kept connection by themselves, so callers send POST. The times for news are checked only in rounds in which no fault hides news, and the report says how often.

Clocks are not stepped: from outside a process that needs a preloaded library, and the nodes use the steady clock only.

--- /dev/null
+++ b/cmd/doorpond-lab/soak.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"context"
+	"io"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	"github.com/doorpond/doorpond/internal/soak"
+	"github.com/doorpond/doorpond/internal/soak/process"
+)
+
+const (
+	flagLength  = "length"
+	flagRuns    = "runs"
+	flagVerbose = "verbose"
+)
+
+func soakCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "soak",
+		Usage: "run real edge nodes as processes, let random faults befall them from outside, and check the promises",
+		Description: "Prints one line a run, and each promise that was broken; exit code 1 when one was. Builds\n" +
+			"doorpond-edge with the go command unless --program names it. Logs of a run with findings are kept.\n\n" +
+			"Example: doorpond-lab soak --runs 3 --length 60s\n" +
+			"Example: doorpond-lab soak --seed 7 --verbose",
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: flagSeed, Usage: "`SEED` of the first run's faults; 0 draws one; each further run takes the next"},
+			&cli.IntFlag{Name: flagRuns, Value: 1, Usage: "`NUMBER` of runs, one after the other"},
+			&cli.DurationFlag{Name: flagLength, Value: time.Minute, Usage: "time in which faults come, without the calm at the end"},
+			&cli.StringFlag{Name: flagProgram, Usage: "run the doorpond-edge at `PATH`"},
+			&cli.BoolFlag{Name: flagVerbose, Usage: "print each fault"},
+		},
+		Action: runSoak,
+	}
+}
+
+func runSoak(ctx context.Context, command *cli.Command) error {
+	seed := command.Uint64(flagSeed)
+	if seed == 0 {
+		seed = uint64(time.Now().UnixNano() % 1_000_000)
+	}
+	program := command.String(flagProgram)
+	if program == "" {
+		directory, err := os.MkdirTemp("", "doorpond-soak-program")
+		if err != nil {
+			return eris.Wrap(err, "make a directory for the program")
+		}
+		defer func() { _ = os.RemoveAll(directory) }() // only a program is left
+		if program, err = process.Build(ctx, directory, "doorpond-edge"); err != nil {
+			return err
+		}
+	}
+	var out io.Writer
+	if command.Bool(flagVerbose) {
+		out = os.Stdout
+	}
+	broken := false
+	for range command.Int(flagRuns) {
+		report, err := soak.Run(ctx, soak.Config{Seed: seed, Length: command.Duration(flagLength), Program: program, Out: out})
+		if err != nil {
+			return err
+		}
+		if err := report.Write(os.Stdout); err != nil {
+			return err
+		}
+		broken = broken || len(report.Findings) > 0
+		seed++
+	}
+	if broken {
+		return errPromiseBroken
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/soak/callers.go
@@ -0,0 +1,103 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/doorpond/doorpond/platform/standin"
+)
+
+// The callers.
+const (
+	callerCount = 12
+	// thinkTime is the mean pause of a caller between two requests.
+	thinkTime = 80 * time.Millisecond
+	// callerWait is how long a caller waits for an answer.
+	callerWait = 2 * time.Second
+	// patience is how much longer it takes notice of what comes.
+	patience = 500 * time.Millisecond
+)
+
+// path is what a request asks for.
+type path string
+
+const (
+	scattered path = standin.ScatteredPath
+	plain     path = standin.PlainPath
+	once      path = standin.OncePath
+)
+
+// observation is one request as its caller saw it.
+type observation struct {
+	id          string
+	path        path
+	sent, ended time.Time
+	response    standin.Response
+	err         error
+}
+
+// callers send requests until stop.
+type callers struct {
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+}
+
+func startCallers(w *world, judge *judge) *callers {
+	ctx, cancel := context.WithCancel(context.Background())
+	started := &callers{cancel: cancel}
+	for number := range callerCount {
+		started.running.Go(func() { call(ctx, w, judge, number) })
+	}
+	return started
+}
+
+func (c *callers) stop() {
+	c.cancel()
+	c.running.Wait()
+}
+
+// newClient makes a caller of a zone; every second one keeps its connections.
+func newClient(w *world, number int) *standin.Client {
+	transport := &http.Transport{DisableKeepAlives: number%2 == 0, MaxIdleConnsPerHost: 1}
+	client := &standin.Client{
+		Zone: zones[number%len(zones)], HTTP: &http.Client{Transport: transport}, Method: http.MethodPost,
+	}
+	client.Region = w.nodes[number%len(w.nodes)].settings.Region
+	for i := range w.nodes {
+		near := w.nodes[(number+i*len(zones))%len(w.nodes)]
+		client.Directories = append(client.Directories, near.settings.Directory)
+	}
+	return client
+}
+
+func call(ctx context.Context, w *world, judge *judge, number int) {
+	client := newClient(w, number)
+	for serial := 0; ctx.Err() == nil; serial++ {
+		judge.saw(request(client, fmt.Sprintf("c%d-%d", number, serial), choosePath()))
+		time.Sleep(time.Duration(rand.Int64N(int64(2 * thinkTime))))
+	}
+}
+
+func choosePath() path {
+	switch rand.IntN(4) {
+	case 0:
+		return plain
+	case 1:
+		return once
+	default:
+		return scattered
+	}
+}
+
+func request(client *standin.Client, id string, asked path) observation {
+	ctx, cancel := context.WithTimeout(context.Background(), callerWait+patience)
+	defer cancel()
+	seen := observation{id: id, path: asked, sent: time.Now()}
+	seen.response, seen.err = client.Send(ctx, id, string(asked)+"x", callerWait)
+	seen.ended = time.Now()
+	return seen
+}
--- /dev/null
+++ b/internal/soak/judge_test.go
@@ -0,0 +1,189 @@
+package soak
+
+import (
+	"errors"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/doorpond/doorpond/internal/edge"
+	"github.com/doorpond/doorpond/internal/soak/process"
+	"github.com/doorpond/doorpond/platform/standin"
+)
+
+const nodeAddress = "127.0.0.1:1"
+
+// newTestWorld is a world without processes: one node's name, and real
+// replicas, to which a test sends what nodes would.
+func newTestWorld(t *testing.T) *world {
+	t.Helper()
+	w := &world{leaving: make(map[*standin.Replica]time.Time), allowed: map[int]bool{shards: true}}
+	var err error
+	w.deployment, err = standin.Start(standin.Shape{Zones: zones, Shards: shards, Through: w.link})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.nodes = []*node{{process: process.New(process.Config{}), settings: edge.Settings{Node: "n0", Callers: nodeAddress}}}
+	w.began = time.Now()
+	t.Cleanup(func() {
+		w.deployment.Close()
+		for _, link := range w.links {
+			link.Close()
+		}
+	})
+	return w
+}
+
+// arrive lets a request arrive at a replica, through its proxy.
+func arrive(t *testing.T, w *world, replica int, id string) {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodPost, "http://"+w.links[replica].Addr().String()+"/x", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Request-Id", id)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+}
+
+// plainReplica is the number of the first replica of the plain service.
+const plainReplica = shards * 3
+
+func answered(id string, asked path, status int) observation {
+	return observation{id: id, path: asked, sent: time.Now(), ended: time.Now(), response: standin.Response{Node: nodeAddress, Status: status, Header: http.Header{}}}
+}
+
+func plainAnswer(id string) observation {
+	seen := answered(id, plain, http.StatusOK)
+	seen.response.Body = []byte("answer of fetch to " + id)
+	seen.response.Header.Set("Server-Stamp", "fetch."+id)
+	return seen
+}
+
+func broken(id string, asked path) observation {
+	seen := answered(id, asked, 0)
+	seen.err = errors.New("the connection ended")
+	return seen
+}
+
+// TestFindings: each promise that is broken is found, and what may happen is
+// not.
+func TestFindings(t *testing.T) {
+	cases := []struct {
+		name   string
+		happen func(w *world, j *judge)
+		want   string // a part of the one finding; empty means none
+	}{
+		{"a right answer", func(_ *world, j *judge) { j.saw(plainAnswer("r")) }, ""},
+		{"another request's answer", func(_ *world, j *judge) {
+			seen := plainAnswer("other")
+			seen.id = "r"
+			j.saw(seen)
+		}, `the answer is "answer of fetch to other"`},
+		{"a number of shards that was never configured", func(_ *world, j *judge) {
+			seen := answered("r", scattered, http.StatusOK)
+			seen.response.Missing = shards + 1
+			j.saw(seen)
+		}, "which no configuration names"},
+		{"records that are not those of the parts", func(_ *world, j *judge) {
+			seen := answered("r", scattered, http.StatusOK)
+			seen.response.Parts, seen.response.Missing = []string{"shard-0.r"}, shards-1
+			j.saw(seen)
+		}, "not the greatest records"},
+		{"a part twice", func(_ *world, j *judge) {
+			seen := answered("r", scattered, http.StatusOK)
+			seen.response.Parts, seen.response.Missing = []string{"shard-0.r", "shard-0.r"}, shards-2
+			j.saw(seen)
+		}, "part \"shard-0.r\""},
+		{"a request that may not be repeated runs twice", func(w *world, j *judge) {
+			arrive(t, w, plainReplica, "r")
+			arrive(t, w, plainReplica+1, "r")
+			j.saw(answered("r", once, http.StatusBadGateway))
+		}, "ran 2 times"},
+		{"a request was refused and ran", func(w *world, j *judge) {
+			arrive(t, w, plainReplica, "r")
+			j.saw(answered("r", once, http.StatusServiceUnavailable))
+		}, "was refused with 503 and ran"},
+		{"a request that was passed on has no answer", func(w *world, j *judge) {
+			arrive(t, w, plainReplica, "r")
+			j.saw(broken("r", plain))
+		}, "got no answer"},
+		{"the same from a node that is stopped as planned", func(w *world, j *judge) {
+			defer w.noted(StopNode, w.nodes[0])()
+			arrive(t, w, plainReplica, "r")
+			j.saw(broken("r", plain))
+		}, "got no answer"},
+		{"the same from a node that was killed", func(w *world, j *judge) {
+			defer w.noted(KillNode, w.nodes[0])()
+			arrive(t, w, plainReplica, "r")
+			j.saw(broken("r", plain))
+		}, ""},
+		{"a request that was not passed on has no answer", func(_ *world, j *judge) { j.saw(broken("r", plain)) }, ""},
+		{"a failure in the calm", func(_ *world, j *judge) {
+			j.expectCalm(time.Now().Add(-time.Second))
+			j.saw(answered("r", plain, http.StatusBadGateway))
+		}, "in the calm"},
+		{"a failure before the calm", func(_ *world, j *judge) {
+			j.expectCalm(time.Now().Add(time.Second))
+			j.saw(answered("r", plain, http.StatusBadGateway))
+		}, ""},
+		{"a leaving replica receives a request after its time", func(w *world, j *judge) {
+			w.markNews(news{at: time.Now().Add(-drainTime), replica: w.deployment.Replicas[plainReplica]})
+			arrive(t, w, plainReplica, "r")
+		}, "after it was due to receive nothing"},
+		{"the same beside a fault that hides news", func(w *world, j *judge) {
+			defer w.noted(StoreDeaf, nil)()
+			w.markNews(news{at: time.Now().Add(-drainTime), replica: w.deployment.Replicas[plainReplica]})
+			arrive(t, w, plainReplica, "r")
+		}, ""},
+		{"a configuration is not in force in time", func(w *world, j *judge) {
+			w.markNews(news{at: time.Now().Add(-applyTime - time.Second), shards: 2})
+			seen := answered("r", scattered, http.StatusOK)
+			seen.response.Missing = shards
+			j.saw(seen)
+		}, "after a configuration of 2 was due"},
+		{"more retries than the budget has", func(w *world, j *judge) {
+			for range budgetSlack + 2 {
+				arrive(t, w, plainReplica, "r")
+			}
+		}, "arrivals past the first"},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			w := newTestWorld(t)
+			j := newJudge(w)
+			test.happen(w, j)
+			report := j.conclude()
+			switch {
+			case test.want == "" && len(report.Findings) > 0:
+				t.Errorf("findings %q", report.Findings)
+			case test.want != "" && (len(report.Findings) != 1 || !strings.Contains(report.Findings[0], test.want)):
+				t.Errorf("findings %q, want one with %q", report.Findings, test.want)
+			}
+		})
+	}
+}
+
+func TestAnEndByItselfIsFound(t *testing.T) {
+	w := newTestWorld(t)
+	if err := w.nodes[0].startOnce(t); err != nil {
+		t.Fatal(err)
+	}
+	report := newJudge(w).conclude()
+	if len(report.Findings) != 1 || !strings.Contains(report.Findings[0], "ended by itself") {
+		t.Errorf("findings %q", report.Findings)
+	}
+}
+
+// startOnce runs a program that ends at once.
+func (n *node) startOnce(t *testing.T) error {
+	n.process = process.New(process.Config{Program: "true"})
+	if err := n.process.Start(); err != nil {
+		return err
+	}
+	return n.process.Wait(t.Context())
+}
--- /dev/null
+++ b/internal/soak/plan.go
@@ -0,0 +1,122 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Kind is what a fault does.
+type Kind uint8
+
+// The kinds of fault.
+const (
+	// KillNode, PauseNode, StopNode and HangUpNode send signals to a node; a
+	// killed or stopped one is started again.
+	KillNode Kind = iota
+	PauseNode
+	StopNode
+	HangUpNode
+	// StoreLink kinds harm the connections of one node to the store.
+	StoreLinkDelay
+	StoreLinkReset
+	StoreLinkHoldRequests
+	StoreLinkHoldReplies
+	StoreLinkSilence
+	// ReplicaLink kinds harm the connections of all nodes to one replica.
+	ReplicaLinkDelay
+	ReplicaLinkReset
+	ReplicaLinkHoldReplies
+	ReplicaLinkSilence
+	// Replica kinds are a replica's own: it holds everything, breaks off its
+	// answers, refuses everything, or ends.
+	ReplicaPause
+	ReplicaSpoil
+	ReplicaRefuse
+	ReplicaCrash
+	// Store kinds are the store's own, for all nodes.
+	StoreOutage
+	StoreThrottle
+	StoreSlow
+	StoreLostAnswers
+	StoreDeaf
+	// Configure writes the next configuration; Drain and Vanish let a replica
+	// leave, with and without saying so.
+	Configure
+	Drain
+	Vanish
+	kinds
+)
+
+var kindNames = [kinds]string{
+	"kill_node", "pause_node", "stop_node", "hang_up_node",
+	"store_link_delay", "store_link_reset", "store_link_hold_requests", "store_link_hold_replies", "store_link_silence",
+	"replica_link_delay", "replica_link_reset", "replica_link_hold_replies", "replica_link_silence",
+	"replica_pause", "replica_spoil", "replica_refuse", "replica_crash",
+	"store_outage", "store_throttle", "store_slow", "store_lost_answers", "store_deaf",
+	"configure", "drain", "vanish",
+}
+
+// String returns the name of a kind.
+func (k Kind) String() string { return kindNames[k] }
+
+// hidesNews tells whether a kind may keep nodes from hearing what is new in the
+// store, so that the times for news do not hold meanwhile.
+func (k Kind) hidesNews() bool {
+	switch {
+	case k == HangUpNode:
+		return false
+	case k <= StoreLinkSilence:
+		return true
+	default:
+		return k >= StoreOutage && k <= StoreDeaf
+	}
+}
+
+// Fault is one event of a plan.
+type Fault struct {
+	// At counts from the start of the run, For is how long it lasts.
+	At, For time.Duration
+	Kind    Kind
+	// Target chooses the node or the replica, by the remainder.
+	Target int
+}
+
+// The rounds of a plan. Each has its faults, and ends with a calm in which all
+// must be well again.
+const (
+	roundLength  = 12 * time.Second
+	faultsWithin = 3 * time.Second
+	longestFault = 3 * time.Second
+	mostFaults   = 3
+	// calmEvery is one round in so many in which nothing hides news, so that the
+	// times for news are checked.
+	calmEvery = 3
+)
+
+// NewPlan draws the faults of a run. The same seed gives the same plan.
+func NewPlan(seed uint64, length time.Duration) []Fault {
+	random := rand.New(rand.NewPCG(seed, seed))
+	var plan []Fault
+	for round := 0; ; round++ {
+		begin := time.Duration(round) * roundLength
+		if begin+roundLength > length {
+			return plan
+		}
+		calm := round%calmEvery == calmEvery-1
+		for range 1 + random.IntN(mostFaults) {
+			kind := Kind(random.IntN(int(kinds)))
+			for calm && kind.hidesNews() {
+				kind = Kind(random.IntN(int(kinds)))
+			}
+			plan = append(plan, Fault{
+				At:   begin + time.Duration(random.Int64N(int64(faultsWithin))),
+				For:  longestFault/3 + time.Duration(random.Int64N(int64(longestFault*2/3))),
+				Kind: kind, Target: random.IntN(1 << 16),
+			})
+		}
+		if calm {
+			news := []Kind{Configure, Drain, Vanish}[random.IntN(3)]
+			plan = append(plan, Fault{At: begin + faultsWithin, Kind: news, Target: random.IntN(1 << 16)})
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/proxy/proxy_test.go
@@ -0,0 +1,128 @@
+package proxy
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"testing"
+	"time"
+)
+
+// echo starts a server that sends back what it reads, and a proxy before it.
+func echo(t *testing.T, delay time.Duration) *Proxy {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = io.Copy(conn, conn)
+				_ = conn.Close()
+			}()
+		}
+	}()
+	p, err := New(Config{Target: netip.MustParseAddrPort(listener.Addr().String()), Delay: delay})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	return p
+}
+
+func dial(t *testing.T, p *Proxy) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", p.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+// exchange sends a byte and waits some time for it to come back.
+func exchange(conn net.Conn, wait time.Duration) error {
+	_ = conn.SetDeadline(time.Now().Add(wait))
+	if _, err := conn.Write([]byte("x")); err != nil {
+		return err
+	}
+	_, err := io.ReadFull(conn, make([]byte, 1))
+	return err
+}
+
+const (
+	ample = 10 * time.Second
+	brief = 100 * time.Millisecond
+)
+
+func TestPass(t *testing.T) {
+	conn := dial(t, echo(t, 0))
+	for range 3 {
+		if err := exchange(conn, ample); err != nil {
+			t.Fatal(err)
+		}
+	}
+	_ = conn.(*net.TCPConn).CloseWrite()
+	if _, err := conn.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("a clean end is passed on as %v", err)
+	}
+}
+
+func TestDelay(t *testing.T) {
+	p := echo(t, 50*time.Millisecond)
+	conn := dial(t, p)
+	p.Set(Delay)
+	begun := time.Now()
+	if err := exchange(conn, ample); err != nil {
+		t.Fatal(err)
+	}
+	if took := time.Since(begun); took < 100*time.Millisecond {
+		t.Errorf("there and back in %v", took)
+	}
+}
+
+func TestResetEndsOpenAndNewConnections(t *testing.T) {
+	p := echo(t, 0)
+	conn := dial(t, p)
+	if err := exchange(conn, ample); err != nil {
+		t.Fatal(err)
+	}
+	p.Set(Reset)
+	if err := exchange(conn, ample); err == nil {
+		t.Error("an open connection goes on")
+	}
+	if err := exchange(dial(t, p), ample); err == nil {
+		t.Error("a new connection is served")
+	}
+	p.Set(Pass)
+	if err := exchange(dial(t, p), ample); err != nil {
+		t.Errorf("after the end of the fault: %v", err)
+	}
+}
+
+// TestWhatIsHeldComesLater: what a cut holds up is passed on at its end.
+func TestWhatIsHeldComesLater(t *testing.T) {
+	for _, mode := range []Mode{HoldRequests, HoldReplies, Silence} {
+		t.Run(mode.String(), func(t *testing.T) {
+			p := echo(t, 0)
+			conn := dial(t, p)
+			p.Set(mode)
+			if err := exchange(conn, brief); !errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Fatalf("not held: %v", err)
+			}
+			p.Set(Pass)
+			_ = conn.SetDeadline(time.Now().Add(ample))
+			if _, err := io.ReadFull(conn, make([]byte, 1)); err != nil {
+				t.Errorf("what was held is lost: %v", err)
+			}
+		})
+	}
+}
