Soak: ports of nodes are drawn from below those of outgoing connections

Cause: the first longer run ended with "node n0 is not ready": its state port, free when it was chosen, had been given to an outgoing connection of another process meanwhile. A fault of the soak, not of the node.

--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -173,15 +174,26 @@
 	return eris.Wrap(os.WriteFile(n.path, content, settingsMode), "write settings")
 }
 
+// The ports of nodes are drawn from below those that the system gives to
+// outgoing connections, which might take one while its node is away.
+const (
+	firstPort = 16_000
+	lastPort  = 32_000
+	portTries = 1000
+)
+
 // freeAddress returns an address that was free a moment ago. It must stay the
 // same over restarts, as callers know it.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", eris.Wrap(err, "look for a free port")
+	var err error
+	for range portTries {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		var listener net.Listener
+		if listener, err = net.Listen("tcp", address); err == nil {
+			return address, listener.Close()
+		}
 	}
-	defer func() { _ = listener.Close() }() // nothing was written
-	return listener.Addr().String(), nil
+	return "", eris.Wrap(err, "look for a free port")
 }
 
 func (w *world) close() {
