Admission finds an overload by strained windows, and the bearable load by Little's law

Ruled out: the replicas' slots (about 600 searches a second; 500 a second were answered, most too late); the nodes' processors (0.05 of a core).

Change: a request is strained when the faster half of its shards took over half of its objective, or too few were asked in time; slow replicas or a shard out of reach strain no request. When half of the requests that end in an objective's time are strained, the limit becomes the number that ends in half of the shortest objective; it grows by a tenth with each window in which a quarter or less are. While a target is overloaded no hedges are sent to it. Each cut is a line in the log.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -55,6 +56,8 @@
 	// adaptive limit starts there.
 	Total      int
 	Registerer prometheus.Registerer
+	// Logger takes a line for each cut of the limit for strain; nil means none.
+	Logger *slog.Logger
 }
 
 // Controller counts the queries in flight. It takes no lock on the path of a
@@ -80,6 +83,10 @@
 		Name: "doorpondd_queries_refused_total", Help: "Queries refused before anything was sent, by reason.",
 	}, []string{"reason"})}
 	controller.limit.start(options.Total)
+	controller.limit.logger = options.Logger
+	if options.Logger == nil {
+		controller.limit.logger = slog.New(slog.DiscardHandler)
+	}
 	if options.Registerer != nil {
 		options.Registerer.MustRegister(controller.refused)
 		options.Registerer.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"log/slog"
 	"sync/atomic"
 	"time"
 
@@ -19,6 +20,11 @@
 	limitRaise = 1
 	// leastLimit keeps a trickle that shows when the overload is over.
 	leastLimit = 4
+	// leastBearable is the same for queries with an objective. Many nodes may
+	// share what little the back ends bear.
+	leastBearable = 2
+	// windowRaise is by how much the limit grows with each window without strain.
+	windowRaise = 1.1
 	// cutPause is the least time between two cuts, so that the queries let in
 	// before a cut do not cause another.
 	cutPause = 50 * time.Millisecond
@@ -36,8 +42,10 @@
 	most      int64
 	cutAt     atomic.Int64  // Unix nanoseconds
 	overSince atomic.Int64  // time of the first cut of an overload, Unix nanoseconds
-	onTimeAt  atomic.Int64  // time of the last request that was not delayed, Unix nanoseconds
 	lastShard atomic.Uint64 // hash of the shard of the last sign
+	// congestion is of queries with an objective.
+	congestion congestion
+	logger     *slog.Logger
 }
 
 func (l *adaptiveLimit) start(total int) {
@@ -60,25 +68,20 @@
 	Refused  int
 	// RefusedShard names one of the refused shards.
 	RefusedShard string
-	// Delayed is true when the sub-requests were sent late, or not at all, as
-	// there was too much to do.
-	Delayed bool
-	// Patience is for how long all must be delayed before that counts as an
-	// overload: a burst that is soon worked off is none.
-	Patience time.Duration
+	// Objective is the time within which an answer is of full worth; 0 when
+	// there is none.
+	Objective time.Duration
+	// Strained is true when even the faster half of the shards took much of the
+	// objective, or was asked late. It counts only with an Objective.
+	Strained bool
 }
 
 func (e *Ended) whole() bool { return e.Answered == e.Asked }
 
 func (l *adaptiveLimit) observe(now time.Time, inFlight int64, ended *Ended) {
-	if !ended.Delayed {
-		l.onTimeAt.Store(now.UnixNano())
-	}
 	switch {
-	case ended.Delayed:
-		if l.lasted(now) > 0 || now.UnixNano()-l.onTimeAt.Load() > int64(ended.Patience) {
-			l.cut(now, inFlight, ended.Took)
-		}
+	case ended.Objective > 0:
+		l.observeStrain(now, inFlight, ended)
 	case ended.Refused > 0:
 		if l.signOfOverload(ended) {
 			l.cut(now, inFlight, ended.Took)
@@ -88,6 +91,26 @@
 	}
 }
 
+// observeStrain cuts the limit to what the back ends bear at the end of a window
+// in which they were overloaded.
+func (l *adaptiveLimit) observeStrain(now time.Time, inFlight int64, ended *Ended) {
+	over, whole := l.congestion.observe(now, ended)
+	switch units := l.units.Load(); {
+	case !whole:
+	case over.overloaded():
+		l.noteCut(now, l.cutAt.Swap(now.UnixNano()))
+		borne := min(limitCut*float64(units), over.bearable*limitScale)
+		l.units.Store(max(leastBearable*limitScale, int64(borne)))
+		l.logger.Info("load limit cut", "limit", float64(l.units.Load())/limitScale, "in_flight", inFlight,
+			"strained", over.strained, "ended", over.ended, "rate", over.rate)
+	case over.relaxed() && l.inUse(units, inFlight):
+		l.units.Store(min(l.most, int64(windowRaise*float64(units))))
+	}
+}
+
+// inUse is true while queries come near a limit.
+func (l *adaptiveLimit) inUse(units, inFlight int64) bool { return 2*inFlight*limitScale >= units }
+
 // signOfOverload is false when the same shard alone is refused as the last
 // time: fewer queries would not help a single shard, and cost the others'
 // answers.
@@ -102,11 +125,16 @@
 	if now.UnixNano()-last < int64(pause) || !l.cutAt.CompareAndSwap(last, now.UnixNano()) {
 		return
 	}
+	l.noteCut(now, last)
+	held := min(l.units.Load(), inFlight*limitScale)
+	l.units.Store(max(leastLimit*limitScale, int64(limitCut*float64(held))))
+}
+
+// noteCut begins an overload with a cut that comes long after the last.
+func (l *adaptiveLimit) noteCut(now time.Time, last int64) {
 	if now.UnixNano()-last > int64(calmAfter) {
 		l.overSince.Store(now.UnixNano())
 	}
-	held := min(l.units.Load(), inFlight*limitScale)
-	l.units.Store(max(leastLimit*limitScale, int64(limitCut*float64(held))))
 }
 
 // lasted returns for how long there has been an overload, 0 if there is none.
@@ -120,7 +148,7 @@
 // raise is only for a limit that is in use.
 func (l *adaptiveLimit) raise(now time.Time, inFlight int64) {
 	units := l.units.Load()
-	if units >= l.most || 2*inFlight*limitScale < units {
+	if units >= l.most || !l.inUse(units, inFlight) {
 		return
 	}
 	step := int64(limitRaise * limitScale * limitScale / float64(units))
--- a/internal/admission/targets.go
+++ b/internal/admission/targets.go
@@ -24,7 +24,11 @@
 	if known, found := t.byTarget.Load(target); found {
 		return known.(*Controller)
 	}
-	known, _ := t.byTarget.LoadOrStore(target, New(t.options))
+	options := t.options
+	if options.Logger != nil {
+		options.Logger = options.Logger.With("target", target)
+	}
+	known, _ := t.byTarget.LoadOrStore(target, New(options))
 	return known.(*Controller)
 }
 
--- a/internal/decision/plan.go
+++ b/internal/decision/plan.go
@@ -47,6 +47,9 @@
 	// RunsOnce is true when no sub-request may run twice: there are no hedges,
 	// and another attempt is made only after proof that none has run.
 	RunsOnce bool
+	// NoHedges is true while the replicas have more to do than they bear: hedges
+	// would add to that.
+	NoHedges bool
 }
 
 // ShardStatus is what became of one shard. Reason is empty when it answered.
--- a/internal/decision/query.go
+++ b/internal/decision/query.go
@@ -136,7 +136,7 @@
 
 // mayHedge is true while another attempt beside those in flight is allowed.
 func (q *Query) mayHedge(state *shardState) bool {
-	return !q.plan.RunsOnce && !state.hedgeOff && state.attempts < q.attemptLimit() && state.sent < maxAttempts
+	return !q.plan.RunsOnce && !q.plan.NoHedges && !state.hedgeOff && state.attempts < q.attemptLimit() && state.sent < maxAttempts
 }
 
 // The wait before a sub-request that found all replicas busy is tried again:
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -164,7 +164,7 @@
 		Board: n.board, Self: place, Codec: n.platform.Codec, GroupBudget: budgets.of, Registerer: registerer,
 	})
 	n.queries = query.NewService(query.Options{
-		Board: n.board, Pool: n.pool, Registerer: registerer,
+		Board: n.board, Pool: n.pool, Registerer: registerer, Logger: n.logger,
 		Admission: admission.New(admission.Options{Registerer: registerer}),
 	})
 	n.follower = follower.New(follower.Options{
--- a/internal/query/forward.go
+++ b/internal/query/forward.go
@@ -29,6 +29,9 @@
 	// delayShare of the objective is how long sending all first attempts may
 	// take: beyond it, this node or the replicas have too much to do.
 	delayShare = 0.125
+	// strainShare of the objective is what the faster half of the shards takes at
+	// most while the replicas have no more to do than they bear.
+	strainShare = 0.5
 	// lingerTime is for how long an attempt that is not needed any more may
 	// still answer. Replicas must have stopped half a second after a caller
 	// has left.
@@ -96,13 +99,14 @@
 		deadline = min(deadline, forwarding.Wait)
 	}
 	groups := s.groupsOf(forwarding.Route)
-	ticket, err := s.targets.Of(groups[0]).Admit(row, row.Priority, started, deadline)
+	target := s.targets.Of(groups[0])
+	ticket, err := target.Admit(row, row.Priority, started, deadline)
 	if err != nil {
 		s.metrics.observe(s.options.Now().Sub(started), err)
 		return Forwarded{}, err
 	}
 	defer ticket.Release()
-	current := s.newForwardRun(forwarding, groups, deadline)
+	current := s.newForwardRun(forwarding, groups, deadline, target.Loaded(started))
 	current.execute(ctx, deadline)
 	answer, err := current.conclude()
 	s.recordForward(current, ticket, s.options.Now().Sub(started), err)
@@ -121,12 +125,12 @@
 	return []string{s.splitter.Pick(route)}
 }
 
-func (s *Service) newForwardRun(forwarding *Forwarding, groups []string, deadline time.Duration) *forwardRun {
+func (s *Service) newForwardRun(forwarding *Forwarding, groups []string, deadline time.Duration, overloaded bool) *forwardRun {
 	route := forwarding.Route
 	usual := s.usuals.Of(route.Name)
 	plan := decision.Plan{
 		Shards: s.forwardShards(route, groups, usual), Policy: route.Policy, Deadline: deadline,
-		LeastShards: route.LeastShards, RunsOnce: !route.Repeatable,
+		LeastShards: route.LeastShards, RunsOnce: !route.Repeatable, NoHedges: overloaded,
 	}
 	if !route.Scattered() {
 		plan.OfferBy = time.Duration(offerShare * float64(route.Objective))
@@ -279,19 +283,22 @@
 	if errors.As(err, &known) && known.Kind == failure.Canceled {
 		return
 	}
-	ticket.Ended(s.options.Now(), current.endedAfterDelay(took))
+	ticket.Ended(s.options.Now(), current.endedWith(took))
 }
 
-// endedAfterDelay is what admission learns: a request whose first attempts were
-// sent late, or not at all, may be a sign of overload, also when it was
-// answered. A few shards that are out of reach are none: the answer does
-// without them.
-func (r *forwardRun) endedAfterDelay(took time.Duration) admission.Ended {
+// endedWith is what admission learns. A request is strained when the faster
+// half of its shards answered late, or too few were asked in time. A few shards
+// that are slow or out of reach are no strain: the answer does without them.
+func (r *forwardRun) endedWith(took time.Duration) admission.Ended {
 	ended := r.ended(took)
 	objective := r.forwarding.Route.Objective
+	half := r.halfAt
+	if half == 0 {
+		half = took
+	}
 	onTime := r.sentBy(time.Duration(delayShare * float64(objective)))
-	ended.Delayed = onTime < max(1, r.plan.LeastShards)
-	ended.Patience = objective
+	ended.Objective = objective
+	ended.Strained = onTime < max(1, r.plan.LeastShards) || half > time.Duration(strainShare*float64(objective))
 	return ended
 }
 
--- a/internal/query/run.go
+++ b/internal/query/run.go
@@ -38,6 +38,8 @@
 	// linger is for how long an attempt that is not needed any more may still
 	// answer: its time tells how its replica does, and its connection is kept.
 	linger time.Duration
+	// halfAt is when half of the shards had answered, 0 until then.
+	halfAt time.Duration
 	// abandoned is set once the caller no longer waits.
 	abandoned bool
 }
@@ -103,6 +105,7 @@
 		switch woken {
 		case WokenByResult:
 			finished = r.step(r.take(result))
+			r.noteHalf()
 		case WokenByTimer:
 			finished = r.step(decision.Event{Kind: decision.TimerFired})
 		case WokenByCaller:
@@ -112,6 +115,13 @@
 	}
 }
 
+// noteHalf notes when half of the shards have answered.
+func (r *run) noteHalf() {
+	if r.halfAt == 0 && 2*r.core.Answered() >= len(r.shards) {
+		r.halfAt = r.inbox.Elapsed()
+	}
+}
+
 // take notes a result and turns it into an event.
 func (r *run) take(result AttemptResult) decision.Event {
 	outcome := result.Result.Outcome
--- a/internal/query/service.go
+++ b/internal/query/service.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"time"
 
 	"github.com/oklog/ulid/v2"
@@ -31,7 +32,10 @@
 	Statistics *statistics.Recorder
 	Admission  *admission.Controller
 	Registerer prometheus.Registerer
-	Now        func() time.Time
+	// Logger takes what changes the node's belief in the load that replicas bear;
+	// nil means that nothing is told.
+	Logger *slog.Logger
+	Now    func() time.Time
 	// NewID names a query; it must be unique over all daemons.
 	NewID func() string
 	// Driver defaults to goroutines and the real clock; a simulation brings
@@ -67,7 +71,7 @@
 	}
 	return &Service{
 		options: options, metrics: newServiceMetrics(options.Registerer),
-		targets: admission.NewTargets(admission.Options{}),
+		targets: admission.NewTargets(admission.Options{Logger: options.Logger}),
 	}
 }
 
