Operators read the nodes on the users' platform: doorpond system, and compare on routes

Weighed: linking package admin into the edge node (it brings the daemon's members and tokens), and a store client in the command line (operators would need the platform's names; the nodes know all of it).

--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -18,6 +18,7 @@
 	"github.com/doorpond/doorpond/client"
 	"github.com/doorpond/doorpond/internal/blackboard"
 	"github.com/doorpond/doorpond/internal/catalogue"
+	"github.com/doorpond/doorpond/internal/comparison"
 	"github.com/doorpond/doorpond/internal/failure"
 	"github.com/doorpond/doorpond/internal/peer"
 	"github.com/doorpond/doorpond/internal/policy"
@@ -287,7 +288,7 @@
 	options.Statistics = func(time.Duration) ([]byte, error) { return encodedStatistics("a"), nil }
 	members := []topology.Member{{ID: "a", PeerAddress: "a"}, {ID: "b", PeerAddress: "b"}, {ID: "broken", PeerAddress: "broken"}, {ID: "gone", PeerAddress: "gone"}}
 	options.Board.Members.Publish(&topology.Members{Self: members[0], Members: members})
-	var compared Comparison
+	var compared comparison.Live
 	answered := ask(New(options), http.MethodGet, "/v1/compare?a=fast&b=old&group=gate", "", "")
 	if err := json.Unmarshal(answered.Body.Bytes(), &compared); err != nil {
 		t.Fatal(err)
--- a/internal/admin/compare.go
+++ b/internal/admin/compare.go
@@ -16,67 +16,21 @@
 	"github.com/doorpond/doorpond/internal/topology"
 )
 
-// Comparison sets two policies side by side, over all daemons that answer.
-type Comparison struct {
-	comparison.Report
-	// Group is empty for all groups.
-	Group string `json:"group"`
-	// LastSeconds is how far back the statistics go, in whole minutes; the
-	// minute under way is in them.
-	LastSeconds int64 `json:"last_seconds"`
-	// Daemons answered; Unreachable did not, so their queries are missing.
-	Daemons     int           `json:"daemons"`
-	Unreachable []Unreachable `json:"unreachable"`
-}
-
-const (
-	defaultLast = 10 * time.Minute
-	longestLast = statistics.Minutes * time.Minute
-	// maxSeries bounds what is taken over from one peer.
-	maxSeries = 1024
-)
-
-// compareQuery is the query string of GET /v1/compare.
-type compareQuery struct {
-	a, b, group string
-	last        time.Duration
-}
-
-func compareQueryOf(r *http.Request) (compareQuery, error) {
-	values := r.URL.Query()
-	query := compareQuery{a: values.Get("a"), b: values.Get("b"), group: values.Get("group"), last: defaultLast}
-	if query.a == "" || query.b == "" {
-		return query, failure.New(failure.InvalidRequest, "a and b must each name a policy")
-	}
-	if text := values.Get("last"); text != "" {
-		last, err := time.ParseDuration(text)
-		if err != nil || last < time.Minute || last > longestLast {
-			return query, failure.New(failure.InvalidRequest,
-				"last must be a duration from 1m to "+longestLast.String()+", not "+strconv.Quote(text))
-		}
-		query.last = last
-	}
-	return query, nil
-}
+// maxSeries bounds what is taken over from one peer.
+const maxSeries = 1024
 
 func (h *handler) compare(w http.ResponseWriter, r *http.Request) {
-	query, err := compareQueryOf(r)
+	query, err := comparison.ReadQuery(r.URL.Query())
 	if err != nil {
 		failure.WriteProblem(w, err)
 		return
 	}
-	measured, unreachable := h.gatherStatistics(r.Context(), query.last)
-	if err := h.checkKnown(measured, query.a, query.b); err != nil {
+	measured, unreachable := h.gatherStatistics(r.Context(), query.Last)
+	if err := h.checkKnown(measured, query.A, query.B); err != nil {
 		failure.WriteProblem(w, err)
 		return
 	}
-	writeJSON(w, Comparison{
-		Report:      comparison.Compare(statistics.Merge(measured...), query.a, query.b, query.group),
-		Group:       query.group,
-		LastSeconds: int64(query.last / time.Second),
-		Daemons:     len(measured),
-		Unreachable: unreachable,
-	})
+	writeJSON(w, comparison.NewLive(query, measured, unreachable))
 }
 
 // checkKnown refuses a policy that is neither in the table nor measured; one
--- a/internal/admin/status.go
+++ b/internal/admin/status.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/doorpond/doorpond/internal/comparison"
 	"github.com/doorpond/doorpond/internal/failure"
 	"github.com/doorpond/doorpond/internal/peer"
 	"github.com/doorpond/doorpond/internal/replica"
@@ -46,10 +47,7 @@
 }
 
 // Unreachable is a live member that did not answer.
-type Unreachable struct {
-	Member topology.Member `json:"member"`
-	Reason string          `json:"reason"`
-}
+type Unreachable = comparison.Unreachable
 
 // Propagation says how far a revision has come.
 type Propagation struct {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -28,6 +28,7 @@
 	"github.com/doorpond/doorpond/internal/freshness"
 	"github.com/doorpond/doorpond/internal/handover"
 	"github.com/doorpond/doorpond/internal/ingress"
+	"github.com/doorpond/doorpond/internal/inspect"
 	"github.com/doorpond/doorpond/internal/processor"
 	"github.com/doorpond/doorpond/internal/query"
 	"github.com/doorpond/doorpond/internal/registry"
@@ -108,6 +109,8 @@
 	registry  *registry.Registry
 	monitor   *freshness.Monitor
 	processor *processor.Meter
+	// self is this node as it records itself, but for its readiness and load.
+	self      topology.Node
 	callers   *drain.Listener
 	open      drain.Connections
 	server    *http.Server
@@ -150,7 +153,7 @@
 
 func (n *Node) assemble() {
 	place := topology.Place{Region: n.settings.Region, Zone: n.settings.Zone}
-	self := topology.Node{ID: n.settings.Node, Address: n.callers.Addr().String(), PeerAddress: n.announcer.Address(),
+	n.self = topology.Node{ID: n.settings.Node, Address: n.callers.Addr().String(), PeerAddress: n.announcer.Address(),
 		StateAddress: n.auxiliary["state"].listener.Addr().String(), Place: place, Ready: true,
 		Processors: n.settings.Limits.Processors()}
 	var registerer prometheus.Registerer
@@ -169,7 +172,7 @@
 	})
 	n.follower = follower.New(follower.Options{
 		Source: n.platform.Store, Decoder: n.platform.Codec, Keys: n.platform.Keys, Board: n.board,
-		Regions: n.settings.Regions, Self: self, Logger: n.logger, EntryNodes: n.settings.Bounds.EntryNodes(),
+		Regions: n.settings.Regions, Self: n.self, Logger: n.logger, EntryNodes: n.settings.Bounds.EntryNodes(),
 		Peers: n.announcer, Others: handover.NewReader(stateClient(), n.board.Nodes.Load), News: n.settings.Bounds.News(),
 		VanishedFor: time.Duration(vanishedShare * float64(n.settings.Bounds.Drain)),
 	})
@@ -177,8 +180,9 @@
 	n.registry = registry.New(registry.Options{
 		Store: n.platform.Store, Key: n.platform.Keys.Nodes + n.settings.Node, TTL: max(entryTTL, n.settings.Store.LeastTTL),
 		Node: func() topology.Node {
-			self.Ready, self.Loaded = n.ready(), n.loaded()
-			return self
+			recorded := n.self
+			recorded.Ready, recorded.Loaded = n.ready(), n.loaded()
+			return recorded
 		},
 		Logger: n.logger,
 	})
@@ -264,16 +268,26 @@
 	}))
 	n.open.Follow(n.server)
 	n.auxiliary["readiness"].server = n.newServer(n.platform.Ready(n.ready))
-	n.auxiliary["state"].server = n.newServer(handover.Handler(n.follower.Snapshot))
+	n.auxiliary["state"].server = n.newServer(n.stateHandler())
 	n.auxiliary["directory"].server = n.newServer(n.platform.Directory(n.resolve))
 	if n.metrics != nil {
 		n.auxiliary["metrics"].server = n.newServer(promhttp.HandlerFor(n.metrics, promhttp.HandlerOpts{}))
 	}
 }
 
+// stateHandler serves what other nodes and operators read of this one.
+func (n *Node) stateHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(handover.Path, handover.Handler(n.follower.Snapshot))
+	mux.Handle("/v1/", inspect.New(inspect.Config{
+		Board: n.board, Node: n.self, Measured: n.queries.Measured, Loaded: n.loaded, Client: stateClient(),
+	}))
+	return mux
+}
+
 // Addresses are where a node listens, with the ports it was given.
 type Addresses struct {
-	Callers, Readiness, Directory, Metrics, Peers string
+	Callers, Readiness, Directory, Metrics, Peers, State string
 }
 
 // Addresses returns where the node listens.
@@ -283,6 +297,7 @@
 		Readiness: n.auxiliary["readiness"].listener.Addr().String(),
 		Directory: n.auxiliary["directory"].listener.Addr().String(),
 		Peers:     n.announcer.Address(),
+		State:     n.auxiliary["state"].listener.Addr().String(),
 	}
 	if metrics := n.auxiliary["metrics"]; metrics != nil {
 		found.Metrics = metrics.listener.Addr().String()
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -14,6 +15,7 @@
 	"time"
 
 	"github.com/doorpond/doorpond/internal/edge"
+	"github.com/doorpond/doorpond/internal/inspect"
 	"github.com/doorpond/doorpond/internal/standin/kv"
 	"github.com/doorpond/doorpond/platform/standin"
 )
@@ -412,3 +414,22 @@
 	}
 	s.eventually("no replica works on it", func() bool { return replicas[0].Working()+replicas[1].Working() == 0 })
 }
+
+// TestOperatorsSeeTheSystem: any node answers for all.
+func TestOperatorsSeeTheSystem(t *testing.T) {
+	s := startSystem(t, nil)
+	s.whole()
+	var seen inspect.System
+	s.eventually("all nodes are seen with the configuration in force", func() bool {
+		response, err := s.caller.HTTP.Get("http://" + s.nodes[2].Addresses().State + "/v1/system")
+		if err != nil {
+			return false
+		}
+		defer response.Body.Close()
+		err = json.NewDecoder(response.Body).Decode(&seen)
+		return err == nil && len(seen.Nodes) == len(s.nodes) && seen.Version > 0 && len(seen.Lagging) == 0
+	})
+	if len(seen.Routes) != 3 || seen.Replicas != (shards+1)*len(zones) || len(seen.Unreachable) != 0 {
+		t.Errorf("%d routes, %d replicas, unreachable %v", len(seen.Routes), seen.Replicas, seen.Unreachable)
+	}
+}
--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -16,6 +16,8 @@
 
 	"github.com/doorpond/doorpond/client"
 	"github.com/doorpond/doorpond/internal/admin"
+	"github.com/doorpond/doorpond/internal/comparison"
+	"github.com/doorpond/doorpond/internal/inspect"
 	"github.com/doorpond/doorpond/internal/policy"
 	"github.com/doorpond/doorpond/internal/policytable"
 )
@@ -77,10 +79,17 @@
 	return status, a.get(ctx, "/v1/status", status)
 }
 
+// System returns all nodes on the users' platform, and what the one that is
+// asked knows.
+func (a *API) System(ctx context.Context) (*inspect.System, error) {
+	system := &inspect.System{}
+	return system, a.get(ctx, "/v1/system", system)
+}
+
 // Compare sets two policies side by side over the last while; an empty group
 // means all groups.
-func (a *API) Compare(ctx context.Context, first, second, group string, last time.Duration) (*admin.Comparison, error) {
-	compared := &admin.Comparison{}
+func (a *API) Compare(ctx context.Context, first, second, group string, last time.Duration) (*comparison.Live, error) {
+	compared := &comparison.Live{}
 	query := url.Values{"a": {first}, "b": {second}, "group": {group}, "last": {last.String()}}
 	return compared, a.get(ctx, "/v1/compare?"+query.Encode(), compared)
 }
--- a/internal/operator/compare.go
+++ b/internal/operator/compare.go
@@ -8,7 +8,6 @@
 
 	"github.com/urfave/cli/v3"
 
-	"github.com/doorpond/doorpond/internal/admin"
 	"github.com/doorpond/doorpond/internal/comparison"
 )
 
@@ -88,7 +87,7 @@
 	})
 }
 
-func printComparison(to io.Writer, compared *admin.Comparison) {
+func printComparison(to io.Writer, compared *comparison.Live) {
 	group := compared.Group
 	if group == "" {
 		group = "all groups"
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -43,10 +43,10 @@
 		Assignments: []policy.Assignment{{Group: "gate", Shares: []policy.Share{{Policy: "fast", Weight: 1}}}}}
 }
 
-func testComparison(query url.Values) admin.Comparison {
+func testComparison(query url.Values) comparison.Live {
 	last, _ := time.ParseDuration(query.Get("last")) // zero shows in the test
 	known := comparison.Estimate{Value: 10, Low: 9, High: 11, Enough: true}
-	return admin.Comparison{
+	return comparison.Live{
 		Group: query.Get("group"), LastSeconds: int64(last / time.Second), Daemons: 2,
 		Report: comparison.Report{
 			A: comparison.Side{Policy: query.Get("a")}, B: comparison.Side{Policy: query.Get("b")}, Warnings: []string{"few"},
--- /dev/null
+++ b/internal/operator/system.go
@@ -0,0 +1,122 @@
+package operator
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/doorpond/doorpond/internal/inspect"
+	"github.com/doorpond/doorpond/internal/routing"
+	"github.com/doorpond/doorpond/internal/topology"
+)
+
+func systemCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "system",
+		Usage: "show the nodes on the users' platform, the routes in force, and which replicas leave",
+		Description: `Asks one node, at the state address of its settings, which asks all others. A node
+lags when an older configuration is in force on it. Routes are assignments of
+callers, by host and path, to rows of waits and limits; compare takes their names.
+
+   doorpond --admin 10.1.0.39:7740 system
+   doorpond --admin 10.1.0.39:7740 compare search search-next --last 10m
+   doorpond --admin 10.1.0.39:7740 --output json system | jq '.lagging'`,
+		Action: func(ctx context.Context, command *cli.Command) error {
+			if _, err := arguments(command, 0, 0); err != nil {
+				return err
+			}
+			system, err := api(command).System(ctx)
+			if err != nil {
+				return coded(err, false)
+			}
+			return show(command, system, func(to io.Writer) { printSystem(to, system) })
+		},
+	}
+}
+
+func printSystem(to io.Writer, system *inspect.System) {
+	fmt.Fprintf(to, "configuration %d; %d nodes answer, %d lag, %d do not answer; %d replicas serve, %d leave\n\n",
+		system.Version, len(system.Nodes), len(system.Lagging), len(system.Unreachable), system.Replicas, len(system.Leaving))
+	printNodes(to, system.Nodes)
+	fmt.Fprintln(to)
+	printRoutes(to, system.Routes)
+	if len(system.Leaving) > 0 {
+		fmt.Fprintln(to)
+		printLeaving(to, system.Leaving)
+	}
+	for _, lagging := range system.Lagging {
+		fmt.Fprintln(to, "lags:", oneLine(lagging))
+	}
+	for _, gone := range system.Unreachable {
+		fmt.Fprintln(to, "does not answer:", oneLine(gone.Member.ID), oneLine(gone.Reason))
+	}
+}
+
+func printNodes(to io.Writer, nodes []inspect.Node) {
+	sorted := slices.Clone(nodes)
+	slices.SortFunc(sorted, func(a, b inspect.Node) int {
+		return cmp.Or(cmp.Compare(a.Node.Place.Region, b.Node.Place.Region), cmp.Compare(a.Node.Place.Zone, b.Node.Place.Zone),
+			cmp.Compare(a.Node.ID, b.Node.ID))
+	})
+	lines := newGrid(to, "REGION", "ZONE", "NODE", "ADDRESS", "ROLE", "LOADED", "CONFIGURATION", "STORE")
+	for _, one := range sorted {
+		role := "standby"
+		if one.Entry {
+			role = "entry"
+		}
+		lines.row(one.Node.Place.Region, one.Node.Place.Zone, one.Node.ID, one.Node.Address, role, one.Node.Loaded,
+			one.Version, reachableText(one))
+	}
+	lines.end()
+}
+
+func reachableText(node inspect.Node) string {
+	if node.StoreReachable {
+		return "reachable"
+	}
+	return "away since " + node.StoreSince.Format("15:04:05")
+}
+
+func printRoutes(to io.Writer, routes []inspect.Route) {
+	lines := newGrid(to, "ROUTE", "HOST", "PATH", "RANK", "REPEATABLE", "ATTEMPTS", "TIMEOUT", "OBJECTIVE", "TO")
+	for _, one := range routes {
+		lines.row(one.Name, one.Host, one.PathPrefix, one.Rank, one.Repeatable, one.Attempts,
+			fmt.Sprintf("%d ms", one.Timeout), fmt.Sprintf("%d ms", one.Objective), targetText(&one))
+	}
+	lines.end()
+}
+
+func targetText(route *inspect.Route) string {
+	if route.Shards > 0 {
+		return fmt.Sprintf("%d shards, at least %.2f, top %d", route.Shards, route.LeastShare, route.TopRecords)
+	}
+	parts := make([]string, 0, len(route.Shares))
+	for _, share := range route.Shares {
+		parts = append(parts, splitText(share, len(route.Shares)))
+	}
+	return strings.Join(parts, ", ")
+}
+
+func splitText(share routing.Share, of int) string {
+	if of == 1 {
+		return share.Group
+	}
+	return fmt.Sprintf("%s=%g", share.Group, share.Weight)
+}
+
+func printLeaving(to io.Writer, replicas []topology.Replica) {
+	lines := newGrid(to, "LEAVING", "GROUP", "ZONE", "ADDRESS")
+	for _, one := range replicas {
+		state := "draining"
+		if one.State == topology.ReplicaVanished {
+			state = "vanished"
+		}
+		lines.row(state, one.Group, one.Place.Zone, one.Address)
+	}
+	lines.end()
+}
--- /dev/null
+++ b/internal/operator/system_test.go
@@ -0,0 +1,58 @@
+package operator
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/doorpond/doorpond/internal/comparison"
+	"github.com/doorpond/doorpond/internal/inspect"
+	"github.com/doorpond/doorpond/internal/routing"
+	"github.com/doorpond/doorpond/internal/topology"
+)
+
+func TestPrintSystem(t *testing.T) {
+	place := topology.Place{Region: "accra", Zone: "kaneshie"}
+	system := &inspect.System{
+		Version: 7, Replicas: 30, Lagging: []string{"n2"},
+		Nodes: []inspect.Node{
+			{Node: topology.Node{ID: "n2", Place: place}, Version: 5, StoreSince: time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)},
+			{Node: topology.Node{ID: "n1", Address: "10.0.0.1:1", Place: place, Loaded: true}, Entry: true, Version: 7, StoreReachable: true},
+		},
+		Unreachable: []comparison.Unreachable{{Member: topology.Member{ID: "n3"}, Reason: "no\x1b answer"}},
+		Routes: []inspect.Route{
+			{Name: "search", Host: "h", Shards: 10, LeastShare: 0.89, TopRecords: 20},
+			{Name: "fetch", Host: "h", Shares: []routing.Share{{Group: "a", Weight: 3}, {Group: "b", Weight: 1}}},
+			{Name: "plain", Host: "h", Shares: []routing.Share{{Group: "a", Weight: 1}}},
+		},
+		Leaving: []topology.Replica{{Group: "a", Address: "10.0.0.9:1", State: topology.ReplicaVanished}},
+	}
+	var out strings.Builder
+	printSystem(&out, system)
+	lines := strings.Split(out.String(), "\n")
+	for _, want := range []string{
+		"configuration 7; 2 nodes answer, 1 lag, 1 do not answer; 30 replicas serve, 1 leave",
+		"accra kaneshie n1 10.0.0.1:1 entry true 7 reachable",
+		"accra kaneshie n2 standby false 5 away since 03:04:05",
+		"search h 0 false 0 0 ms 0 ms 10 shards, at least 0.89, top 20",
+		"fetch h 0 false 0 0 ms 0 ms a=3, b=1",
+		"plain h 0 false 0 0 ms 0 ms a",
+		"vanished a 10.0.0.9:1",
+		"lags: n2",
+		"does not answer: n3 no answer",
+	} {
+		if !hasLine(lines, want) {
+			t.Errorf("no line %q in\n%s", want, out.String())
+		}
+	}
+}
+
+// hasLine compares words, as columns are padded.
+func hasLine(lines []string, want string) bool {
+	for _, line := range lines {
+		if strings.Join(strings.Fields(line), " ") == want {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/query/forward.go
+++ b/internal/query/forward.go
@@ -116,6 +116,12 @@
 // Loaded is true while this node has lately had to refuse requests for load.
 func (s *Service) Loaded() bool { return s.targets.Loaded(s.options.Now()) }
 
+// Measured returns what was measured of each policy and route for some time
+// back.
+func (s *Service) Measured(last time.Duration) []statistics.PolicyStatistics {
+	return s.options.Statistics.Snapshot(last)
+}
+
 // groupsOf returns the replica groups that a request goes to, one for each
 // shard. The first one names them all: an index has its own.
 func (s *Service) groupsOf(route *routing.Route) []string {
