Cuts of the load limit that do not help are taken back

Ruled out: a higher threshold of strain (in an overload all windows are strained as well); the number of requests in flight at a node (the same in both cases at 7 requests a second).

Change: queries that were let in before a cut do not count, so that a window shows what the cut has done. When three cuts in a row have not ended the strain, the limit is lifted for four times as long.

--- a/internal/admission/congestion.go
+++ b/internal/admission/congestion.go
@@ -48,8 +48,12 @@
 func (w *window) relaxed() bool { return float64(w.strained) <= relaxedShare*float64(w.ended) }
 
 // observe takes in the end of a query, and returns the window that ends with it;
-// whole is false when none does.
-func (c *congestion) observe(now time.Time, ended *Ended) (over window, whole bool) {
+// whole is false when none does. Queries let in before the last cut of the limit
+// do not count, as it could not help them.
+func (c *congestion) observe(now, lastCut time.Time, ended *Ended) (over window, whole bool) {
+	if now.Add(-ended.Took).Before(lastCut) {
+		return window{}, false
+	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.ended == 0 {
--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -20,9 +20,11 @@
 	limitRaise = 1
 	// leastLimit keeps a trickle that shows when the overload is over.
 	leastLimit = 4
-	// leastBearable is the same for queries with an objective. Many nodes may
-	// share what little the back ends bear.
-	leastBearable = 2
+	// mostFutile is the number of cuts in a row that may fail to end a strain.
+	mostFutile = 3
+	// liftedShare is for how many times as long as cuts have failed no more are
+	// made.
+	liftedShare = 4
 	// windowRaise is by how much the limit grows with each window without strain.
 	windowRaise = 1.1
 	// cutPause is the least time between two cuts, so that the queries let in
@@ -43,9 +45,13 @@
 	cutAt     atomic.Int64  // Unix nanoseconds
 	overSince atomic.Int64  // time of the first cut of an overload, Unix nanoseconds
 	lastShard atomic.Uint64 // hash of the shard of the last sign
-	// congestion is of queries with an objective.
-	congestion congestion
-	logger     *slog.Logger
+	// congestion is of queries with an objective, futile the number of its cuts
+	// since the last window without strain, and liftedUntil when cuts begin again
+	// after they did not help, Unix nanoseconds.
+	congestion  congestion
+	futile      atomic.Int32
+	liftedUntil atomic.Int64
+	logger      *slog.Logger
 }
 
 func (l *adaptiveLimit) start(total int) {
@@ -92,22 +98,41 @@
 }
 
 // observeStrain cuts the limit to what the back ends bear at the end of a window
-// in which they were overloaded.
+// in which they were overloaded. When cuts do not help, the back ends are slow
+// for another reason: refusing queries would cost answers for nothing.
 func (l *adaptiveLimit) observeStrain(now time.Time, inFlight int64, ended *Ended) {
-	over, whole := l.congestion.observe(now, ended)
+	if now.UnixNano() < l.liftedUntil.Load() {
+		return
+	}
+	lastCut := l.cutAt.Load()
+	over, whole := l.congestion.observe(now, time.Unix(0, lastCut), ended)
 	switch units := l.units.Load(); {
 	case !whole:
+	case over.overloaded() && l.futile.Add(1) > mostFutile:
+		l.lift(now)
 	case over.overloaded():
 		l.noteCut(now, l.cutAt.Swap(now.UnixNano()))
 		borne := min(limitCut*float64(units), over.bearable*limitScale)
-		l.units.Store(max(leastBearable*limitScale, int64(borne)))
+		l.units.Store(max(leastLimit*limitScale, int64(borne)))
 		l.logger.Info("load limit cut", "limit", float64(l.units.Load())/limitScale, "in_flight", inFlight,
 			"strained", over.strained, "ended", over.ended, "rate", over.rate)
-	case over.relaxed() && l.inUse(units, inFlight):
-		l.units.Store(min(l.most, int64(windowRaise*float64(units))))
+	default:
+		l.futile.Store(0)
+		if over.relaxed() && l.inUse(units, inFlight) {
+			l.units.Store(min(l.most, int64(windowRaise*float64(units))))
+		}
 	}
 }
 
+// lift takes back cuts that have not helped, for a while.
+func (l *adaptiveLimit) lift(now time.Time) {
+	lasted := l.lasted(now)
+	l.futile.Store(0)
+	l.units.Store(l.most)
+	l.liftedUntil.Store(now.Add(max(calmAfter, liftedShare*lasted)).UnixNano())
+	l.logger.Info("load limit lifted, as cuts did not help", "after", lasted.String())
+}
+
 // inUse is true while queries come near a limit.
 func (l *adaptiveLimit) inUse(units, inFlight int64) bool { return 2*inFlight*limitScale >= units }
 
