Nodes watch a few nodes of their zone in place of the store

Weighed: longer gathering on nodes that stand by (news come later); datagrams with the changes themselves (lost ones need a second way); the product's election of followers (a lease and its loss to handle; the order of the nodes' entries is known to all already).

Change: in each zone the first nodes by capacity, as many as callers are led to, watch the store. The others ask one of those for changes after a revision (package relay), which are no proof of the store's present state: that still comes by the confirmations.

Ruled out while building: relayed changes are not gathered a second time, as a node would be behind for longer than it is allowed and read everything anew.

--- a/internal/directory/entry_test.go
+++ b/internal/directory/entry_test.go
@@ -47,3 +47,16 @@
 		})
 	}
 }
+
+func TestWatchers(t *testing.T) {
+	nodes := []topology.Node{
+		sized("a1", placeA, 0.2), sized("a2", placeA, 0.8), node("a3", placeA, false), sized("b1", placeB, 0.8), loaded("a4", placeA),
+	}
+	var got []string
+	for _, watcher := range Watchers(nodes, placeA, 2) {
+		got = append(got, watcher.ID)
+	}
+	if diff := cmp.Diff([]string{"a2", "a1"}, got); diff != "" {
+		t.Errorf("watchers (-want +got):\n%s", diff)
+	}
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -32,6 +32,7 @@
 	"github.com/doorpond/doorpond/internal/processor"
 	"github.com/doorpond/doorpond/internal/query"
 	"github.com/doorpond/doorpond/internal/registry"
+	"github.com/doorpond/doorpond/internal/relay"
 	"github.com/doorpond/doorpond/internal/replica"
 	"github.com/doorpond/doorpond/internal/topology"
 	"github.com/doorpond/doorpond/internal/upstream"
@@ -86,6 +87,9 @@
 	idleTimeout   = 60 * time.Second
 	// maxHeaderBytes is net/http's limit; callers keep to the operators' own.
 	maxHeaderBytes = 64 << 10
+	// relaySlackShare of the time for news is how much longer than the wait for a
+	// change the answer of another node may take.
+	relaySlackShare = 0.1
 	// vanishedShare of the drain time is how long a replica whose entry is gone
 	// may still be asked; the rest is for the time to hear of it.
 	vanishedShare = 0.4
@@ -174,6 +178,9 @@
 		Source: n.platform.Store, Decoder: n.platform.Codec, Keys: n.platform.Keys, Board: n.board,
 		Regions: n.settings.Regions, Self: n.self, Logger: n.logger, EntryNodes: n.settings.Bounds.EntryNodes(),
 		Peers: n.announcer, Others: handover.NewReader(stateClient(), n.board.Nodes.Load), News: n.settings.Bounds.News(),
+		Relays: relay.New(relay.Config{
+			HTTP: relayClient(), Wait: n.settings.Bounds.News(), Slack: shareOf(relaySlackShare, n.settings.Bounds.News()),
+		}),
 		VanishedFor: time.Duration(vanishedShare * float64(n.settings.Bounds.Drain)),
 	})
 	n.monitor = freshness.New(freshness.Options{Confirm: n.follower.Confirm, Logger: n.logger, Registerer: registerer})
@@ -189,6 +196,11 @@
 	n.addServers()
 }
 
+// relayClient is for watching another node: one question waits after the other.
+func relayClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{DialContext: upstream.DialContext, MaxIdleConnsPerHost: 1}}
+}
+
 // stateClient is for reading what other nodes know.
 func stateClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{DialContext: upstream.DialContext, DisableKeepAlives: true}}
@@ -278,6 +290,7 @@
 // stateHandler serves what other nodes and operators read of this one.
 func (n *Node) stateHandler() http.Handler {
 	mux := http.NewServeMux()
+	mux.Handle(relay.Path, n.follower.Feed())
 	mux.Handle(handover.Path, handover.Handler(n.follower.Snapshot))
 	mux.Handle("/v1/", inspect.New(inspect.Config{
 		Board: n.board, Node: n.self, Measured: n.queries.Measured, Loaded: n.loaded, Client: stateClient(),
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"net/netip"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -18,6 +19,7 @@
 	"github.com/doorpond/doorpond/internal/announce"
 	"github.com/doorpond/doorpond/internal/blackboard"
 	"github.com/doorpond/doorpond/internal/handover"
+	"github.com/doorpond/doorpond/internal/relay"
 	"github.com/doorpond/doorpond/internal/routing"
 	"github.com/doorpond/doorpond/internal/store"
 	"github.com/doorpond/doorpond/internal/topology"
@@ -43,6 +45,11 @@
 	Received() <-chan announce.Announcement
 }
 
+// Relays let this node watch another one in place of the store.
+type Relays interface {
+	Watch(ctx context.Context, node netip.AddrPort, fromRevision int64, deliver func(store.WatchBatch) error) error
+}
+
 // Others hand over what they know of the store.
 type Others interface {
 	Read(ctx context.Context) (handover.Snapshot, error)
@@ -61,7 +68,9 @@
 	Source Source
 	Peers  Peers
 	// Others are asked while the store serves them and not this node.
-	Others  Others
+	Others Others
+	// Relays may be left out: then this node watches the store itself.
+	Relays  Relays
 	Decoder Decoder
 	Keys    Keys
 	Board   *blackboard.Board
@@ -112,8 +121,14 @@
 	patience time.Duration
 	// confirmedAt is the staleness's, for other goroutines.
 	confirmedAt atomic.Pointer[time.Time]
-	// snapshot is what is handed over to other nodes.
+	// snapshot is what is handed over to other nodes, feed what those that watch
+	// this one are told.
 	snapshot atomic.Pointer[snapshot]
+	feed     relay.Feed
+	// relaysFailed counts the watches of other nodes that have failed of late,
+	// relayFailedAt is when the last did.
+	relaysFailed  int
+	relayFailedAt time.Time
 }
 
 // The pauses between two attempts to read the store while it fails.
@@ -199,18 +214,31 @@
 	return values, revision, nil
 }
 
-// watch runs a watch beside the checks.
+// watch follows the changes after a revision until that fails, from one source
+// or, as the nodes come and go, from several in turn.
 func (f *Follower) watch(ctx context.Context, revision int64) error {
+	for {
+		err := f.watchOne(ctx, f.chooseSource(), revision)
+		if !errors.Is(err, errOtherSource) {
+			f.noteFailed(err)
+			return err
+		}
+		revision = f.staleness.known
+	}
+}
+
+// watchOne runs a watch of one source beside the checks.
+func (f *Follower) watchOne(ctx context.Context, from source, revision int64) error {
 	watching, cancel := context.WithCancel(ctx)
 	batches, ended := make(chan store.WatchBatch), make(chan error, 1)
 	go func() {
-		ended <- f.options.Source.Watch(watching, "", revision+1, func(batch store.WatchBatch) error {
+		ended <- from.watch(watching, revision+1, func(batch store.WatchBatch) error {
 			select {
 			case batches <- batch:
 			case <-watching.Done():
 				return watching.Err()
 			}
-			if len(batch.Events) > 0 {
+			if len(batch.Events) > 0 && !batch.Relayed { // who relays has gathered them
 				sleep(watching, f.options.share(gatherShare))
 			}
 			return nil
@@ -228,6 +256,9 @@
 			return err
 		case batch := <-batches:
 			f.deliver(batch)
+			if f.mayChange(from) {
+				return errOtherSource
+			}
 		case news := <-f.options.Peers.Received():
 			f.told(news)
 		case <-timer.C:
@@ -311,11 +342,15 @@
 
 func (f *Follower) deliver(batch store.WatchBatch) {
 	now := f.options.Now()
-	f.heard(now)
 	for _, event := range batch.Events {
 		f.state.apply(now, event)
 	}
 	f.state.publish(now)
+	if batch.Relayed {
+		f.staleness.learn(batch.Revision)
+		return
+	}
+	f.heard(now)
 	f.learned(now, batch.Revision)
 }
 
@@ -352,7 +387,7 @@
 
 // lost notes that the store has failed.
 func (f *Follower) lost(err error) {
-	if errors.Is(err, store.ErrCompacted) || errors.Is(err, errBehind) {
+	if errors.Is(err, store.ErrCompacted) || errors.Is(err, errBehind) || errors.Is(err, relay.ErrBroken) {
 		f.options.Logger.Info("reading the store anew", "reason", err.Error(), "known_revision", f.staleness.known)
 		return
 	}
--- a/internal/follower/others.go
+++ b/internal/follower/others.go
@@ -62,4 +62,6 @@
 	}
 	f.state.valuesChanged = false
 	f.snapshot.Store(kept)
+	f.feed.Publish(kept.revision, f.state.unpublished)
+	f.state.unpublished = nil
 }
--- /dev/null
+++ b/internal/follower/source_test.go
@@ -0,0 +1,140 @@
+package follower
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/doorpond/doorpond/internal/announce"
+	"github.com/doorpond/doorpond/internal/blackboard"
+	"github.com/doorpond/doorpond/internal/relay"
+	"github.com/doorpond/doorpond/internal/store"
+	"github.com/doorpond/doorpond/internal/topology"
+)
+
+// fakeRelays are other nodes that may be watched.
+type fakeRelays struct {
+	mu      sync.Mutex
+	broken  bool
+	watched []netip.AddrPort
+	batches chan store.WatchBatch
+}
+
+func (r *fakeRelays) Watch(ctx context.Context, node netip.AddrPort, _ int64, deliver func(store.WatchBatch) error) error {
+	r.mu.Lock()
+	r.watched = append(r.watched, node)
+	broken := r.broken
+	r.mu.Unlock()
+	if broken {
+		return relay.ErrBroken
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case batch := <-r.batches:
+			if err := deliver(batch); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (r *fakeRelays) asked() []netip.AddrPort {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]netip.AddrPort(nil), r.watched...)
+}
+
+// nodeWith is a node's entry with its state address.
+func nodeWith(t *testing.T, revision int64, id, address string) store.KeyValue {
+	t.Helper()
+	node := topology.Node{ID: id, Ready: true, StateAddress: address}
+	return store.KeyValue{Key: "nodes/" + id, Value: encoded(t, node), ModRevision: revision}
+}
+
+// startRelayed runs a follower of node "self", beside others that are recorded;
+// two nodes of a place watch the store.
+func startRelayed(t *testing.T, source *fakeSource, relays *fakeRelays, others []store.KeyValue) *blackboard.Board {
+	t.Helper()
+	for _, other := range others {
+		source.put(other)
+	}
+	source.put(tableAt(t, 4, 1))
+	board := &blackboard.Board{}
+	made := New(Options{
+		Source: source, Peers: &fakePeers{received: make(chan announce.Announcement)}, Relays: relays,
+		Decoder: testDecoder{}, Keys: testKeys, Board: board, EntryNodes: 2,
+		Self: topology.Node{ID: "self"}, News: time.Minute, VanishedFor: time.Second,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- made.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return board
+}
+
+func twoOthers(t *testing.T) []store.KeyValue {
+	t.Helper()
+	return []store.KeyValue{nodeWith(t, 2, "a", "127.0.0.1:1001"), nodeWith(t, 3, "b", "127.0.0.1:1002")}
+}
+
+// TestMostNodesWatchAnother: what it tells is in force, and the store is not
+// watched.
+func TestMostNodesWatchAnother(t *testing.T) {
+	source, relays := &fakeSource{}, &fakeRelays{batches: make(chan store.WatchBatch)}
+	board := startRelayed(t, source, relays, twoOthers(t))
+	relays.batches <- store.WatchBatch{Revision: 9, Events: []store.Event{{KeyValue: tableAt(t, 9, 9)}}, Relayed: true}
+	eventually(t, "what the other node tells is in force", inForce(board, 9))
+	if watches := source.watches(); watches != 0 {
+		t.Errorf("the store is watched %d times", watches)
+	}
+	for _, node := range relays.asked() {
+		if port := node.Port(); port != 1001 && port != 1002 {
+			t.Errorf("watches %v", node)
+		}
+	}
+}
+
+// TestTheStoreIsWatchedWhenOtherNodesFail, after each was tried once.
+func TestTheStoreIsWatchedWhenOtherNodesFail(t *testing.T) {
+	source, relays := &fakeSource{}, &fakeRelays{broken: true}
+	board := startRelayed(t, source, relays, twoOthers(t))
+	eventually(t, "the store is watched", func() bool { return source.watches() > 0 })
+	source.put(tableAt(t, 9, 9))
+	eventually(t, "what the store tells is in force", inForce(board, 9))
+	tried := relays.asked()
+	if len(tried) != relayTries || tried[0] == tried[1] {
+		t.Errorf("tried %v", tried)
+	}
+	if watches := source.watches(); watches != 1 {
+		t.Errorf("the store is watched %d times", watches)
+	}
+}
+
+// TestTheFirstNodesWatchTheStore: one of the wanted number watches no other.
+func TestTheFirstNodesWatchTheStore(t *testing.T) {
+	source, relays := &fakeSource{}, &fakeRelays{}
+	source.put(nodeWith(t, 1, "self", "127.0.0.1:1004"))
+	source.put(nodeWith(t, 2, "z", "127.0.0.1:1003"))
+	board := startRelayed(t, source, relays, nil)
+	eventually(t, "the store is watched", func() bool { return source.watches() == 1 })
+	source.put(tableAt(t, 9, 9))
+	eventually(t, "what the store tells is in force", inForce(board, 9))
+	if asked := relays.asked(); len(asked) != 0 {
+		t.Errorf("watches %v", asked)
+	}
+}
+
+func (s *fakeSource) watches() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.watching)
+}
--- a/internal/follower/state.go
+++ b/internal/follower/state.go
@@ -25,6 +25,8 @@
 	// values are the store's, as they are handed over to other nodes.
 	values        map[string]store.KeyValue
 	valuesChanged bool
+	// unpublished are the changes of values that other nodes have not been told.
+	unpublished []store.Event
 	// entryUntil says until when a node was one to which callers are led; zero
 	// while it is one.
 	entryUntil map[string]time.Time
@@ -84,6 +86,7 @@
 	if value.ModRevision >= s.values[value.Key].ModRevision {
 		s.values[value.Key] = value
 		s.valuesChanged = true
+		s.unpublished = append(s.unpublished, store.Event{KeyValue: value})
 	}
 	switch {
 	case value.Key == s.options.Keys.Configuration:
@@ -151,6 +154,7 @@
 func (s *state) remove(now time.Time, key string) {
 	delete(s.values, key)
 	s.valuesChanged = true
+	s.unpublished = append(s.unpublished, store.Event{KeyValue: store.KeyValue{Key: key}, Deleted: true})
 	if known, found := s.replicas[key]; found && known.goneAt.IsZero() {
 		known.goneAt = now
 		s.replicas[key] = known
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,216 @@
+// Package relay lets nodes hear the store's changes from another node. A watch
+// of the store is priced and counted against its rate, so that a few nodes watch
+// it and the others watch those.
+package relay
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/doorpond/doorpond/internal/store"
+)
+
+// Path is where a node serves changes.
+const Path = "/changes"
+
+// ErrBroken is returned when a watch of another node ends; nothing is wrong
+// with the store then.
+var ErrBroken = eris.New("the watch of another node has ended")
+
+const (
+	// mostEvents is the number of changes that are kept for those who come late.
+	mostEvents = 4096
+	// longestWait bounds the time for which a question waits.
+	longestWait = 30 * time.Second
+	contentType = "application/msgpack"
+)
+
+// Changes is the answer to one question.
+type Changes struct {
+	// Revision is the store's revision up to which all changes are in.
+	Revision int64 `msgpack:"r"`
+	// Events are in the order in which the node heard of them.
+	Events []store.Event `msgpack:"e"`
+}
+
+// Feed keeps the latest changes that a node knows, and serves them to others.
+// Its zero value knows nothing. It is safe for concurrent use.
+//
+// Invariant: events holds every change after revision from, up to revision.
+type Feed struct {
+	mu       sync.Mutex
+	started  bool
+	from     int64
+	revision int64
+	events   []numbered
+	changed  chan struct{} // closed when revision rises
+}
+
+// numbered is an event with the revision at which it was published, which may
+// be later than its own.
+type numbered struct {
+	at    int64
+	event store.Event
+}
+
+// Publish adds the changes that lead to a revision. The first call only begins
+// the feed: nobody can have seen a part of what was before.
+func (f *Feed) Publish(revision int64, events []store.Event) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.started {
+		f.started, f.from, f.revision = true, revision, revision
+		return
+	}
+	for _, event := range events {
+		f.events = append(f.events, numbered{at: revision, event: event})
+	}
+	if extra := len(f.events) - mostEvents; extra > 0 {
+		f.from = f.events[extra-1].at
+		f.events = append([]numbered(nil), f.events[extra:]...)
+	}
+	if revision <= f.revision {
+		return
+	}
+	f.revision = revision
+	if f.changed != nil {
+		close(f.changed)
+		f.changed = nil
+	}
+}
+
+// since returns the changes after a revision; when there are none yet, changed
+// is closed with the next. known is false when some of them are not kept.
+func (f *Feed) since(after int64) (found Changes, changed <-chan struct{}, known bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.started || after < f.from {
+		return Changes{}, nil, false
+	}
+	if after >= f.revision {
+		if f.changed == nil {
+			f.changed = make(chan struct{})
+		}
+		return Changes{}, f.changed, true
+	}
+	found.Revision = f.revision
+	for _, one := range f.events {
+		if one.at > after {
+			found.Events = append(found.Events, one.event)
+		}
+	}
+	return found, nil, true
+}
+
+// ServeHTTP answers with the changes after a revision as soon as there are
+// some, with 204 when there are none in time, and with 410 when some of them are
+// not kept.
+func (f *Feed) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	wait, err := time.ParseDuration(r.URL.Query().Get("wait"))
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	timer := time.NewTimer(min(wait, longestWait))
+	defer timer.Stop()
+	for {
+		found, changed, known := f.since(after)
+		switch {
+		case !known:
+			w.WriteHeader(http.StatusGone)
+			return
+		case changed == nil:
+			answer(w, &found)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			w.WriteHeader(http.StatusNoContent)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func answer(w http.ResponseWriter, found *Changes) {
+	encoded, err := msgpack.Marshal(found)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", contentType)
+	_, _ = w.Write(encoded) // the other node is gone if this fails
+}
+
+// Config is what a Client is made of.
+type Config struct {
+	HTTP *http.Client
+	// Wait is how long one question waits for a change, Slack how much longer the
+	// answer may take.
+	Wait, Slack time.Duration
+}
+
+// Client watches other nodes.
+type Client struct{ config Config }
+
+// New makes a Client.
+func New(config Config) *Client { return &Client{config: config} }
+
+// Watch calls deliver for the changes that a node knows, from a revision on,
+// until ctx ends, deliver returns an error, or the node does not answer. It
+// always returns an error: ErrBroken when the node is to blame.
+func (c *Client) Watch(ctx context.Context, node netip.AddrPort, fromRevision int64, deliver func(store.WatchBatch) error) error {
+	after := fromRevision - 1
+	for {
+		batch, err := c.ask(ctx, node, after)
+		if err != nil {
+			return eris.Wrapf(ErrBroken, "%s: %v", node, err)
+		}
+		after = max(after, batch.Revision)
+		if err := deliver(batch); err != nil {
+			return err
+		}
+	}
+}
+
+func (c *Client) ask(ctx context.Context, node netip.AddrPort, after int64) (store.WatchBatch, error) {
+	bounded, cancel := context.WithTimeout(ctx, c.config.Wait+c.config.Slack)
+	defer cancel()
+	query := url.Values{"after": {strconv.FormatInt(after, 10)}, "wait": {c.config.Wait.String()}}
+	request, err := http.NewRequestWithContext(bounded, http.MethodGet, "http://"+node.String()+Path+"?"+query.Encode(), nil)
+	if err != nil {
+		return store.WatchBatch{}, err
+	}
+	response, err := c.config.HTTP.Do(request)
+	if err != nil {
+		return store.WatchBatch{}, err
+	}
+	defer func() { _ = response.Body.Close() }() // what matters was read
+	switch response.StatusCode {
+	case http.StatusNoContent:
+		return store.WatchBatch{Revision: after, Relayed: true}, nil
+	case http.StatusOK:
+	default:
+		return store.WatchBatch{}, eris.Errorf("status %d", response.StatusCode)
+	}
+	var found Changes
+	if err := msgpack.NewDecoder(response.Body).Decode(&found); err != nil {
+		return store.WatchBatch{}, err
+	}
+	return store.WatchBatch{Revision: found.Revision, Events: found.Events, Relayed: true}, nil
+}
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,161 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/doorpond/doorpond/internal/store"
+)
+
+func put(key string, revision int64) store.Event {
+	return store.Event{KeyValue: store.KeyValue{Key: key, Value: []byte{1}, ModRevision: revision}}
+}
+
+func gone(key string) store.Event {
+	return store.Event{KeyValue: store.KeyValue{Key: key}, Deleted: true}
+}
+
+func TestSince(t *testing.T) {
+	var feed Feed
+	if _, _, known := feed.since(3); known {
+		t.Error("a feed that has not begun knows changes")
+	}
+	feed.Publish(5, []store.Event{put("before", 4)})
+	feed.Publish(7, []store.Event{put("a", 6), gone("b")})
+	feed.Publish(9, []store.Event{put("c", 9)})
+	cases := []struct {
+		after    int64
+		known    bool
+		revision int64
+		keys     []string
+	}{
+		{4, false, 0, nil},
+		{5, true, 9, []string{"a", "b", "c"}},
+		{7, true, 9, []string{"c"}},
+		{9, true, 0, nil},
+		{12, true, 0, nil}, // another node knew more
+	}
+	for _, test := range cases {
+		found, changed, known := feed.since(test.after)
+		var keys []string
+		for _, event := range found.Events {
+			keys = append(keys, event.KeyValue.Key)
+		}
+		if known != test.known || found.Revision != test.revision || !cmp.Equal(keys, test.keys) {
+			t.Errorf("after %d: known %v, revision %d, keys %v", test.after, known, found.Revision, keys)
+		}
+		if waits := changed != nil; waits != (test.known && test.revision == 0) {
+			t.Errorf("after %d: waits %v", test.after, waits)
+		}
+	}
+}
+
+func TestWhatIsNotKeptIsNotKnown(t *testing.T) {
+	var feed Feed
+	feed.Publish(0, nil)
+	for revision := range int64(mostEvents + 10) {
+		feed.Publish(revision+1, []store.Event{put("a", revision+1)})
+	}
+	if _, _, known := feed.since(9); known {
+		t.Error("changes that were dropped are said to be known")
+	}
+	if found, _, known := feed.since(10); !known || len(found.Events) != mostEvents {
+		t.Errorf("known %v, %d events", known, len(found.Events))
+	}
+}
+
+func TestLateAndRepeatedRevisionsDoNotGoBack(t *testing.T) {
+	var feed Feed
+	feed.Publish(5, nil)
+	feed.Publish(8, nil)
+	feed.Publish(8, nil)
+	feed.Publish(7, nil)
+	if found, _, _ := feed.since(5); found.Revision != 8 {
+		t.Errorf("revision %d", found.Revision)
+	}
+}
+
+var errEnough = errors.New("enough")
+
+// watch collects batches from a server until a number of events has come.
+func watch(t *testing.T, handler http.Handler, from int64, events int) ([]store.WatchBatch, error) {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	var batches []store.WatchBatch
+	client := New(Config{HTTP: server.Client(), Wait: 50 * time.Millisecond, Slack: 10 * time.Second})
+	err := client.Watch(t.Context(), netip.MustParseAddrPort(server.Listener.Addr().String()), from, func(batch store.WatchBatch) error {
+		batches = append(batches, batch)
+		if events -= len(batch.Events); events <= 0 {
+			return errEnough
+		}
+		return nil
+	})
+	return batches, err
+}
+
+// TestWatch: changes that are there come at once, later ones when they come, and
+// a question without changes ends in time and is asked again.
+func TestWatch(t *testing.T) {
+	var feed Feed
+	feed.Publish(1, nil)
+	feed.Publish(2, []store.Event{put("a", 2)})
+	later := time.AfterFunc(120*time.Millisecond, func() { feed.Publish(4, []store.Event{gone("a"), put("b", 4)}) })
+	defer later.Stop()
+	batches, err := watch(t, &feed, 2, 3)
+	if !errors.Is(err, errEnough) {
+		t.Fatal(err)
+	}
+	first, last := batches[0], batches[len(batches)-1]
+	if diff := cmp.Diff(store.WatchBatch{Revision: 2, Events: []store.Event{put("a", 2)}, Relayed: true}, first); diff != "" {
+		t.Errorf("first (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(store.WatchBatch{Revision: 4, Events: []store.Event{gone("a"), put("b", 4)}, Relayed: true}, last); diff != "" {
+		t.Errorf("last (-want +got):\n%s", diff)
+	}
+	if len(batches) < 3 {
+		t.Error("no question ended without changes")
+	}
+}
+
+func TestAWatchEndsWhenTheNodeCannotTell(t *testing.T) {
+	var began Feed
+	began.Publish(10, nil)
+	garbage := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("garbage")) })
+	for name, handler := range map[string]http.Handler{
+		"changes not kept": &began, "nothing known": &Feed{}, "another service": http.NotFoundHandler(), "no changes": garbage,
+	} {
+		if _, err := watch(t, handler, 5, 1); !errors.Is(err, ErrBroken) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+func TestASilentNodeIsGivenUp(t *testing.T) {
+	hold := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-hold }))
+	defer server.Close()
+	defer close(hold)
+	client := New(Config{HTTP: server.Client(), Wait: 10 * time.Millisecond, Slack: 10 * time.Millisecond})
+	err := client.Watch(context.Background(), netip.MustParseAddrPort(server.Listener.Addr().String()), 1, nil)
+	if !errors.Is(err, ErrBroken) {
+		t.Error(err)
+	}
+}
+
+func TestBadQuestionsAreRefused(t *testing.T) {
+	for _, query := range []string{"", "?after=x&wait=1s", "?after=1&wait=x"} {
+		recorder := httptest.NewRecorder()
+		new(Feed).ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, Path+query, nil))
+		if recorder.Code != http.StatusBadRequest {
+			t.Errorf("%q: status %d", query, recorder.Code)
+		}
+	}
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -84,6 +84,9 @@
 type WatchBatch struct {
 	Revision int64
 	Events   []Event
+	// Relayed is true when another node has told of the changes: they prove
+	// nothing about the store's present state.
+	Relayed bool
 }
 
 // Reader reads keys.
