A node that the store refuses at its start reads from seeds

A node that knows no other asks them, gone ones passed over.

The new test of a whole node failed first: the follower publishes an empty list of nodes while it waits, and the reader took that for nodes that are known. The soak has a kill of half the nodes, and up to five faults a round.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -177,7 +177,8 @@
 	n.follower = follower.New(follower.Options{
 		Source: n.platform.Store, Decoder: n.platform.Codec, Keys: n.platform.Keys, Board: n.board,
 		Regions: n.settings.Regions, Self: n.self, Logger: n.logger, EntryNodes: n.settings.Bounds.EntryNodes(),
-		Peers: n.announcer, Others: handover.NewReader(stateClient(), n.board.Nodes.Load), News: n.settings.Bounds.News(),
+		Peers: n.announcer, News: n.settings.Bounds.News(),
+		Others: handover.New(handover.Config{HTTP: stateClient(), Nodes: n.board.Nodes.Load, Seeds: n.settings.Seeds}),
 		Relays: relay.New(relay.Config{
 			HTTP: relayClient(), Wait: n.settings.Bounds.News(), Slack: shareOf(relaySlackShare, n.settings.Bounds.News()),
 		}),
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -320,6 +321,35 @@
 	}
 }
 
+// TestANodeThatStartsWhileTheStoreRefusesItServes: it knows nobody but its seeds,
+// of which some are gone.
+func TestANodeThatStartsWhileTheStoreRefusesItServes(t *testing.T) {
+	s := startSystem(t, nil)
+	s.whole()
+	refusing := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusTooManyRequests)
+	}))
+	t.Cleanup(refusing.Close)
+	settings := s.NodeSettings("late", "b")
+	settings.Store.URL = refusing.URL
+	settings.Seeds = []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1"), netip.MustParseAddrPort(s.nodes[0].Addresses().State)}
+	late, err := s.StartNode(settings, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.nodes = append(s.nodes, late)
+	s.eventually("the late node is ready", func() bool {
+		return s.get(late.Addresses().Readiness, standin.ReadyPath) == http.StatusOK
+	})
+	own := &standin.Client{Region: "region-b", Zone: "b", Directories: []string{late.Addresses().Directory}, HTTP: s.caller.HTTP}
+	for i := range 10 {
+		response, err := own.Send(t.Context(), fmt.Sprint("late", i), standin.ScatteredPath, 4*time.Second)
+		if err != nil || len(response.Parts) != shards {
+			t.Fatalf("%d parts, error %v", len(response.Parts), err)
+		}
+	}
+}
+
 // TestTheStoreMayBeAway: what is known serves on, and what has changed
 // meanwhile is in force soon after.
 func TestTheStoreMayBeAway(t *testing.T) {
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/doorpond/doorpond/internal/settings"
@@ -23,6 +24,9 @@
 	Peers string `yaml:"peers" validate:"hostname_port_ip"`
 	// State is IP:port on which other nodes read what this one knows.
 	State string `yaml:"state" validate:"hostname_port_ip"`
+	// Seeds are State addresses of some nodes, which may be gone. A node that the
+	// store refuses at its start reads from them.
+	Seeds []netip.AddrPort `yaml:"seeds"`
 	// Metrics is IP:port of the metrics listener; empty means none.
 	Metrics string `yaml:"metrics" validate:"omitempty,hostname_port_ip"`
 
--- a/internal/edge/settings_test.go
+++ b/internal/edge/settings_test.go
@@ -19,6 +19,7 @@
 var platformFields = map[string]string{
 	"node|json": `"n1"`, "region|json": `"r1"`, "zone|json": `"z1"`, "zones|json": `{"z1":"r1","z2":"r2"}`,
 	"listen.front|json": `"10.0.0.1:1"`, "listen.ready|json": `"10.0.0.1:2"`, "listen.directory|json": `"10.0.0.1:3"`,
+	"listen.control|json": `"10.0.0.1:4"`, "seeds|json": `["10.0.0.1:4","10.0.0.2:4"]`,
 	"ip": "10.0.0.1", "portRange.0": "7740", "portRange.1": "7741", "platform.address": "10.0.0.9:1",
 	"platform.ttlMinMs": "1000", "limits.memoryMb": "284", "bounds.drainMs": "3000", "bounds.graceS": "6",
 	"bounds.configApplyMs": "2000", "bounds.retryBudgetRatio": "0.2", "bounds.retrySlack": "58", "bounds.ttl_max_s": "5",
@@ -58,6 +59,9 @@
 	if loaded.Node != "n1" || loaded.Regions["z2"] != "r2" || loaded.Store.URL != "http://10.0.0.9:1" || loaded.Peers != "10.0.0.1:7740" {
 		t.Errorf("settings %+v", loaded)
 	}
+	if len(loaded.Seeds) != 2 || loaded.Seeds[1].String() != "10.0.0.2:4" || loaded.State != "10.0.0.1:4" {
+		t.Errorf("state %s, seeds %v", loaded.State, loaded.Seeds)
+	}
 	if loaded.Bounds.News() != 2*time.Second || loaded.Bounds.Grace != 6*time.Second || loaded.Bounds.RetrySlack != 58 {
 		t.Errorf("bounds %+v", loaded.Bounds)
 	}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -62,16 +63,21 @@
 }
 
 // Reader reads snapshots from other nodes.
-type Reader struct {
-	client *http.Client
-	nodes  func() *topology.Nodes
-}
+type Reader struct{ config Config }
 
-// NewReader makes a Reader of the nodes that are known.
-func NewReader(client *http.Client, nodes func() *topology.Nodes) *Reader {
-	return &Reader{client: client, nodes: nodes}
+// Config is what a Reader is made of.
+type Config struct {
+	HTTP *http.Client
+	// Nodes returns the nodes known now.
+	Nodes func() *topology.Nodes
+	// Seeds are addresses of nodes, which may be gone, for a node that knows no
+	// other yet.
+	Seeds []netip.AddrPort
 }
 
+// New makes a Reader.
+func New(config Config) *Reader { return &Reader{config: config} }
+
 // Read returns the snapshot of the first of some nodes, chosen by chance, that
 // gives one.
 func (r *Reader) Read(ctx context.Context) (Snapshot, error) {
@@ -86,18 +92,24 @@
 	return Snapshot{}, last
 }
 
+// targets are some of the nodes that are known, by chance; the seeds when there
+// are none.
 func (r *Reader) targets() []string {
-	nodes := r.nodes()
-	if nodes == nil {
-		return nil
-	}
 	var targets []string
-	for _, i := range rand.Perm(len(nodes.Nodes)) {
-		node := nodes.Nodes[i]
-		if node.ID != nodes.Self.ID && node.StateAddress != "" && len(targets) < mostNodes {
-			targets = append(targets, node.StateAddress)
+	if nodes := r.config.Nodes(); nodes != nil {
+		for _, i := range rand.Perm(len(nodes.Nodes)) {
+			node := nodes.Nodes[i]
+			if node.ID != nodes.Self.ID && node.StateAddress != "" && len(targets) < mostNodes {
+				targets = append(targets, node.StateAddress)
+			}
 		}
 	}
+	if len(targets) > 0 {
+		return targets
+	}
+	for _, seed := range r.config.Seeds {
+		targets = append(targets, seed.String())
+	}
 	return targets
 }
 
@@ -107,7 +119,7 @@
 	if err != nil {
 		return snapshot, eris.Wrapf(err, "ask %s", address)
 	}
-	response, err := r.client.Do(request)
+	response, err := r.config.HTTP.Do(request)
 	if err != nil {
 		return snapshot, eris.Wrapf(err, "ask %s", address)
 	}
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -28,7 +29,7 @@
 		{ID: "old version"},
 	}}
 	for range 10 { // in whichever order they are asked
-		got, err := NewReader(http.DefaultClient, func() *topology.Nodes { return nodes }).Read(t.Context())
+		got, err := New(Config{HTTP: http.DefaultClient, Nodes: func() *topology.Nodes { return nodes }}).Read(t.Context())
 		if diff := cmp.Diff(want, got); err != nil || diff != "" {
 			t.Fatalf("error %v (-want +got):\n%s", err, diff)
 		}
@@ -49,8 +50,30 @@
 		"another service": {Nodes: []topology.Node{nodeAt("a", http.NotFoundHandler(), t)}},
 	}
 	for name, nodes := range cases {
-		if _, err := NewReader(http.DefaultClient, func() *topology.Nodes { return nodes }).Read(t.Context()); err == nil {
+		if _, err := New(Config{HTTP: http.DefaultClient, Nodes: func() *topology.Nodes { return nodes }}).Read(t.Context()); err == nil {
 			t.Errorf("%s: no error", name)
 		}
 	}
 }
+
+// TestASeedHandsOverToANodeThatKnowsNobody: those that are gone are passed over,
+// and a node that knows others asks no seed.
+func TestASeedHandsOverToANodeThatKnowsNobody(t *testing.T) {
+	seed := nodeAt("seed", Handler(func() (Snapshot, bool) { return Snapshot{Revision: 7}, true }), t)
+	var nodes *topology.Nodes
+	reader := New(Config{
+		HTTP: http.DefaultClient, Nodes: func() *topology.Nodes { return nodes },
+		Seeds: []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1"), netip.MustParseAddrPort(seed.StateAddress)},
+	})
+	if got, err := reader.Read(t.Context()); err != nil || got.Revision != 7 {
+		t.Errorf("read %+v, error %v", got, err)
+	}
+	nodes = &topology.Nodes{Self: topology.Node{ID: "self"}, Nodes: []topology.Node{{ID: "self", StateAddress: "127.0.0.1:1"}}}
+	if got, err := reader.Read(t.Context()); err != nil || got.Revision != 7 {
+		t.Errorf("a node that knows itself alone reads %+v, error %v", got, err)
+	}
+	nodes.Nodes = append(nodes.Nodes, topology.Node{ID: "gone", StateAddress: "127.0.0.1:1"})
+	if _, err := reader.Read(t.Context()); err == nil {
+		t.Error("a seed was asked though the nodes are known")
+	}
+}
--- a/internal/soak/apply.go
+++ b/internal/soak/apply.go
@@ -6,6 +6,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/doorpond/doorpond/internal/soak/proxy"
 	"github.com/doorpond/doorpond/internal/standin/kv"
 	"github.com/doorpond/doorpond/platform/standin"
@@ -14,6 +16,8 @@
 // apply lets one fault come, and returns at its end.
 func (w *world) apply(ctx context.Context, fault Fault) error {
 	switch {
+	case fault.Kind == KillHalf:
+		return w.killHalf(ctx, fault.Target)
 	case fault.Kind <= HangUpNode:
 		return w.signal(ctx, fault, w.nodes[fault.Target%len(w.nodes)])
 	case fault.Kind <= StoreLinkSilence:
@@ -86,6 +90,19 @@
 	}
 }
 
+// killHalf kills every second node at the same moment.
+func (w *world) killHalf(ctx context.Context, first int) error {
+	var group errgroup.Group
+	for i := first % 2; i < len(w.nodes); i += 2 {
+		target := w.nodes[i]
+		group.Go(func() error {
+			defer w.noted(KillNode, target)()
+			return w.restartAfter(ctx, target, syscall.SIGKILL)
+		})
+	}
+	return group.Wait()
+}
+
 // restartAfter ends a process and starts it again. Of two faults that end the
 // same process, one restarts it.
 func (w *world) restartAfter(ctx context.Context, target *node, number syscall.Signal) error {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -15,6 +15,8 @@
 	KillNode Kind = iota
 	PauseNode
 	StopNode
+	// KillHalf kills every second node at the same moment.
+	KillHalf
 	HangUpNode
 	// StoreLink kinds harm the connections of one node to the store.
 	StoreLinkDelay
@@ -48,7 +50,7 @@
 )
 
 var kindNames = [kinds]string{
-	"kill_node", "pause_node", "stop_node", "hang_up_node",
+	"kill_node", "pause_node", "stop_node", "kill_half", "hang_up_node",
 	"store_link_delay", "store_link_reset", "store_link_hold_requests", "store_link_hold_replies", "store_link_silence",
 	"replica_link_delay", "replica_link_reset", "replica_link_hold_replies", "replica_link_silence",
 	"replica_pause", "replica_spoil", "replica_refuse", "replica_crash",
@@ -87,7 +89,7 @@
 	roundLength  = 12 * time.Second
 	faultsWithin = 3 * time.Second
 	longestFault = 3 * time.Second
-	mostFaults   = 3
+	mostFaults   = 5
 	// calmEvery is one round in so many in which nothing hides news, so that the
 	// times for news are checked.
 	calmEvery = 3
