--- /dev/null
+++ b/internal/edge/servers.go
@@ -0,0 +1,115 @@
+package edge
+
+import (
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rotisserie/eris"
+
+	"github.com/doorpond/doorpond/internal/drain"
+	"github.com/doorpond/doorpond/internal/handover"
+	"github.com/doorpond/doorpond/internal/ingress"
+	"github.com/doorpond/doorpond/internal/inspect"
+	"github.com/doorpond/doorpond/internal/relay"
+)
+
+// listen opens all listeners or none; assemble gives them their servers.
+func (n *Node) listen() error {
+	callers, err := drain.Listen(n.settings.Callers)
+	if err != nil {
+		return err
+	}
+	n.callers = callers
+	addresses := map[string]string{"readiness": n.settings.Readiness, "directory": n.settings.Directory, "state": n.settings.State}
+	if n.settings.Metrics != "" {
+		addresses["metrics"] = n.settings.Metrics
+	}
+	n.auxiliary = make(map[string]*auxiliary)
+	for name, address := range addresses {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			n.closeListeners()
+			return eris.Wrapf(err, "listen for %s", name)
+		}
+		n.auxiliary[name] = &auxiliary{listener: listener}
+	}
+	return nil
+}
+
+func (n *Node) closeListeners() {
+	_ = n.callers.Close()
+	for _, one := range n.auxiliary {
+		_ = one.listener.Close()
+	}
+}
+
+// addServers gives each listener its server.
+func (n *Node) addServers() {
+	n.server = n.newServer(ingress.New(ingress.Options{
+		Board: n.board, Codec: n.platform.Codec, Forwarder: n.queries, Fresh: n.monitor.Fresh, Logger: n.logger,
+	}))
+	n.open.Follow(n.server)
+	n.auxiliary["readiness"].server = n.newServer(n.platform.Ready(n.ready))
+	n.auxiliary["state"].server = n.newServer(n.stateHandler())
+	n.auxiliary["directory"].server = n.newServer(n.platform.Directory(n.resolve))
+	if n.metrics != nil {
+		n.auxiliary["metrics"].server = n.newServer(promhttp.HandlerFor(n.metrics, promhttp.HandlerOpts{}))
+	}
+}
+
+// stateHandler serves what other nodes and operators read of this one.
+func (n *Node) stateHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(relay.Path, n.follower.Feed())
+	mux.Handle(handover.Path, handover.Handler(n.follower.Snapshot))
+	mux.Handle("/v1/", inspect.New(inspect.Config{
+		Board: n.board, Node: n.self, Measured: n.queries.Measured, Loaded: n.loaded, Client: stateClient(),
+	}))
+	return mux
+}
+
+// Addresses are where a node listens, with the ports it was given.
+type Addresses struct {
+	Callers, Readiness, Directory, Metrics, Peers, State string
+}
+
+// Addresses returns where the node listens.
+func (n *Node) Addresses() Addresses {
+	found := Addresses{
+		Callers:   n.callers.Addr().String(),
+		Readiness: n.auxiliary["readiness"].listener.Addr().String(),
+		Directory: n.auxiliary["directory"].listener.Addr().String(),
+		Peers:     n.announcer.Address(),
+		State:     n.auxiliary["state"].listener.Addr().String(),
+	}
+	if metrics := n.auxiliary["metrics"]; metrics != nil {
+		found.Metrics = metrics.listener.Addr().String()
+	}
+	return found
+}
+
+func (n *Node) newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: slog.NewLogLogger(n.logger.Handler(), slog.LevelError),
+	}
+}
+
+func (n *Node) close() {
+	_ = n.server.Close() // nothing is left to lose
+	_ = n.callers.Close()
+	for _, one := range n.auxiliary {
+		_ = one.server.Close()
+	}
+}
+
+func serve(server *http.Server, listener net.Listener) error {
+	err := server.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return eris.Wrapf(err, "serve on %s", listener.Addr())
+}
--- /dev/null
+++ b/internal/follower/watch.go
@@ -0,0 +1,133 @@
+package follower
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/doorpond/doorpond/internal/announce"
+	"github.com/doorpond/doorpond/internal/store"
+)
+
+// errBehind ends a watch that has not told what other nodes know.
+var errBehind = eris.New("the watch has missed news")
+
+// watch follows the changes after a revision until that fails, from one source
+// or, as the nodes come and go, from several in turn.
+func (f *Follower) watch(ctx context.Context, revision int64) error {
+	for {
+		err := f.watchOne(ctx, f.chooseSource(), revision)
+		if !errors.Is(err, errOtherSource) {
+			f.noteFailed(err)
+			return err
+		}
+		revision = f.staleness.known
+	}
+}
+
+// watchOne runs a watch of one source beside the checks.
+func (f *Follower) watchOne(ctx context.Context, from source, revision int64) error {
+	watching, cancel := context.WithCancel(ctx)
+	batches, ended := make(chan store.WatchBatch), make(chan error, 1)
+	go func() {
+		ended <- from.watch(watching, revision+1, func(batch store.WatchBatch) error {
+			select {
+			case batches <- batch:
+			case <-watching.Done():
+				return watching.Err()
+			}
+			if len(batch.Events) > 0 && !batch.Relayed { // who relays has gathered them
+				sleep(watching, f.options.share(gatherShare))
+			}
+			return nil
+		})
+	}()
+	defer cancel()
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		timer.Reset(f.wakeAt().Sub(f.options.Now()))
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case err := <-ended:
+			return err
+		case batch := <-batches:
+			f.deliver(batch)
+			if f.mayChange(from) {
+				return errOtherSource
+			}
+		case news := <-f.options.Peers.Received():
+			f.told(news)
+		case <-timer.C:
+			if err := f.due(ctx); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// wakeAt is when the next check, the end of a deaf watch, or the forgetting of a
+// vanished replica is due.
+func (f *Follower) wakeAt() time.Time {
+	return earliest(f.staleness.checkAt(f.rank()), f.staleness.giveUpAt(), f.state.forgetAt())
+}
+
+// earliest returns the first of some times; zero ones do not count.
+func earliest(times ...time.Time) time.Time {
+	var first time.Time
+	for _, at := range times {
+		if !at.IsZero() && (first.IsZero() || at.Before(first)) {
+			first = at
+		}
+	}
+	return first
+}
+
+// rank is this node's place among those that are known, and sets the slot.
+func (f *Follower) rank() int {
+	nodes := f.options.Board.Nodes.Load()
+	if nodes == nil || len(nodes.Nodes) == 0 {
+		return 0
+	}
+	f.staleness.slot = f.options.share(rankShare) / time.Duration(len(nodes.Nodes))
+	for i := range nodes.Nodes {
+		if nodes.Nodes[i].ID == f.options.Self.ID {
+			return i
+		}
+	}
+	return len(nodes.Nodes)
+}
+
+// due does what the timer was set for.
+func (f *Follower) due(ctx context.Context) error {
+	now := f.options.Now()
+	f.state.publish(now) // replicas that were gone for long enough are dropped
+	if giveUp := f.staleness.giveUpAt(); !giveUp.IsZero() && !now.Before(giveUp) {
+		return errBehind
+	}
+	if now.Before(f.staleness.checkAt(f.rank())) {
+		return nil
+	}
+	return f.check(ctx)
+}
+
+// check asks the store for its revision and tells the others.
+func (f *Follower) check(ctx context.Context) error {
+	bounded, cancel := context.WithTimeout(ctx, f.options.share(askShare))
+	defer cancel()
+	asked := f.options.Now()
+	var revision int64
+	var err error
+	f.attend(func() { _, _, revision, err = f.options.Source.Get(bounded, f.options.Keys.Configuration) })
+	if err != nil {
+		return err
+	}
+	now := f.options.Now()
+	f.heard(now)
+	f.confirm(now, asked, revision)
+	f.options.Peers.Send(announce.Announcement{Revision: revision, AgeMilliseconds: now.Sub(asked).Milliseconds()})
+	return nil
+}
--- a/internal/operator/output.go
+++ b/internal/operator/output.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -22,6 +23,21 @@
 	return nil
 }
 
+// showing is the action of a command without arguments that shows what one call
+// returns.
+func showing[T any](call func(*API, context.Context) (*T, error), text func(to io.Writer, value *T)) cli.ActionFunc {
+	return func(ctx context.Context, command *cli.Command) error {
+		if _, err := arguments(command, 0, 0); err != nil {
+			return err
+		}
+		value, err := call(api(command), ctx)
+		if err != nil {
+			return coded(err, false)
+		}
+		return show(command, value, func(to io.Writer) { text(to, value) })
+	}
+}
+
 // grid writes rows in aligned columns under a heading.
 type grid struct {
 	writer *tabwriter.Writer
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"context"
 	"fmt"
 	"io"
 	"slices"
@@ -26,16 +25,7 @@
 
    doorpond status
    doorpond --output json status | jq '.lagging'`,
-		Action: func(ctx context.Context, command *cli.Command) error {
-			if _, err := arguments(command, 0, 0); err != nil {
-				return err
-			}
-			status, err := api(command).Status(ctx)
-			if err != nil {
-				return coded(err, false)
-			}
-			return show(command, status, func(to io.Writer) { printStatus(to, status) })
-		},
+		Action: showing((*API).Status, printStatus),
 	}
 }
 
--- a/internal/operator/system.go
+++ b/internal/operator/system.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"context"
 	"fmt"
 	"io"
 	"slices"
@@ -26,16 +25,7 @@
    doorpond --admin 10.1.0.39:7740 system
    doorpond --admin 10.1.0.39:7740 compare search search-next --last 10m
    doorpond --admin 10.1.0.39:7740 --output json system | jq '.lagging'`,
-		Action: func(ctx context.Context, command *cli.Command) error {
-			if _, err := arguments(command, 0, 0); err != nil {
-				return err
-			}
-			system, err := api(command).System(ctx)
-			if err != nil {
-				return coded(err, false)
-			}
-			return show(command, system, func(to io.Writer) { printSystem(to, system) })
-		},
+		Action: showing((*API).System, printSystem),
 	}
 }
 
