Replicas' limits start at one request; connections left from bursts are closed; two entry nodes at least

Each node that starts knows only the few that have recorded themselves before it, so that it takes a large part of each replica's slots and connections; and the replicas still count the connections of the lost machines.

Ruled out: the retry budget (client retries end the same way); the division of connections (right once all nodes are known).

Change: a replica is sent one request at a time first, one more with each round of answers. A connection that is not the one used last rests 2 s at the most; on a node to which callers are not led, each rests 1 s. A second's timer closes them.

The start has a test of its own.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -86,6 +86,9 @@
 	// relaySlackShare of the time for news is how much longer than the wait for a
 	// change the answer of another node may take.
 	relaySlackShare = 0.1
+	// sweepInterval is the time between two looks for connections to replicas that
+	// have rested for too long.
+	sweepInterval = time.Second
 	// vanishedShare of the drain time is how long a replica whose entry is gone
 	// may still be asked; the rest is for the time to hear of it.
 	vanishedShare = 0.4
@@ -198,6 +201,21 @@
 	return &http.Client{Transport: &http.Transport{DialContext: upstream.DialContext, MaxIdleConnsPerHost: 1}}
 }
 
+// sweep closes connections to replicas that have rested for too long, until ctx
+// ends.
+func (n *Node) sweep(ctx context.Context) error {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			n.pool.Sweep(now)
+		}
+	}
+}
+
 // stateClient is for reading what other nodes know.
 func stateClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{DialContext: upstream.DialContext, DisableKeepAlives: true}}
@@ -252,6 +270,7 @@
 	group.Go(func() error { return n.follower.Run(running) })
 	group.Go(func() error { return n.monitor.Run(running) })
 	group.Go(func() error { return n.processor.Run(running) })
+	group.Go(func() error { return n.sweep(running) })
 	group.Go(func() error {
 		defer close(recorded)
 		return n.registry.Run(recording)
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -69,8 +69,12 @@
 	LostNodes int `yaml:"lost_nodes" validate:"gte=0"`
 }
 
+// leastEntryNodes is how many nodes of a zone callers are led to at the least:
+// one of them may stop as planned.
+const leastEntryNodes = 2
+
 // EntryNodes is how many nodes of a zone callers are led to.
-func (b BoundsSettings) EntryNodes() int { return b.LostNodes + 1 }
+func (b BoundsSettings) EntryNodes() int { return max(leastEntryNodes, b.LostNodes+1) }
 
 // Processors is the processor time that the node may use, in cores.
 func (l LimitSettings) Processors() float64 {
--- a/internal/follower/state.go
+++ b/internal/follower/state.go
@@ -252,7 +252,7 @@
 	nodes.Entries = directory.EntryNodes(nodes.Nodes, s.options.EntryNodes)
 	s.noteEntries(now, nodes.Entries)
 	nodes.Shared = max(1, len(s.entryUntil))
-	members := &topology.Members{Self: member(s.options.Self)}
+	members := &topology.Members{Self: member(s.options.Self), Standby: !nodes.SelfIsEntry()}
 	for _, node := range nodes.Entries {
 		members.Members = append(members.Members, member(node))
 	}
--- a/internal/replica/handle.go
+++ b/internal/replica/handle.go
@@ -106,6 +106,22 @@
 	}
 }
 
+// standbyRest is for how long a connection rests on a node to which callers are
+// not led: a request comes to it now and then only, and all nodes share the
+// replica's limit of connections.
+const standbyRest = time.Second
+
+func (h *Handle) setRest(standby bool) {
+	if h.upstream == nil {
+		return
+	}
+	if standby {
+		h.upstream.SetRest(standbyRest)
+		return
+	}
+	h.upstream.SetRest(0)
+}
+
 func (h *Handle) retire() {
 	h.retired.Store(true)
 	h.closeIdle()
--- a/internal/replica/health.go
+++ b/internal/replica/health.go
@@ -221,15 +221,12 @@
 	h.limit.Store(min(limit+limitScale*limitScale/limit, most))
 }
 
-// startSlots is how many requests for each of its slots a replica is sent by
-// all nodes together before it has answered: after a restart of all nodes every
-// waiting caller comes at once.
-const startSlots = 2
-
-// startSlowly begins with this node's part of what the replica bears.
-func (h *Health) startSlowly(nodes int) {
-	h.limit.Store(max(1, startSlots*h.slots.Load()/int64(max(1, nodes))) * limitScale)
-}
+// startSlowly begins with one request at a time: the limit grows by one with each
+// round of answers, and a replica that has just started is cold. After a restart
+// of all nodes every waiting caller comes at once, each node knows only those
+// that have recorded themselves before it, and the replicas still count the
+// connections of before.
+func (h *Health) startSlowly() { h.limit.Store(limitScale) }
 
 // refused leaves the replica alone for a while; it is no failure.
 func (h *Health) refused(now time.Time, retryAfter time.Duration) {
--- a/internal/replica/message_test.go
+++ b/internal/replica/message_test.go
@@ -165,6 +165,9 @@
 		options.Self = nearPlace
 		options.Now = func() time.Time { return made.now }
 	})
+	for _, handle := range made.pool.current().handles {
+		handle.limit.Store(int64(handle.replica.Slots) * limitScale) // as after some answers
+	}
 	for range 2 * leastSamples {
 		made.terms.Usual.record(topology.SameZone, 20*time.Millisecond)
 		made.terms.Usual.record(topology.OtherRegion, 45*time.Millisecond)
@@ -262,6 +265,31 @@
 	}
 }
 
+// TestANewReplicaStartsWithOneRequest: its limit grows by one with each round of
+// answers, so that a restart of all nodes does not overrun it.
+func TestANewReplicaStartsWithOneRequest(t *testing.T) {
+	v := newVirtual(t)
+	near := v.pool.current().handles[process{"near:1", "1"}]
+	near.startSlowly()
+	for _, want := range []int{1, 2, 3} {
+		for held := range want {
+			if got := v.acquire(t); got != near {
+				t.Fatalf("chose %s with %d requests in flight, of %d", got.Address(), held, want)
+			}
+		}
+		if got := v.acquire(t); got == near {
+			t.Errorf("more than %d requests at once", want)
+		}
+		for range want + 1 { // the limit is reached just after a round, by rounding
+			v.end(near, decision.Success, 20*time.Millisecond, false)
+			near.Begin()
+		}
+		for range want {
+			near.release()
+		}
+	}
+}
+
 func TestAFullGroupIsBusy(t *testing.T) {
 	v := newVirtual(t)
 	taken := 0
--- a/internal/replica/pool.go
+++ b/internal/replica/pool.go
@@ -215,10 +215,11 @@
 		if handle == nil {
 			handle = newHandle(p, built.state, replica)
 			if p.options.Codec != nil {
-				handle.startSlowly(next.plan.daemons)
+				handle.startSlowly()
 			}
 		}
 		handle.setBudget(budget)
+		handle.setRest(next.standby())
 		handle.vanished.Store(replica.State == topology.ReplicaVanished)
 		next.handles[key] = handle
 		built.handles = append(built.handles, handle)
@@ -285,6 +286,18 @@
 	return p.budgets.Of(row.Retry)
 }
 
+// standby is true for a node to which callers are not led.
+func (v *view) standby() bool { return v.members != nil && v.members.Standby }
+
+// Sweep closes the connections that have rested for too long.
+func (p *Pool) Sweep(now time.Time) {
+	for _, handle := range p.current().handles {
+		if handle.upstream != nil {
+			handle.upstream.Sweep(now)
+		}
+	}
+}
+
 // usualGroup is the number of replicas for which Acquire needs no memory.
 const usualGroup = 8
 
--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -58,6 +58,9 @@
 type Members struct {
 	Self    Member   `json:"self"`
 	Members []Member `json:"members"`
+	// Standby is true while this daemon holds connections only for the few
+	// requests that come to it all the same.
+	Standby bool `json:"standby,omitempty"`
 }
 
 // ReplicaState is what is believed of a back-end replica.
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -30,8 +30,9 @@
 	net.Conn
 	reader *bufio.Reader
 	writer *bufio.Writer
-	// expires is when it must not be used any more.
-	expires time.Time
+	// restsSince is when its last answer was in, expires when it must not be used
+	// any more.
+	restsSince, expires time.Time
 	// used is true from the second request on.
 	used bool
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -19,6 +19,10 @@
 // tcpUserTimeout is TCP_USER_TIMEOUT of Linux, which package syscall lacks.
 const tcpUserTimeout = 0x12
 
+// spareRest is for how long a connection that is not needed now is kept, beside
+// the one used last.
+const spareRest = 2 * time.Second
+
 // ErrConnectionLimit is returned when this node's share of a replica's
 // connections is used up; nothing was sent.
 var ErrConnectionLimit = errors.New("the share of the replica's connections is used up")
@@ -53,6 +57,8 @@
 
 	mutex sync.Mutex
 	limit int
+	// rest bounds the time for which any connection rests; 0 means no bound.
+	rest  time.Duration
 	open  int
 	idle  []*connection // the latest used last
 	ended bool
@@ -73,6 +79,14 @@
 	p.limit = limit
 }
 
+// SetRest bounds the time for which a connection rests; 0 means no bound but the
+// replica's.
+func (p *Pool) SetRest(rest time.Duration) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.rest = rest
+}
+
 // Open returns the number of connections that are open or being opened.
 func (p *Pool) Open() int {
 	p.mutex.Lock()
@@ -98,17 +112,22 @@
 	closeAll(expired)
 }
 
-// takeExpired removes the idle connections whose time is over. It must be
-// called with the mutex held.
+// takeExpired removes the idle connections whose time is over. Of those that
+// were not used last, that is soon: they are left from a burst, and count against
+// the replica's limit, also for a while after this machine has lost power. It must
+// be called with the mutex held.
 func (p *Pool) takeExpired(now time.Time) []*connection {
 	var expired []*connection
 	kept := p.idle[:0]
-	for _, connection := range p.idle {
-		if now.Before(connection.expires) {
-			kept = append(kept, connection)
+	for i, connection := range p.idle {
+		rested := now.Sub(connection.restsSince)
+		spare := i < len(p.idle)-1 && rested >= spareRest
+		over := spare || (p.rest > 0 && rested >= p.rest) || !now.Before(connection.expires)
+		if over {
+			expired = append(expired, connection)
 			continue
 		}
-		expired = append(expired, connection)
+		kept = append(kept, connection)
 	}
 	p.idle = kept
 	p.open -= len(expired)
@@ -175,7 +194,8 @@
 		p.discard(used)
 		return
 	}
-	used.expires = time.Now().Add(rest)
+	used.restsSince = time.Now()
+	used.expires = used.restsSince.Add(rest)
 	p.idle = append(p.idle, used)
 	p.mutex.Unlock()
 }
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -360,3 +360,42 @@
 		}
 	}
 }
+
+// TestConnectionsLeftFromABurstAreClosed: all but the one used last, and that one
+// too where connections must not rest for long.
+func TestConnectionsLeftFromABurstAreClosed(t *testing.T) {
+	pool := NewPool("127.0.0.1:1", 3, func(context.Context, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		t.Cleanup(func() { _ = far.Close() })
+		return near, nil
+	})
+	var opened []*connection
+	for range 3 {
+		conn, err := pool.openOne(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		pool.open++
+		opened = append(opened, conn)
+	}
+	for _, conn := range opened {
+		pool.keep(conn, time.Minute)
+	}
+	now := time.Now()
+	for _, step := range []struct {
+		after time.Duration
+		rest  time.Duration
+		want  int
+	}{
+		{spareRest / 2, 0, 3},
+		{spareRest + time.Second, 0, 1},
+		{20 * time.Second, 0, 1},
+		{20 * time.Second, time.Second, 0},
+	} {
+		pool.SetRest(step.rest)
+		pool.Sweep(now.Add(step.after))
+		if got := pool.Open(); got != step.want {
+			t.Errorf("%v later %d connections are open, want %d", step.after, got, step.want)
+		}
+	}
+}
