An overload begins with two strained windows in a row

Ruled out: a longer window (a lasting overload would be noticed as late).

Change: the first cut takes two overloaded windows in a row.

--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -20,6 +20,10 @@
 	limitRaise = 1
 	// leastLimit keeps a trickle that shows when the overload is over.
 	leastLimit = 4
+	// windowsToCut is the number of overloaded windows in a row after which an
+	// overload begins: a burst that is soon worked off, as after a restart of all
+	// nodes, is none.
+	windowsToCut = 2
 	// mostFutile is the number of cuts in a row that may fail to end a strain.
 	mostFutile = 3
 	// liftedShare is for how many times as long as cuts have failed no more are
@@ -45,10 +49,11 @@
 	cutAt     atomic.Int64  // Unix nanoseconds
 	overSince atomic.Int64  // time of the first cut of an overload, Unix nanoseconds
 	lastShard atomic.Uint64 // hash of the shard of the last sign
-	// congestion is of queries with an objective, futile the number of its cuts
-	// since the last window without strain, and liftedUntil when cuts begin again
+	// congestion is of queries with an objective, overloaded the number of its
+	// windows since the last without, futile that of the cuts since then, and liftedUntil when cuts begin again
 	// after they did not help, Unix nanoseconds.
 	congestion  congestion
+	overloaded  atomic.Int32
 	futile      atomic.Int32
 	liftedUntil atomic.Int64
 	logger      *slog.Logger
@@ -108,6 +113,7 @@
 	over, whole := l.congestion.observe(now, time.Unix(0, lastCut), ended)
 	switch units := l.units.Load(); {
 	case !whole:
+	case over.overloaded() && l.overloaded.Add(1) < windowsToCut && l.lasted(now) == 0:
 	case over.overloaded() && l.futile.Add(1) > mostFutile:
 		l.lift(now)
 	case over.overloaded():
@@ -118,6 +124,7 @@
 			"strained", over.strained, "ended", over.ended, "rate", over.rate)
 	default:
 		l.futile.Store(0)
+		l.overloaded.Store(0)
 		if over.relaxed() && l.inUse(units, inFlight) {
 			l.units.Store(min(l.most, int64(windowRaise*float64(units))))
 		}
--- a/internal/admission/overload_test.go
+++ b/internal/admission/overload_test.go
@@ -62,7 +62,7 @@
 func shortest() time.Duration { return failure.New(failure.Overloaded, "").RetryAfter }
 
 // TestABurstThatIsSoonWorkedOffIsNoOverload: only when half of the queries that
-// end in an objective's time are strained is the limit cut.
+// end in an objective's time are strained, twice in a row, is the limit cut.
 func TestABurstThatIsSoonWorkedOffIsNoOverload(t *testing.T) {
 	const objective = 250 * time.Millisecond
 	limit := newLimit(defaultTotal)
@@ -79,7 +79,14 @@
 	if got := limit.forRank(3); got != defaultTotal {
 		t.Errorf("the limit is %d after bursts", got)
 	}
-	play(1, 6)
+	for range 3 {
+		play(1, 6)
+		play(1, 0)
+	}
+	if got := limit.forRank(3); got != defaultTotal {
+		t.Errorf("the limit is %d after single windows of strain", got)
+	}
+	play(windowsToCut, 6)
 	if got := limit.forRank(3); got >= 50 {
 		t.Errorf("the limit is %d though most queries are strained", got)
 	}
@@ -99,7 +106,7 @@
 			limit.observe(now, limit.forRank(3), &Ended{Asked: 1, Answered: 1, Objective: objective, Strained: strained})
 		}
 	}
-	play(2*objective, true)
+	play((windowsToCut+1)*objective, true)
 	borne := int64(rate * timeShare * objective.Seconds())
 	if got := limit.forRank(3); got < borne*9/10 || got > borne*11/10 {
 		t.Errorf("the limit is %d, the back ends bear %d", got, borne)
@@ -125,7 +132,7 @@
 		}
 		return least
 	}
-	if least := play((mostFutile + 2) * objective); least == defaultTotal {
+	if least := play((windowsToCut + mostFutile + 2) * objective); least == defaultTotal {
 		t.Error("the limit was never cut")
 	}
 	if got := limit.forRank(3); got != defaultTotal {
@@ -149,7 +156,7 @@
 			limit.observe(now, 50, &Ended{Took: took, Asked: 1, Answered: 1, Objective: objective, Strained: true})
 		}
 	}
-	play(objective+objective/20, 0)
+	play(windowsToCut*(objective+objective/20), 0)
 	cut := limit.forRank(3)
 	play(2*objective, 3*objective)
 	if got := limit.forRank(3); got != cut || cut == defaultTotal {
