Callers are not led to nodes that cannot be reached

Ruled out: a shorter lease (it does not run out while the store is away); two nodes whatever their zone (five in six requests to other regions, measured before).

The test of whole nodes was seen failing without it.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/netip"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -25,6 +26,7 @@
 	"github.com/doorpond/doorpond/internal/freshness"
 	"github.com/doorpond/doorpond/internal/handover"
 	"github.com/doorpond/doorpond/internal/ingress"
+	"github.com/doorpond/doorpond/internal/liveness"
 	"github.com/doorpond/doorpond/internal/processor"
 	"github.com/doorpond/doorpond/internal/query"
 	"github.com/doorpond/doorpond/internal/registry"
@@ -112,6 +114,7 @@
 	registry  *registry.Registry
 	monitor   *freshness.Monitor
 	processor *processor.Meter
+	liveness  *liveness.Checker
 	// self is this node as it records itself, but for its readiness and load.
 	self      topology.Node
 	callers   *drain.Listener
@@ -164,6 +167,7 @@
 		n.metrics = prometheus.NewRegistry()
 		registerer = n.metrics
 	}
+	n.liveness = liveness.New(liveness.Config{Logger: n.logger})
 	n.processor = processor.New(processor.Options{Processors: n.settings.Limits.Processors(), Logger: n.logger})
 	budgets := newBudgets(n.board, func() BoundsSettings { return n.current.Load().Bounds })
 	n.pool = replica.NewPool(replica.PoolOptions{
@@ -230,9 +234,37 @@
 // loaded tells whether callers should be led to further nodes beside this one.
 func (n *Node) loaded() bool { return n.queries.Loaded() || n.processor.Loaded() }
 
+// resolve names the nodes that a caller should use, without those that cannot be
+// reached.
 func (n *Node) resolve(caller topology.Place) (directory.Answer, bool) {
-	ttl := shareOf(directoryShare, n.current.Load().Bounds.DirectoryTTL)
-	return directory.Resolve(n.nodes(), caller, directory.Options{TTL: ttl, EntryNodes: n.settings.Bounds.EntryNodes()})
+	bounds := n.current.Load().Bounds
+	options := directory.Options{TTL: shareOf(directoryShare, bounds.DirectoryTTL), EntryNodes: n.settings.Bounds.EntryNodes()}
+	nodes := n.nodes()
+	for {
+		answer, known := directory.Resolve(nodes, caller, options)
+		gone := n.unreachable(nodes, answer.Addresses)
+		if len(gone) == 0 {
+			return answer, known
+		}
+		nodes = nodes.Without(gone)
+	}
+}
+
+// unreachable returns the IDs of the ready nodes at some addresses that cannot be
+// reached. This node itself can.
+func (n *Node) unreachable(nodes *topology.Nodes, addresses []string) []string {
+	var gone []string
+	for _, address := range addresses {
+		at := slices.IndexFunc(nodes.Nodes, func(node topology.Node) bool { return node.Address == address })
+		if at < 0 || nodes.Nodes[at].ID == n.self.ID || !nodes.Nodes[at].Ready {
+			continue
+		}
+		state, err := netip.ParseAddrPort(nodes.Nodes[at].StateAddress)
+		if err == nil && !n.liveness.Reachable(state) {
+			gone = append(gone, nodes.Nodes[at].ID)
+		}
+	}
+	return gone
 }
 
 // nodes returns the nodes with what this one knows of itself now: its entry in
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -445,6 +446,28 @@
 	s.eventually("no replica works on it", func() bool { return replicas[0].Working()+replicas[1].Working() == 0 })
 }
 
+// TestCallersAreNotLedToANodeThatIsGone: while the store is away, a node's record
+// stays though the node is gone.
+func TestCallersAreNotLedToANodeThatIsGone(t *testing.T) {
+	s := startSystem(t, nil)
+	own := &standin.Client{Region: "region-b", Zone: "b", Directories: []string{s.nodes[0].Addresses().Directory}, HTTP: s.caller.HTTP}
+	led := func(to string) func() bool {
+		return func() bool {
+			addresses, err := own.Resolve(t.Context())
+			return err == nil && slices.Contains(addresses, to)
+		}
+	}
+	gone := s.nodes[2].Addresses().Callers
+	s.eventually("callers of zone b are led to its node", led(gone))
+	if err := s.Store.SetFaults(kv.Faults{Outage: true}); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.nodes[2].Stop(); err != nil {
+		t.Fatal(err)
+	}
+	s.eventually("callers of zone b are led to other nodes", func() bool { return !led(gone)() })
+}
+
 // TestOperatorsSeeTheSystem: any node answers for all.
 func TestOperatorsSeeTheSystem(t *testing.T) {
 	s := startSystem(t, nil)
--- a/internal/topology/node.go
+++ b/internal/topology/node.go
@@ -38,3 +38,15 @@
 func (n *Nodes) SelfIsEntry() bool {
 	return slices.ContainsFunc(n.Entries, func(entry Node) bool { return entry.ID == n.Self.ID })
 }
+
+// Without returns a copy in which some nodes are not ready.
+func (n *Nodes) Without(ids []string) *Nodes {
+	changed := *n
+	changed.Nodes = slices.Clone(n.Nodes)
+	for i := range changed.Nodes {
+		if slices.Contains(ids, changed.Nodes[i].ID) {
+			changed.Nodes[i].Ready = false
+		}
+	}
+	return &changed
+}
