--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -64,10 +64,8 @@
 // checkAnswer checks that a success is the whole answer to its own request.
 func (j *judge) checkAnswer(one *observation) {
 	if one.path != scattered {
-		want := "answer of " + standin.PlainService + " to " + one.id
-		stamp := standin.PlainService + "." + one.id
-		if string(one.response.Body) != want || one.response.Signature() != stamp {
-			j.found("%s: the answer is %q, signed %q", one.id, one.response.Body, one.response.Signature())
+		if err := standin.CheckPlain(one.id, one.response); err != nil {
+			j.found("%s: %v", one.id, err)
 		}
 		return
 	}
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -59,8 +59,7 @@
 
 func plainAnswer(id string) observation {
 	seen := answered(id, plain, http.StatusOK)
-	seen.response.Body = []byte("answer of fetch to " + id)
-	seen.response.Header.Set("Server-Stamp", "fetch."+id)
+	seen.response = standin.PlainResponse(id)
 	return seen
 }
 
