The processor's load is not judged where no limit is stated

Nodes of a test share a process; each took the whole process's time for its own, against one core, and all were loaded, so that directories named the other zone's node too.

Ruled out: the removal of the record (it was removed), the watch.

Change: without limits.processor_share the meter judges nothing.

--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -45,7 +45,8 @@
 type LimitSettings struct {
 	MemoryMegabytes int `yaml:"memory_mb" validate:"gte=0"`
 	// ProcessorShare is the part of a core that each thread may use, and Cores
-	// the number of cores; 0 means one whole core.
+	// the number of cores. Without them the processor time that the node may use
+	// is not known: it never makes the node loaded, and counts as 0 among others.
 	ProcessorShare float64 `yaml:"processor_share" validate:"gte=0"`
 	Cores          float64 `yaml:"cores" validate:"gte=0"`
 }
@@ -76,16 +77,13 @@
 // EntryNodes is how many nodes of a zone callers are led to.
 func (b BoundsSettings) EntryNodes() int { return max(leastEntryNodes, b.LostNodes+1) }
 
-// Processors is the processor time that the node may use, in cores.
+// Processors is the processor time that the node may use, in cores; 0 when it is
+// not known.
 func (l LimitSettings) Processors() float64 {
-	processors := 1.0
-	if l.ProcessorShare > 0 {
-		processors = l.ProcessorShare
-	}
 	if l.Cores > 0 {
-		processors *= l.Cores
+		return l.ProcessorShare * l.Cores
 	}
-	return processors
+	return l.ProcessorShare
 }
 
 // News is the time within which news from the store must have been acted on.
--- a/internal/processor/processor.go
+++ b/internal/processor/processor.go
@@ -25,7 +25,8 @@
 
 // Options are what a Meter needs.
 type Options struct {
-	// Processors is the processor time that the process may use, in cores.
+	// Processors is the processor time that the process may use, in cores; 0 means
+	// that it is not known, and the process never counts as loaded.
 	Processors float64
 	// Used returns the processor time used since the start; nil means the
 	// operating system's count.
@@ -72,6 +73,9 @@
 
 // read takes in one reading, some time after the last.
 func (m *Meter) read(since time.Duration) {
+	if m.options.Processors <= 0 {
+		return
+	}
 	used := m.options.Used()
 	share := float64(used-m.used) / (m.options.Processors * float64(since))
 	m.used = used
--- a/internal/processor/processor_test.go
+++ b/internal/processor/processor_test.go
@@ -26,6 +26,20 @@
 	}
 }
 
+// TestAProcessWithoutAKnownLimitIsNeverLoaded: nodes that share a process, as in
+// tests, would take each other's work for their own.
+func TestAProcessWithoutAKnownLimitIsNeverLoaded(t *testing.T) {
+	var used time.Duration
+	meter := New(Options{Used: func() time.Duration { return used }})
+	for range 3 {
+		used += 10 * time.Second
+		meter.read(time.Second)
+	}
+	if meter.Loaded() {
+		t.Error("loaded")
+	}
+}
+
 func TestTheProcessorTimeOfTheProcessIsCounted(t *testing.T) {
 	before := processTime()
 	for begun := time.Now(); time.Since(begun) < 30*time.Millisecond; {
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -144,6 +144,7 @@
 	}
 	started.settings.Store.URL = "http://" + started.store.Addr().String()
 	started.settings.Bounds.Grace = grace
+	started.settings.Limits.ProcessorShare = 1
 	for _, address := range []*string{
 		&started.settings.Callers, &started.settings.Readiness, &started.settings.Directory,
 		&started.settings.Metrics, &started.settings.Peers, &started.settings.State,
