--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -24,14 +24,15 @@
 	"github.com/doorpond/doorpond/platform/standin"
 )
 
-// The shape of the world.
+// The shape of the world. Of the three nodes of each zone, callers are led to
+// two; the third watches one of them in place of the store.
 const (
 	shards       = 4
 	work         = 5 * time.Millisecond
 	grace        = 3 * time.Second
 	restart      = 500 * time.Millisecond
 	linkLag      = 60 * time.Millisecond
-	nodes        = 6
+	nodes        = 9
 	settingsMode = 0o600
 )
 
