Strain after a start is no overload at once

Cause: after a restart and after a reshard the first queries wait for the node's slow start and for cold replicas.

Change: 10 windows until the first without strain, then 2 as before.

--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -24,6 +24,12 @@
 	// overload begins: a burst that is soon worked off, as after a restart of all
 	// nodes, is none.
 	windowsToCut = 2
+	// windowsToCutUnknown is windowsToCut until the first window without strain.
+	// Before that nothing is known of what the back ends bear: after a restart, or
+	// when an index has just got other shards, the first queries wait for cold
+	// replicas and for this node's own slow start, and refusing them loses answers
+	// for nothing.
+	windowsToCutUnknown = 10
 	// mostFutile is the number of cuts in a row that may fail to end a strain.
 	mostFutile = 3
 	// liftedShare is for how many times as long as cuts have failed no more are
@@ -52,8 +58,10 @@
 	// congestion is of queries with an objective, overloaded the number of its
 	// windows since the last without, futile that of the cuts since then, and liftedUntil when cuts begin again
 	// after they did not help, Unix nanoseconds.
-	congestion  congestion
-	overloaded  atomic.Int32
+	congestion congestion
+	overloaded atomic.Int32
+	// borne is true once there has been a window without strain.
+	borne       atomic.Bool
 	futile      atomic.Int32
 	liftedUntil atomic.Int64
 	logger      *slog.Logger
@@ -113,7 +121,7 @@
 	over, whole := l.congestion.observe(now, time.Unix(0, lastCut), ended)
 	switch units := l.units.Load(); {
 	case !whole:
-	case over.overloaded() && l.overloaded.Add(1) < windowsToCut && l.lasted(now) == 0:
+	case over.overloaded() && l.overloaded.Add(1) < l.windowsToCut() && l.lasted(now) == 0:
 	case over.overloaded() && l.futile.Add(1) > mostFutile:
 		l.lift(now)
 	case over.overloaded():
@@ -125,12 +133,22 @@
 	default:
 		l.futile.Store(0)
 		l.overloaded.Store(0)
+		l.borne.Store(true)
 		if over.relaxed() && l.inUse(units, inFlight) {
 			l.units.Store(min(l.most, int64(windowRaise*float64(units))))
 		}
 	}
 }
 
+// windowsToCut is the number of overloaded windows in a row after which an
+// overload begins.
+func (l *adaptiveLimit) windowsToCut() int32 {
+	if l.borne.Load() {
+		return windowsToCut
+	}
+	return windowsToCutUnknown
+}
+
 // lift takes back cuts that have not helped, for a while.
 func (l *adaptiveLimit) lift(now time.Time) {
 	lasted := l.lasted(now)
--- a/internal/admission/limit_test.go
+++ b/internal/admission/limit_test.go
@@ -63,8 +63,10 @@
 	return all
 }
 
+// newLimit makes the limit of back ends that have been seen without strain.
 func newLimit(total int) *adaptiveLimit {
 	limit := &adaptiveLimit{logger: slog.New(slog.DiscardHandler)}
 	limit.start(total)
+	limit.borne.Store(true)
 	return limit
 }
--- a/internal/admission/overload_test.go
+++ b/internal/admission/overload_test.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"log/slog"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 // the strain comes back.
 func overload(controller *Controller, now time.Time, lasting time.Duration) time.Time {
 	row := &policy.Row{Name: "r", Limits: policy.Limits{Concurrency: 1000}}
+	controller.limit.borne.Store(true)
 	const alternate = 4 // steps with strain, then as many without
 	step := 0
 	for end := now.Add(lasting); now.Before(end); now = now.Add(cutPause) {
@@ -92,6 +94,36 @@
 	}
 }
 
+// TestStrainAfterAStartIsNoOverloadAtOnce: until back ends have been seen without
+// strain, it takes longer to tell an overload from a slow start; then no longer.
+func TestStrainAfterAStartIsNoOverloadAtOnce(t *testing.T) {
+	const objective = 200 * time.Millisecond
+	play := func(limit *adaptiveLimit, now time.Time, windows int, strained bool) time.Time {
+		for range windows * 11 {
+			now = now.Add(objective / 10)
+			limit.observe(now, 50, &Ended{Asked: 1, Answered: 1, Objective: objective, Strained: strained})
+		}
+		return now
+	}
+	unknown := &adaptiveLimit{logger: slog.New(slog.DiscardHandler)}
+	unknown.start(defaultTotal)
+	now := play(unknown, time.Unix(1000, 0), windowsToCutUnknown-1, true)
+	if got := unknown.forRank(3); got != defaultTotal {
+		t.Errorf("the limit is %d while nothing is known of the back ends", got)
+	}
+	play(unknown, now, 1, true)
+	if got := unknown.forRank(3); got == defaultTotal {
+		t.Error("a strain that lasts is never taken for an overload")
+	}
+	known := &adaptiveLimit{logger: slog.New(slog.DiscardHandler)}
+	known.start(defaultTotal)
+	now = play(known, time.Unix(1000, 0), 1, false)
+	play(known, now, windowsToCut, true)
+	if got := known.forRank(3); got == defaultTotal {
+		t.Error("an overload of back ends that are known is not noticed soon")
+	}
+}
+
 // TestTheLimitIsWhatTheBackEndsBear: by Little's law, as many queries are in
 // flight as end in the time that each may take.
 func TestTheLimitIsWhatTheBackEndsBear(t *testing.T) {
