A configuration waits for replicas of its new groups

Cause: while the store is away, replicas of a new set of shards cannot record themselves.

Ruled out: holding requests until replicas are listed, as the configuration in force still serves them.

Change: follower.adoption waits for a replica of each new group, for 0.3 of the time for news at most.

--- a/internal/follower/attend.go
+++ b/internal/follower/attend.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// attend forgets vanished replicas in time and hears other nodes while some
+// attend publishes what falls due and hears other nodes while some
 // work, which must end by itself, waits for an answer.
 func (f *Follower) attend(work func()) {
 	done := make(chan struct{})
@@ -15,7 +15,7 @@
 	}()
 	for {
 		f.state.publish(f.options.Now())
-		timer := time.NewTimer(f.untilForgetting())
+		timer := time.NewTimer(f.untilDue())
 		select {
 		case <-done:
 			timer.Stop()
@@ -28,9 +28,9 @@
 	}
 }
 
-// untilForgetting is the time until the next vanished replica is forgotten.
-func (f *Follower) untilForgetting() time.Duration {
-	at := f.state.forgetAt()
+// untilDue is the time until the state has to be published anew at the latest.
+func (f *Follower) untilDue() time.Duration {
+	at := f.state.dueAt()
 	if at.IsZero() {
 		return longestPause
 	}
@@ -42,7 +42,7 @@
 	until := f.options.Now().Add(pause)
 	for {
 		f.state.publish(f.options.Now())
-		timer := time.NewTimer(min(until.Sub(f.options.Now()), f.untilForgetting()))
+		timer := time.NewTimer(min(until.Sub(f.options.Now()), f.untilDue()))
 		select {
 		case <-ctx.Done():
 			timer.Stop()
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -103,6 +103,9 @@
 	// gatherShare is how long after a change the next one is waited for, so
 	// that changes that come together cost one call.
 	gatherShare = 0.1
+	// adoptShare is how long a configuration may wait for replicas of its new
+	// groups.
+	adoptShare = 0.3
 )
 
 func (o *Options) share(of float64) time.Duration { return time.Duration(of * float64(o.News)) }
--- a/internal/follower/state.go
+++ b/internal/follower/state.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/doorpond/doorpond/internal/directory"
-	"github.com/doorpond/doorpond/internal/routing"
 	"github.com/doorpond/doorpond/internal/store"
 	"github.com/doorpond/doorpond/internal/topology"
 )
@@ -31,10 +30,9 @@
 	// while it is one.
 	entryUntil map[string]time.Time
 
-	table           *routing.Table
+	adoption        adoption
 	replicasChanged bool
 	nodesChanged    bool
-	tableChanged    bool
 }
 
 type replicaEntry struct {
@@ -56,6 +54,7 @@
 		nodes:      make(map[string]nodeEntry),
 		values:     make(map[string]store.KeyValue),
 		entryUntil: make(map[string]time.Time),
+		adoption:   adoption{wait: options.share(adoptShare)},
 	}
 }
 
@@ -98,20 +97,14 @@
 	}
 }
 
-// putTable takes over a configuration that is newer than the one in force:
-// the version never goes back.
+// putTable takes a configuration in.
 func (s *state) putTable(value store.KeyValue) {
 	table, err := s.options.Decoder.Routes(value.Value)
 	if err != nil {
 		s.options.Logger.Error("configuration refused; keeping the one in force", "error", err.Error(), "revision", value.ModRevision)
 		return
 	}
-	if s.table != nil && table.Version <= s.table.Version {
-		return
-	}
-	s.table = table
-	s.tableChanged = true
-	s.replicasChanged = true // the limits of connections are the services'
+	s.adoption.offer(table)
 }
 
 func (s *state) putReplica(value store.KeyValue) {
@@ -179,9 +172,11 @@
 // publish writes what has changed to the blackboard.
 func (s *state) publish(now time.Time) {
 	s.forget(now)
-	if s.tableChanged {
-		s.options.Board.Routes.Publish(s.table)
-		s.options.Logger.Info("configuration in force", "version", s.table.Version, "routes", len(s.table.Routes))
+	if s.adoption.adopt(now, s.hasReplica) {
+		table := s.adoption.inForce
+		s.options.Board.Routes.Publish(table)
+		s.options.Logger.Info("configuration in force", "version", table.Version, "routes", len(table.Routes))
+		s.replicasChanged = true // the limits of connections are the services'
 	}
 	if s.replicasChanged {
 		s.options.Board.Replicas.Publish(&topology.Replicas{Groups: s.groups()})
@@ -189,7 +184,7 @@
 	if s.nodesChanged || s.options.Board.Nodes.Load() == nil {
 		s.publishNodes(now)
 	}
-	s.tableChanged, s.replicasChanged, s.nodesChanged = false, false, false
+	s.replicasChanged, s.nodesChanged = false, false
 }
 
 // forget drops replicas that have been gone for long enough.
@@ -208,10 +203,10 @@
 	}
 }
 
-// forgetAt returns when the next vanished replica is forgotten; zero when none
-// has vanished.
-func (s *state) forgetAt() time.Time {
-	var next time.Time
+// dueAt returns when the next vanished replica is forgotten or a configuration is
+// put in force at the latest; zero when there is neither.
+func (s *state) dueAt() time.Time {
+	next := s.adoption.dueAt()
 	for _, entry := range s.replicas {
 		if entry.goneAt.IsZero() {
 			continue
@@ -230,8 +225,8 @@
 		if !entry.goneAt.IsZero() && replica.State != topology.ReplicaLeaving {
 			replica.State = topology.ReplicaVanished
 		}
-		if s.table != nil {
-			replica.ConnectionLimit = s.table.Services[replica.Group].ConnectionLimit
+		if table := s.adoption.inForce; table != nil {
+			replica.ConnectionLimit = table.Services[replica.Group].ConnectionLimit
 		}
 		groups[replica.Group] = append(groups[replica.Group], replica)
 	}
--- a/internal/follower/watch.go
+++ b/internal/follower/watch.go
@@ -69,10 +69,10 @@
 	}
 }
 
-// wakeAt is when the next check, the end of a deaf watch, or the forgetting of a
-// vanished replica is due.
+// wakeAt is when the next check, the end of a deaf watch, or a change of the state
+// is due.
 func (f *Follower) wakeAt() time.Time {
-	return earliest(f.staleness.checkAt(f.rank()), f.staleness.giveUpAt(), f.state.forgetAt())
+	return earliest(f.staleness.checkAt(f.rank()), f.staleness.giveUpAt(), f.state.dueAt())
 }
 
 // earliest returns the first of some times; zero ones do not count.
@@ -104,7 +104,7 @@
 // due does what the timer was set for.
 func (f *Follower) due(ctx context.Context) error {
 	now := f.options.Now()
-	f.state.publish(now) // replicas that were gone for long enough are dropped
+	f.state.publish(now)
 	if giveUp := f.staleness.giveUpAt(); !giveUp.IsZero() && !now.Before(giveUp) {
 		return errBehind
 	}
