Logs and metrics tell why a hedge was not sent, how far sub-requests go, and what calls to the store are for

Change: a traced shard has answered_ms and no_hedge (budget, overload, time, attempts, replicas); shards that answered late at their first attempt are traced as well. doorpondd_subrequests_chosen_total and doorpondd_store_calls_total.

Conclusion: no change of a decision.

--- a/internal/decision/plan.go
+++ b/internal/decision/plan.go
@@ -57,3 +57,28 @@
 	Answered bool
 	Reason   client.MissingReason
 }
+
+// ShardDiagnosis explains a shard's latency.
+type ShardDiagnosis struct {
+	// AnsweredAt counts from the query's start; 0 means that it has not answered.
+	AnsweredAt time.Duration
+	// NoHedge is why a hedge that was due was not sent, the last time.
+	NoHedge HedgeDenial
+}
+
+// HedgeDenial is why a hedge was not sent.
+type HedgeDenial string
+
+// The reasons not to send a hedge.
+const (
+	// DeniedBudget: the budget for hedges was spent.
+	DeniedBudget HedgeDenial = "budget"
+	// DeniedOverload: the replicas had more to do than they bear.
+	DeniedOverload HedgeDenial = "overload"
+	// DeniedTime: it could not have answered in time.
+	DeniedTime HedgeDenial = "time"
+	// DeniedAttempts: the policy's attempts were used up.
+	DeniedAttempts HedgeDenial = "attempts"
+	// DeniedReplicas: no other replica was fit to be asked.
+	DeniedReplicas HedgeDenial = "replicas"
+)
--- a/internal/decision/query.go
+++ b/internal/decision/query.go
@@ -29,10 +29,11 @@
 	// hedgeAt.
 	postponed bool
 	// refusals counts the attempts that came to no replica.
-	refusals int
-	settled  bool
-	hedgeOff bool
-	status   ShardStatus
+	refusals  int
+	settled   bool
+	hedgeOff  bool
+	status    ShardStatus
+	diagnosis ShardDiagnosis
 }
 
 // Query decides one query. It is not safe for concurrent use.
@@ -97,6 +98,9 @@
 // Status returns what became of a shard of the plan.
 func (q *Query) Status(shard int) ShardStatus { return q.shards[shard].status }
 
+// Diagnosis explains the latency of a shard of the plan.
+func (q *Query) Diagnosis(shard int) ShardDiagnosis { return q.shards[shard].diagnosis }
+
 // Answered returns the number of shards that have answered.
 func (q *Query) Answered() int { return q.answered }
 
@@ -129,7 +133,11 @@
 func (q *Query) dispatched(now time.Duration, event Event) {
 	state := &q.shards[event.Shard]
 	latest := event.Attempt == state.sent-1
-	if event.HedgeDelay <= 0 || !latest || state.settled || !q.mayHedge(state) {
+	if event.HedgeDelay <= 0 || !latest || state.settled {
+		return
+	}
+	if !q.mayHedge(state) {
+		state.diagnosis.NoHedge = q.whyNoHedge(state)
 		return
 	}
 	state.hedgeAt = now + event.HedgeDelay
@@ -142,6 +150,18 @@
 	return !q.plan.RunsOnce && !q.plan.NoHedges && !state.hedgeOff && state.attempts < q.attemptLimit() && state.sent < maxAttempts
 }
 
+// whyNoHedge explains mayHedge.
+func (q *Query) whyNoHedge(state *shardState) HedgeDenial {
+	switch {
+	case q.plan.NoHedges:
+		return DeniedOverload
+	case state.hedgeOff:
+		return DeniedReplicas
+	default:
+		return DeniedAttempts
+	}
+}
+
 // The wait before a sub-request that found all replicas busy is tried again:
 // a part of the usual time of a reply, within bounds.
 const (
@@ -231,6 +251,7 @@
 	q.otherSnapshot = q.otherSnapshot || event.OtherSnapshot
 	state.status.Reason = reasonAfter(state.status.Reason, event.Outcome)
 	if event.Outcome == NoReplica {
+		state.diagnosis.NoHedge = DeniedReplicas
 		state.hedgeOff = true
 		state.hedgeAt = never
 	}
@@ -312,6 +333,7 @@
 func (q *Query) succeed(now time.Duration, shard int) {
 	state := &q.shards[shard]
 	state.status = ShardStatus{Answered: true}
+	state.diagnosis.AnsweredAt = now
 	q.answered++
 	q.settleShard(shard)
 	if q.answered >= q.target && q.graceAt == never {
@@ -353,9 +375,11 @@
 		}
 		switch {
 		case !q.mayAttempt(now, i):
+			state.diagnosis.NoHedge = DeniedTime
 		case q.withdrawHedge(i):
 			q.send(now, i, true)
 		default:
+			state.diagnosis.NoHedge = DeniedBudget
 			state.hedgeAt = now + state.hedgeDelay // the budget may be better off then
 		}
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -167,6 +167,7 @@
 		n.metrics = prometheus.NewRegistry()
 		registerer = n.metrics
 	}
+	source := countCalls(n.platform.Store, registerer)
 	n.liveness = liveness.New(liveness.Config{Logger: n.logger})
 	n.processor = processor.New(processor.Options{Processors: n.settings.Limits.Processors(), Logger: n.logger})
 	budgets := newBudgets(n.board, func() BoundsSettings { return n.current.Load().Bounds })
@@ -178,7 +179,7 @@
 		Admission: admission.New(admission.Options{Registerer: registerer}),
 	})
 	n.follower = follower.New(follower.Options{
-		Source: n.platform.Store, Decoder: n.platform.Codec, Keys: n.platform.Keys, Board: n.board,
+		Source: source, Decoder: n.platform.Codec, Keys: n.platform.Keys, Board: n.board,
 		Regions: n.settings.Regions, Self: n.self, Logger: n.logger, EntryNodes: n.settings.Bounds.EntryNodes(),
 		Peers: n.announcer, News: n.settings.Bounds.News(),
 		Others: handover.New(handover.Config{HTTP: stateClient(), Nodes: n.board.Nodes.Load, Seeds: n.settings.Seeds}),
@@ -189,7 +190,7 @@
 	})
 	n.monitor = freshness.New(freshness.Options{Confirm: n.follower.Confirm, Logger: n.logger, Registerer: registerer})
 	n.registry = registry.New(registry.Options{
-		Store: n.platform.Store, Key: n.platform.Keys.Nodes + n.settings.Node, TTL: max(entryTTL, n.settings.Store.LeastTTL),
+		Store: source, Key: n.platform.Keys.Nodes + n.settings.Node, TTL: max(entryTTL, n.settings.Store.LeastTTL),
 		Node: func() topology.Node {
 			recorded := n.self
 			recorded.Ready, recorded.Loaded = n.ready(), n.loaded()
--- /dev/null
+++ b/internal/edge/storecalls.go
@@ -0,0 +1,87 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/doorpond/doorpond/internal/store"
+)
+
+// countedStore counts the calls to a store by what they are for: each one is priced
+// by those who run it.
+type countedStore struct {
+	Store
+	calls *prometheus.CounterVec
+}
+
+// The causes of calls, as metrics name them.
+const (
+	causeConfirm = "confirm"
+	causeRead    = "read"
+	causeWatch   = "watch"
+	causeRecord  = "record"
+	causeGrant   = "grant"
+	causeRenew   = "renew"
+	causeRevoke  = "revoke"
+)
+
+// countCalls returns a store that counts its calls; nil counts nothing.
+func countCalls(counted Store, registerer prometheus.Registerer) Store {
+	if registerer == nil {
+		return counted
+	}
+	calls := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "doorpondd_store_calls_total", Help: "Calls to the store, by what they are for; a watch counts each time it is answered.",
+	}, []string{"cause"})
+	registerer.MustRegister(calls)
+	return &countedStore{Store: counted, calls: calls}
+}
+
+func (s *countedStore) count(cause string) { s.calls.WithLabelValues(cause).Inc() }
+
+// Get implements store.Reader.
+func (s *countedStore) Get(ctx context.Context, key string) (store.KeyValue, bool, int64, error) {
+	s.count(causeConfirm)
+	return s.Store.Get(ctx, key)
+}
+
+// List implements store.Reader.
+func (s *countedStore) List(ctx context.Context, prefix string, limit int) ([]store.KeyValue, int64, error) {
+	s.count(causeRead)
+	return s.Store.List(ctx, prefix, limit)
+}
+
+// Watch implements store.Watcher.
+func (s *countedStore) Watch(ctx context.Context, prefix string, fromRevision int64, deliver func(store.WatchBatch) error) error {
+	s.count(causeWatch)
+	return s.Store.Watch(ctx, prefix, fromRevision, func(batch store.WatchBatch) error {
+		s.count(causeWatch)
+		return deliver(batch)
+	})
+}
+
+// Commit implements store.Committer.
+func (s *countedStore) Commit(ctx context.Context, transaction store.Transaction) (store.Outcome, error) {
+	s.count(causeRecord)
+	return s.Store.Commit(ctx, transaction)
+}
+
+// Grant implements store.Leaser.
+func (s *countedStore) Grant(ctx context.Context, ttl time.Duration) (store.Lease, error) {
+	s.count(causeGrant)
+	return s.Store.Grant(ctx, ttl)
+}
+
+// KeepAlive implements store.Leaser.
+func (s *countedStore) KeepAlive(ctx context.Context, lease store.Lease) error {
+	s.count(causeRenew)
+	return s.Store.KeepAlive(ctx, lease)
+}
+
+// Revoke ends a lease and removes its keys.
+func (s *countedStore) Revoke(ctx context.Context, lease store.Lease) error {
+	s.count(causeRevoke)
+	return s.Store.Revoke(ctx, lease)
+}
--- a/internal/query/forward.go
+++ b/internal/query/forward.go
@@ -70,7 +70,11 @@
 	Group    string         `json:"group"`
 	Reason   string         `json:"reason,omitempty"`
 	Attempts []AttemptTrace `json:"attempts"`
-	Error    string         `json:"error,omitempty"`
+	// AnsweredMilliseconds counts from the request's start, 0 when it has not.
+	AnsweredMilliseconds int64 `json:"answered_ms,omitempty"`
+	// NoHedge is why a hedge that was due was not sent.
+	NoHedge decision.HedgeDenial `json:"no_hedge,omitempty"`
+	Error   string               `json:"error,omitempty"`
 }
 
 // AttemptTrace is one sub-request.
@@ -249,15 +253,20 @@
 	}
 }
 
-// trace describes the shards that have not answered at their first attempt.
+// trace describes the shards that have not answered at their first attempt, or too
+// late.
 func (r *forwardRun) trace() []ShardTrace {
 	var traced []ShardTrace
 	for i := range r.shards {
-		shard, status := &r.shards[i], r.core.Status(i)
-		if status.Answered && len(shard.attempts) == 1 {
+		shard, status, diagnosis := &r.shards[i], r.core.Status(i), r.core.Diagnosis(i)
+		inTime := r.plan.AnswerBy == 0 || diagnosis.AnsweredAt <= r.plan.AnswerBy
+		if status.Answered && len(shard.attempts) == 1 && inTime {
 			continue
 		}
-		described := ShardTrace{Group: r.plan.Shards[i].Group, Reason: string(status.Reason)}
+		described := ShardTrace{
+			Group: r.plan.Shards[i].Group, Reason: string(status.Reason),
+			AnsweredMilliseconds: diagnosis.AnsweredAt.Milliseconds(), NoHedge: diagnosis.NoHedge,
+		}
 		if shard.err != nil {
 			described.Error = shard.err.Error()
 		}
--- a/internal/replica/forward_message.go
+++ b/internal/replica/forward_message.go
@@ -72,6 +72,7 @@
 		return Acquired{Busy: busy}
 	}
 	chosen.sentAt(now)
+	p.metrics.observeChoice(chosen.distance, len(tried) > 0)
 	return Acquired{Handle: chosen, LateAfter: terms.lateAfter(chosen)}
 }
 
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -4,6 +4,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/doorpond/doorpond/internal/decision"
+	"github.com/doorpond/doorpond/internal/topology"
 )
 
 type trackerMetrics struct {
@@ -35,7 +36,16 @@
 	}
 }
 
+// The kinds of sub-request, as metrics name them.
+const (
+	kindFirst = "first"
+	// kindFurther is a hedge or a retry.
+	kindFurther = "further"
+)
+
 type poolMetrics struct {
+	// chosen counts sub-requests of messages by the distance of the replica.
+	chosen   [topology.OtherRegion + 1]struct{ first, further prometheus.Counter }
 	outcomes    [decision.Outcomes]prometheus.Counter
 	calls       *prometheus.CounterVec
 	connections prometheus.Gauge
@@ -69,6 +79,23 @@
 	for outcome := range metrics.outcomes {
 		metrics.outcomes[outcome] = outcomes.WithLabelValues(decision.Outcome(outcome).String())
 	}
-	register(registerer, outcomes, metrics.calls, metrics.connections, metrics.opened, metrics.ejections, metrics.forwarded)
+	chosen := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "doorpondd_subrequests_chosen_total", Help: "Sub-requests of messages, by the distance of the chosen replica.",
+	}, []string{"distance", "kind"})
+	for distance := range metrics.chosen {
+		name := topology.Distance(distance).String()
+		metrics.chosen[distance].first = chosen.WithLabelValues(name, kindFirst)
+		metrics.chosen[distance].further = chosen.WithLabelValues(name, kindFurther)
+	}
+	register(registerer, chosen, outcomes, metrics.calls, metrics.connections, metrics.opened, metrics.ejections, metrics.forwarded)
 	return metrics
 }
+
+// observeChoice counts a sub-request of a message.
+func (m *poolMetrics) observeChoice(distance topology.Distance, further bool) {
+	if further {
+		m.chosen[distance].further.Inc()
+		return
+	}
+	m.chosen[distance].first.Inc()
+}
--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -18,6 +18,12 @@
 	OtherRegion
 )
 
+// distanceNames are the names of the distances in metrics.
+var distanceNames = [...]string{SameZone: "zone", SameRegion: "region", OtherRegion: "far"}
+
+// String returns the name of a distance.
+func (d Distance) String() string { return distanceNames[d] }
+
 // DistanceTo returns the distance between two places.
 func (p Place) DistanceTo(other Place) Distance {
 	switch {
