Fewer calls to the store

By cause: renewals each second; two records a start; nodes that had missed news twice watched the store for 30 s after reading all of it; refused nodes asked up to ten times a second.

Ruled out: a pause before the first watch of nodes that start together (more calls, not fewer), one watching node a region, gathering changes for longer (noise).

Change: leases of 9 s, renewed each 3 s; a node is recorded once it is ready; a watch of another node that is behind gives way to the store's from where it ended, without a reading; refused nodes watch others for the length of a pause, and most nodes pause for longer; one node a zone watches the store.

TestTheStoreIsWatchedWhenOtherNodesFail asked for two other nodes to be tried; there is one watching node a zone now, so it asks for exactly that one and for no reading, which the code before fails (3 readings).

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -73,9 +73,9 @@
 
 // The constants of a node.
 const (
-	// entryTTL is how long a node's entry outlives it, if the store allows so
-	// little.
-	entryTTL = 3 * time.Second
+	// entryTTL is how long a node's entry outlives it. Other nodes notice sooner that
+	// it is gone (liveness), and each renewal is priced.
+	entryTTL = 9 * time.Second
 	// directoryShare is the part of the longest time to keep addresses that is
 	// given: some callers keep them for three times as long as they are told.
 	directoryShare = 0.3
@@ -189,7 +189,7 @@
 		VanishedFor: time.Duration(vanishedShare * float64(n.settings.Bounds.Drain)),
 	})
 	n.monitor = freshness.New(freshness.Options{Confirm: n.follower.Confirm, Logger: n.logger, Registerer: registerer})
-	n.registry = registry.New(registry.Options{
+	n.registry = registry.New(registry.Config{
 		Store: source, Key: n.platform.Keys.Nodes + n.settings.Node, TTL: max(entryTTL, n.settings.Store.LeastTTL),
 		Node: func() topology.Node {
 			recorded := n.self
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -97,7 +97,7 @@
 	rankShare = 0.2
 	// graceShare is what a watch may take to tell what others know already; it
 	// is over gatherShare.
-	graceShare = 0.15
+	graceShare = 0.3
 	// askShare bounds one question, and the first attempt to read everything.
 	askShare = 0.15
 	// gatherShare is how long after a change the next one is waited for, so
@@ -116,6 +116,8 @@
 	state     *state
 	staleness staleness
 	reached   bool
+	// refused is true while the store is left alone for a pause.
+	refused bool
 	// patience bounds the next reading of everything. A call that the store has
 	// left without an answer will have none, so the first ones are given up
 	// soon; each failure doubles the time, for a store that is slow.
@@ -136,8 +138,21 @@
 const (
 	shortestPause = 100 * time.Millisecond
 	longestPause  = time.Second
+	// eagerNodes pause for no longer than longestPause; the others, which hear from
+	// them that the store is back, for patientShare of the time for news.
+	eagerNodes   = 3
+	patientShare = 0.6
 )
 
+// longestPause is this node's longest pause. Calls that the store refuses are
+// priced as well.
+func (f *Follower) longestPause() time.Duration {
+	if f.rank() < eagerNodes {
+		return longestPause
+	}
+	return max(longestPause, f.options.share(patientShare))
+}
+
 // New makes a Follower.
 func New(options Options) *Follower {
 	if options.Logger == nil {
@@ -165,9 +180,8 @@
 			pause = shortestPause
 			continue // it was read since; read again at once
 		}
-		f.askOthers(ctx)
-		f.wait(ctx, pause)
-		pause = min(2*pause, longestPause)
+		f.withoutStore(ctx, pause)
+		pause = min(2*pause, f.longestPause())
 	}
 	return nil
 }
@@ -267,7 +281,7 @@
 
 // lost notes that the store has failed.
 func (f *Follower) lost(err error) {
-	if errors.Is(err, store.ErrCompacted) || errors.Is(err, errBehind) || errors.Is(err, relay.ErrBroken) {
+	if errors.Is(err, store.ErrCompacted) || errors.Is(err, errBehind) {
 		f.options.Logger.Info("reading the store anew", "reason", err.Error(), "known_revision", f.staleness.known)
 		return
 	}
--- a/internal/follower/others.go
+++ b/internal/follower/others.go
@@ -15,6 +15,33 @@
 	values      []store.KeyValue
 }
 
+// triesWithoutStore is the number of other nodes that are watched in one pause.
+const triesWithoutStore = 2
+
+// withoutStore lets a pause go by in which the store is not called: other nodes are
+// watched, as the store may refuse this one alone.
+func (f *Follower) withoutStore(ctx context.Context, pause time.Duration) {
+	until := f.options.Now().Add(pause)
+	bounded, cancel := context.WithTimeout(ctx, pause)
+	defer cancel()
+	f.refused = true
+	defer func() { f.refused = false }()
+	for try := range triesWithoutStore {
+		node, found := f.anyNode(try)
+		if f.staleness.known == 0 || !found {
+			break
+		}
+		f.staleness.waitAnew(f.options.Now())
+		_ = f.watchOne(bounded, f.nodeSource(node), f.staleness.known) // it ends with the pause, or by that node's fault
+		if bounded.Err() != nil {
+			return
+		}
+		f.noteFailed(f.relaysFailed + 1)
+	}
+	f.askOthers(bounded)
+	f.wait(ctx, until.Sub(f.options.Now()))
+}
+
 // askOthers takes over what another node knows, when that may be more: the
 // store may refuse this node alone.
 func (f *Follower) askOthers(ctx context.Context) {
--- a/internal/follower/source.go
+++ b/internal/follower/source.go
@@ -2,25 +2,28 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 
 	"github.com/doorpond/doorpond/internal/directory"
-	"github.com/doorpond/doorpond/internal/relay"
 	"github.com/doorpond/doorpond/internal/store"
+	"github.com/doorpond/doorpond/internal/topology"
 )
 
 const (
+	// watchers is the number of nodes of each zone that watch the store. Another one
+	// takes over as soon as those who watch it miss something.
+	watchers = 1
 	// relayTries is the number of other nodes that are watched, one after the
 	// other, before the store is watched itself.
-	relayTries = 2
+	relayTries = 1
 	// relayPause is how long after that other nodes are tried again.
-	relayPause = 30 * time.Second
+	relayPause = 5 * time.Second
 )
 
 // errOtherSource ends a watch when another source is to be watched.
@@ -40,12 +43,15 @@
 // that watch it, and for a node that has tried others in vain; one of those for
 // all the rest.
 func (f *Follower) chooseSource() source {
-	node, found := f.watchedNode()
-	if !found {
-		return source{watch: func(ctx context.Context, fromRevision int64, deliver func(store.WatchBatch) error) error {
-			return f.options.Source.Watch(ctx, "", fromRevision, deliver)
-		}}
+	if node, found := f.watchedNode(); found {
+		return f.nodeSource(node)
 	}
+	return source{watch: func(ctx context.Context, fromRevision int64, deliver func(store.WatchBatch) error) error {
+		return f.options.Source.Watch(ctx, "", fromRevision, deliver)
+	}}
+}
+
+func (f *Follower) nodeSource(node netip.AddrPort) source {
 	f.options.Logger.Info("watching another node in place of the store", "address", node.String(), "revision", f.staleness.known)
 	return source{node: node, watch: func(ctx context.Context, fromRevision int64, deliver func(store.WatchBatch) error) error {
 		return f.options.Relays.Watch(ctx, node, fromRevision, deliver)
@@ -59,17 +65,38 @@
 	if f.options.Relays == nil || nodes == nil || f.relaysFailed >= relayTries {
 		return netip.AddrPort{}, false
 	}
-	watchers := directory.Watchers(nodes.Nodes, f.options.Self.Place, f.options.EntryNodes)
-	if len(watchers) == 0 {
+	watching := directory.Watchers(nodes.Nodes, f.options.Self.Place, watchers)
+	if slices.ContainsFunc(watching, f.isSelf) {
+		return netip.AddrPort{}, false
+	}
+	return f.pick(watching)
+}
+
+// anyNode returns the state address of a node that may hear from the store while
+// this one does not: another one at each call, of its own zone first.
+func (f *Follower) anyNode(try int) (address netip.AddrPort, found bool) {
+	nodes := f.options.Board.Nodes.Load()
+	if f.options.Relays == nil || nodes == nil {
 		return netip.AddrPort{}, false
 	}
-	for _, node := range watchers {
-		if node.ID == f.options.Self.ID {
-			return netip.AddrPort{}, false
-		}
+	candidates := directory.Watchers(nodes.Nodes, f.options.Self.Place, watchers)
+	if try > 0 || slices.ContainsFunc(candidates, f.isSelf) {
+		candidates = slices.Clone(nodes.Entries)
 	}
-	first := int(xxhash.Sum64String(f.options.Self.ID) % uint64(len(watchers)))
-	chosen := watchers[(first+f.relaysFailed)%len(watchers)]
+	candidates = slices.DeleteFunc(candidates, f.isSelf)
+	return f.pick(candidates)
+}
+
+func (f *Follower) isSelf(node topology.Node) bool { return node.ID == f.options.Self.ID }
+
+// pick returns the state address of one of some nodes: each node begins with
+// another one, and goes on to the next with each that has failed.
+func (f *Follower) pick(nodes []topology.Node) (address netip.AddrPort, found bool) {
+	if len(nodes) == 0 {
+		return netip.AddrPort{}, false
+	}
+	first := int(xxhash.Sum64String(f.options.Self.ID) % uint64(len(nodes)))
+	chosen := nodes[(first+f.relaysFailed)%len(nodes)]
 	address, err := netip.ParseAddrPort(chosen.StateAddress)
 	return address, err == nil
 }
@@ -87,11 +114,7 @@
 	return found
 }
 
-// noteFailed counts a watch that has failed by another node's fault, or that was
-// behind.
-func (f *Follower) noteFailed(err error) {
-	if f.options.Relays != nil && (errors.Is(err, relay.ErrBroken) || errors.Is(err, errBehind)) {
-		f.relaysFailed++
-		f.relayFailedAt = f.options.Now()
-	}
+// noteFailed notes that so many other nodes have been watched in vain.
+func (f *Follower) noteFailed(nodes int) {
+	f.relaysFailed, f.relayFailedAt = nodes, f.options.Now()
 }
--- a/internal/follower/source_test.go
+++ b/internal/follower/source_test.go
@@ -55,9 +55,14 @@
 	return store.KeyValue{Key: "nodes/" + id, Value: encoded(t, node), ModRevision: revision}
 }
 
-// startRelayed runs a follower of node "self", beside others that are recorded;
-// two nodes of a place watch the store.
+// startRelayed runs a follower of node "self", beside others that are recorded.
 func startRelayed(t *testing.T, source *fakeSource, relays *fakeRelays, others []store.KeyValue) *blackboard.Board {
+	t.Helper()
+	return startTold(t, source, relays, others, &fakePeers{received: make(chan announce.Announcement)}, time.Minute)
+}
+
+// startTold is startRelayed with what other nodes announce, and the time for news.
+func startTold(t *testing.T, source *fakeSource, relays *fakeRelays, others []store.KeyValue, peers *fakePeers, news time.Duration) *blackboard.Board {
 	t.Helper()
 	for _, other := range others {
 		source.put(other)
@@ -65,9 +70,9 @@
 	source.put(tableAt(t, 4, 1))
 	board := &blackboard.Board{}
 	made := New(Options{
-		Source: source, Peers: &fakePeers{received: make(chan announce.Announcement)}, Relays: relays,
+		Source: source, Peers: peers, Relays: relays,
 		Decoder: testDecoder{}, Keys: testKeys, Board: board, EntryNodes: 2,
-		Self: topology.Node{ID: "self"}, News: time.Minute, VanishedFor: time.Second,
+		Self: topology.Node{ID: "self"}, News: news, VanishedFor: time.Second,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
@@ -103,7 +108,8 @@
 	}
 }
 
-// TestTheStoreIsWatchedWhenOtherNodesFail, after each was tried once.
+// TestTheStoreIsWatchedWhenOtherNodesFail, after the one that watches it for its
+// zone was tried once; nothing is read anew for that.
 func TestTheStoreIsWatchedWhenOtherNodesFail(t *testing.T) {
 	source, relays := &fakeSource{}, &fakeRelays{broken: true}
 	board := startRelayed(t, source, relays, twoOthers(t))
@@ -111,9 +117,12 @@
 	source.put(tableAt(t, 9, 9))
 	eventually(t, "what the store tells is in force", inForce(board, 9))
 	tried := relays.asked()
-	if len(tried) != relayTries || tried[0] == tried[1] {
+	if len(tried) != relayTries || tried[0].Port() != 1001 {
 		t.Errorf("tried %v", tried)
 	}
+	if lists, _ := source.counts(); lists != 1 {
+		t.Errorf("the store was read %d times", lists)
+	}
 	if watches := source.watches(); watches != 1 {
 		t.Errorf("the store is watched %d times", watches)
 	}
@@ -138,3 +147,39 @@
 	defer s.mutex.Unlock()
 	return len(s.watching)
 }
+
+// TestANodeThatIsBehindIsGivenUpWithoutAReading: the store still knows the changes
+// since, and telling them is one call; a reading is several.
+func TestANodeThatIsBehindIsGivenUpWithoutAReading(t *testing.T) {
+	source, relays := &fakeSource{}, &fakeRelays{batches: make(chan store.WatchBatch)}
+	peers := &fakePeers{received: make(chan announce.Announcement)}
+	board := startTold(t, source, relays, twoOthers(t), peers, 2*time.Second)
+	eventually(t, "another node is watched", func() bool { return len(relays.asked()) > 0 })
+	peers.received <- announce.Announcement{Revision: 9}
+	eventually(t, "the store is watched", func() bool { return source.watches() > 0 })
+	source.put(tableAt(t, 9, 9))
+	eventually(t, "what the store tells is in force", inForce(board, 9))
+	if lists, _ := source.counts(); lists != 1 {
+		t.Errorf("the store was read %d times", lists)
+	}
+}
+
+// TestARefusedNodeHearsFromOthers: while the store refuses a node that watches it,
+// another node tells it what is new, and the store is called seldom.
+func TestARefusedNodeHearsFromOthers(t *testing.T) {
+	source, relays := &fakeSource{}, &fakeRelays{batches: make(chan store.WatchBatch)}
+	source.put(nodeWith(t, 1, "self", "127.0.0.1:1004"))
+	source.put(nodeWith(t, 2, "z", "127.0.0.1:1003"))
+	board := startTold(t, source, relays, nil, &fakePeers{received: make(chan announce.Announcement)}, 3*time.Second)
+	eventually(t, "the store is watched", func() bool { return source.watches() == 1 })
+	source.set(false, true)
+	source.breakWatches()
+	eventually(t, "another node is watched", func() bool { return len(relays.asked()) > 0 })
+	relays.batches <- store.WatchBatch{Revision: 9, Events: []store.Event{{KeyValue: tableAt(t, 9, 9)}}, Relayed: true}
+	eventually(t, "what the other node tells is in force", inForce(board, 9))
+	before, _ := source.counts()
+	time.Sleep(longestPause)
+	if after, _ := source.counts(); after-before > 2 {
+		t.Errorf("the store was read %d times in a second", after-before)
+	}
+}
--- a/internal/follower/staleness.go
+++ b/internal/follower/staleness.go
@@ -44,6 +44,13 @@
 	return news
 }
 
+// waitAnew gives another watch the time to tell what is missing.
+func (s *staleness) waitAnew(now time.Time) {
+	if !s.behindSince.IsZero() {
+		s.behindSince = now
+	}
+}
+
 // checkAt is when this node asks the store, if it hears nothing before.
 func (s *staleness) checkAt(rank int) time.Time {
 	return s.confirmedAt.Add(s.checkAfter + time.Duration(rank)*s.slot)
--- a/internal/follower/watch.go
+++ b/internal/follower/watch.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/doorpond/doorpond/internal/announce"
+	"github.com/doorpond/doorpond/internal/relay"
 	"github.com/doorpond/doorpond/internal/store"
 )
 
@@ -18,15 +19,36 @@
 // or, as the nodes come and go, from several in turn.
 func (f *Follower) watch(ctx context.Context, revision int64) error {
 	for {
-		err := f.watchOne(ctx, f.chooseSource(), revision)
-		if !errors.Is(err, errOtherSource) {
-			f.noteFailed(err)
+		from := f.chooseSource()
+		err := f.watchOne(ctx, from, revision)
+		if !f.goesOn(from, err) {
 			return err
 		}
 		revision = f.staleness.known
 	}
 }
 
+// goesOn tells whether another source can be watched from where one has ended. The
+// store keeps its history for a while, so that nothing has to be read anew because
+// another node could not tell of it.
+func (f *Follower) goesOn(from source, err error) bool {
+	switch {
+	case errors.Is(err, errOtherSource):
+		return true
+	case !from.node.IsValid():
+		return false
+	case errors.Is(err, errBehind):
+		f.noteFailed(relayTries) // whoever watches the store is behind as well
+		f.staleness.waitAnew(f.options.Now())
+	case errors.Is(err, relay.ErrBroken):
+		f.noteFailed(f.relaysFailed + 1)
+	default:
+		return false
+	}
+	f.options.Logger.Info("no longer watching that node", "address", from.node.String(), "reason", err.Error())
+	return true
+}
+
 // watchOne runs a watch of one source beside the checks.
 func (f *Follower) watchOne(ctx context.Context, from source, revision int64) error {
 	watching, cancel := context.WithCancel(ctx)
@@ -45,10 +67,10 @@
 		})
 	}()
 	defer cancel()
-	timer := time.NewTimer(time.Hour)
+	timer := time.NewTimer(nothingDue)
 	defer timer.Stop()
 	for {
-		timer.Reset(f.wakeAt().Sub(f.options.Now()))
+		timer.Reset(f.untilWake())
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -69,10 +91,30 @@
 	}
 }
 
+// nothingDue is how long is waited when nothing is due.
+const nothingDue = time.Hour
+
+// untilWake is the time until something is due.
+func (f *Follower) untilWake() time.Duration {
+	at := f.wakeAt()
+	if at.IsZero() {
+		return nothingDue
+	}
+	return at.Sub(f.options.Now())
+}
+
 // wakeAt is when the next check, the end of a deaf watch, or a change of the state
-// is due.
+// is due; zero when nothing is.
 func (f *Follower) wakeAt() time.Time {
-	return earliest(f.staleness.checkAt(f.rank()), f.staleness.giveUpAt(), f.state.dueAt())
+	return earliest(f.checkAt(), f.staleness.giveUpAt(), f.state.dueAt())
+}
+
+// checkAt is when this node asks the store next; zero while it leaves it alone.
+func (f *Follower) checkAt() time.Time {
+	if f.refused {
+		return time.Time{}
+	}
+	return f.staleness.checkAt(f.rank())
 }
 
 // earliest returns the first of some times; zero ones do not count.
@@ -108,7 +150,7 @@
 	if giveUp := f.staleness.giveUpAt(); !giveUp.IsZero() && !now.Before(giveUp) {
 		return errBehind
 	}
-	if now.Before(f.staleness.checkAt(f.rank())) {
+	if at := f.checkAt(); at.IsZero() || now.Before(at) {
 		return nil
 	}
 	return f.check(ctx)
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -23,8 +23,8 @@
 	Revoke(ctx context.Context, lease store.Lease) error
 }
 
-// Options are what a Registry needs.
-type Options struct {
+// Config is what a Registry is made of. Zero values of the last ones take defaults.
+type Config struct {
 	Store Store
 	// Key is where this node's entry lies.
 	Key string
@@ -33,31 +33,48 @@
 	// TTL is how long the entry outlives the node.
 	TTL    time.Duration
 	Logger *slog.Logger
+	Now    func() time.Time
 }
 
 // Registry keeps one entry; Run starts it.
 type Registry struct {
-	options Options
-	lease   store.Lease
+	config Config
+	lease  store.Lease
+	// renewedAt is when the lease was granted or renewed last.
+	renewedAt time.Time
 	// recorded is what the entry holds, if it is there.
 	recorded topology.Node
 	failing  bool
 }
 
 // New makes a Registry.
-func New(options Options) *Registry {
-	if options.Logger == nil {
-		options.Logger = slog.New(slog.DiscardHandler)
+func New(config Config) *Registry {
+	if config.Logger == nil {
+		config.Logger = slog.New(slog.DiscardHandler)
 	}
-	return &Registry{options: options}
+	if config.Now == nil {
+		config.Now = time.Now
+	}
+	return &Registry{config: config}
 }
 
-// renewals is how often a lease is renewed in its time.
-const renewals = 3
+const (
+	// renewals is how often a lease is renewed in its time.
+	renewals = 3
+	// looks is how often in that time the node is compared with its entry, and a
+	// call that has failed is made again.
+	looks = 9
+	// readyWait is for how long a node that has just started is not recorded while
+	// it is not ready: one entry that says so is enough.
+	readyWait = time.Second
+	// readyPause is the time between two looks then.
+	readyPause = 20 * time.Millisecond
+)
 
 // Run keeps the entry until ctx ends, and returns nil then.
 func (r *Registry) Run(ctx context.Context) error {
-	ticker := time.NewTicker(r.options.TTL / renewals)
+	r.awaitReady(ctx)
+	ticker := time.NewTicker(r.config.TTL / looks)
 	defer ticker.Stop()
 	for {
 		r.note(r.renew(ctx))
@@ -69,26 +86,45 @@
 	}
 }
 
+// awaitReady lets a node that has just started become ready first.
+func (r *Registry) awaitReady(ctx context.Context) {
+	bounded, cancel := context.WithTimeout(ctx, readyWait)
+	defer cancel()
+	ticker := time.NewTicker(readyPause)
+	defer ticker.Stop()
+	for !r.config.Node().Ready {
+		select {
+		case <-bounded.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 // renew makes the entry what it should be.
 func (r *Registry) renew(ctx context.Context) error {
-	wanted := r.options.Node()
-	if r.lease != 0 {
-		err := r.options.Store.KeepAlive(ctx, r.lease)
+	wanted := r.config.Node()
+	if r.lease != 0 && r.config.Now().Sub(r.renewedAt) >= r.config.TTL/renewals {
+		asked := r.config.Now()
+		err := r.config.Store.KeepAlive(ctx, r.lease)
 		if errors.Is(err, store.ErrLeaseNotFound) {
 			r.lease = 0
 		} else if err != nil {
 			return err
+		} else {
+			r.renewedAt = asked
 		}
 	}
 	if r.lease != 0 && wanted == r.recorded {
 		return nil
 	}
 	if r.lease == 0 {
-		granted, err := r.options.Store.Grant(ctx, r.options.TTL)
+		asked := r.config.Now()
+		granted, err := r.config.Store.Grant(ctx, r.config.TTL)
 		if err != nil {
 			return err
 		}
-		r.lease = granted
+		r.lease, r.renewedAt = granted, asked
 	}
 	return r.record(ctx, wanted)
 }
@@ -100,8 +136,8 @@
 	if err != nil {
 		return eris.Wrap(err, "encode the entry")
 	}
-	_, err = r.options.Store.Commit(ctx, store.Transaction{
-		Writes: []store.Write{{Key: r.options.Key, Value: value, Lease: r.lease}},
+	_, err = r.config.Store.Commit(ctx, store.Transaction{
+		Writes: []store.Write{{Key: r.config.Key, Value: value, Lease: r.lease}},
 	})
 	if errors.Is(err, store.ErrLeaseNotFound) {
 		r.lease = 0
@@ -116,9 +152,9 @@
 	if failing := err != nil; failing != r.failing {
 		r.failing = failing
 		if failing {
-			r.options.Logger.Warn("this node's entry cannot be renewed", "error", err.Error())
+			r.config.Logger.Warn("this node's entry cannot be renewed", "error", err.Error())
 		} else {
-			r.options.Logger.Info("this node's entry is recorded")
+			r.config.Logger.Info("this node's entry is recorded")
 		}
 	}
 }
@@ -128,5 +164,5 @@
 	if r.lease == 0 {
 		return nil
 	}
-	return eris.Wrap(r.options.Store.Revoke(ctx, r.lease), "remove this node's entry")
+	return eris.Wrap(r.config.Store.Revoke(ctx, r.lease), "remove this node's entry")
 }
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -55,6 +56,62 @@
 	return nil, errors.New("not used")
 }
 
+// steps is a clock that each look at it puts forward by a part of a second.
+func steps(parts int) func() time.Time {
+	now := time.Unix(1000, 0)
+	return func() time.Time {
+		now = now.Add(time.Second / time.Duration(parts))
+		return now
+	}
+}
+
+// TestALeaseIsRenewedInTime: renewals are priced, so there are no more of them than
+// keep the lease when one or two get lost.
+func TestALeaseIsRenewedInTime(t *testing.T) {
+	fake := &fakeStore{}
+	now := time.Unix(1000, 0)
+	kept := New(Config{
+		Store: fake, Key: "k", TTL: time.Second, Now: func() time.Time { return now },
+		Node: func() topology.Node { return topology.Node{ID: "n"} },
+	})
+	for range looks + 1 {
+		kept.note(kept.renew(t.Context()))
+		now = now.Add(time.Second/looks + time.Millisecond)
+	}
+	want := []string{"grant", "put k under 1", "keep 1", "keep 1", "keep 1"}
+	if diff := cmp.Diff(want, fake.calls); diff != "" {
+		t.Errorf("calls (-want +got):\n%s", diff)
+	}
+}
+
+// TestANodeIsRecordedOnceItIsReady: not once before and once after.
+func TestANodeIsRecordedOnceItIsReady(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		after time.Duration
+		want  bool
+	}{
+		{"soon ready", 100 * time.Millisecond, true},
+		{"not ready for long", time.Hour, false},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			fake := &fakeStore{}
+			started := time.Now()
+			kept := New(Config{Store: fake, Key: "k", TTL: time.Hour, Node: func() topology.Node {
+				return topology.Node{ID: "n", Ready: time.Since(started) >= test.after}
+			}})
+			ctx, cancel := context.WithTimeout(t.Context(), 2*readyWait)
+			defer cancel()
+			if err := kept.Run(ctx); err != nil {
+				t.Error(err)
+			}
+			if len(fake.calls) != 2 || kept.recorded.Ready != test.want {
+				t.Errorf("%s: calls %v, recorded as ready %v", test.name, fake.calls, kept.recorded.Ready)
+			}
+		})
+	}
+}
+
 func TestRenew(t *testing.T) {
 	lapsed := fmt.Errorf("%w: %w", store.ErrLeaseNotFound, store.ErrNotApplied)
 	cases := []struct {
@@ -72,7 +129,7 @@
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
 			fake := &fakeStore{errors: test.errors}
-			kept := New(Options{Store: fake, Key: "k", Node: func() topology.Node { return topology.Node{ID: "n"} }, TTL: time.Second})
+			kept := New(Config{Now: steps(renewals), Store: fake, Key: "k", Node: func() topology.Node { return topology.Node{ID: "n"} }, TTL: time.Second})
 			for range 3 {
 				kept.note(kept.renew(t.Context()))
 			}
@@ -86,7 +143,7 @@
 func TestAChangedNodeIsRecordedAnew(t *testing.T) {
 	fake := &fakeStore{}
 	node := topology.Node{ID: "n"}
-	kept := New(Options{Store: fake, Key: "k", Node: func() topology.Node { return node }, TTL: time.Second})
+	kept := New(Config{Now: steps(renewals), Store: fake, Key: "k", Node: func() topology.Node { return node }, TTL: time.Second})
 	for _, ready := range []bool{false, true, true} {
 		node.Ready = ready
 		if err := kept.renew(t.Context()); err != nil {
@@ -101,7 +158,7 @@
 
 func TestLeave(t *testing.T) {
 	fake := &fakeStore{}
-	kept := New(Options{Store: fake, Key: "k", Node: func() topology.Node { return topology.Node{} }, TTL: time.Second})
+	kept := New(Config{Now: steps(renewals), Store: fake, Key: "k", Node: func() topology.Node { return topology.Node{} }, TTL: time.Second})
 	if err := kept.Leave(t.Context()); err != nil || len(fake.calls) != 0 {
 		t.Errorf("left without an entry: %v, %v", fake.calls, err)
 	}
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -45,7 +45,7 @@
 
 type poolMetrics struct {
 	// chosen counts sub-requests of messages by the distance of the replica.
-	chosen   [topology.OtherRegion + 1]struct{ first, further prometheus.Counter }
+	chosen      [topology.OtherRegion + 1]struct{ first, further prometheus.Counter }
 	outcomes    [decision.Outcomes]prometheus.Counter
 	calls       *prometheus.CounterVec
 	connections prometheus.Gauge
