--- a/cmd/doorpond-lab/main.go
+++ b/cmd/doorpond-lab/main.go
@@ -34,6 +34,6 @@
 	return &cli.Command{
 		Name:     "doorpond-lab",
 		Usage:    "run stand-ins of the platform and measure daemons against them",
-		Commands: []*cli.Command{demoCommand(), platformCommand(), loadCommand(), experimentCommand(), simulateCommand(), proveCommand(), soakCommand(), scaleCommand(), benchCommand()},
+		Commands: []*cli.Command{demoCommand(), platformCommand(), loadCommand(), experimentCommand(), simulateCommand(), proveCommand(), soakCommand(), benchCommand()},
 	}
 }
