--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -24,12 +24,13 @@
 	// overload begins: a burst that is soon worked off, as after a restart of all
 	// nodes, is none.
 	windowsToCut = 2
-	// windowsToCutUnknown is windowsToCut until the first window without strain.
-	// Before that nothing is known of what the back ends bear: after a restart, or
-	// when an index has just got other shards, the first queries wait for cold
-	// replicas and for this node's own slow start, and refusing them loses answers
-	// for nothing.
+	// windowsToCutUnknown is windowsToCut until there have been windowsToKnow windows
+	// in a row without strain. Before that nothing is known of what the back ends
+	// bear: after a restart, or when an index has just got other shards, queries wait
+	// for cold replicas, for those that still count connections of before, and for
+	// this node's own slow start, and refusing them loses answers for nothing.
 	windowsToCutUnknown = 10
+	windowsToKnow       = 15
 	// mostFutile is the number of cuts in a row that may fail to end a strain.
 	mostFutile = 3
 	// liftedShare is for how many times as long as cuts have failed no more are
@@ -60,8 +61,8 @@
 	// after they did not help, Unix nanoseconds.
 	congestion congestion
 	overloaded atomic.Int32
-	// borne is true once there has been a window without strain.
-	borne       atomic.Bool
+	// calm is the number of windows in a row without strain, up to windowsToKnow.
+	calm        atomic.Int32
 	futile      atomic.Int32
 	liftedUntil atomic.Int64
 	logger      *slog.Logger
@@ -119,6 +120,9 @@
 	}
 	lastCut := l.cutAt.Load()
 	over, whole := l.congestion.observe(now, time.Unix(0, lastCut), ended)
+	if whole && over.overloaded() && l.calm.Load() < windowsToKnow {
+		l.calm.Store(0)
+	}
 	switch units := l.units.Load(); {
 	case !whole:
 	case over.overloaded() && l.overloaded.Add(1) < l.windowsToCut() && l.lasted(now) == 0:
@@ -133,17 +137,24 @@
 	default:
 		l.futile.Store(0)
 		l.overloaded.Store(0)
-		l.borne.Store(true)
+		l.noteCalm()
 		if over.relaxed() && l.inUse(units, inFlight) {
 			l.units.Store(min(l.most, int64(windowRaise*float64(units))))
 		}
 	}
 }
 
+// noteCalm counts a window without strain.
+func (l *adaptiveLimit) noteCalm() {
+	if l.calm.Load() < windowsToKnow {
+		l.calm.Add(1)
+	}
+}
+
 // windowsToCut is the number of overloaded windows in a row after which an
 // overload begins.
 func (l *adaptiveLimit) windowsToCut() int32 {
-	if l.borne.Load() {
+	if l.calm.Load() >= windowsToKnow {
 		return windowsToCut
 	}
 	return windowsToCutUnknown
