No reserve of hedges for retries on edge nodes; attempts of a query in a file of their own

Change: no reserve; attempts.go holds what decides on further attempts, with a shard's three states; hedgeAt and hedgeDelay, which also held retries, are nextAt and nextDelay.

--- a/internal/decision/query.go
+++ b/internal/decision/query.go
@@ -21,12 +21,14 @@
 	// replica, which the policy bounds.
 	sent     int
 	attempts int
+	// inFlight has a bit for each attempt that runs.
 	inFlight uint16
-	hedgeAt  time.Duration
-	// hedgeDelay is the wait before the next look at the hedge.
-	hedgeDelay time.Duration
+	// nextAt is when the next attempt, a hedge or a retry, is due; nextDelay is the
+	// wait before the next look when the budget does not allow it then.
+	nextAt    time.Duration
+	nextDelay time.Duration
 	// postponed is true while no attempt is in flight and the next one is due at
-	// hedgeAt.
+	// nextAt.
 	postponed bool
 	// refusals counts the attempts that came to no replica.
 	refusals  int
@@ -119,115 +121,16 @@
 	state.sent++
 	state.attempts++
 	state.inFlight |= 1 << attempt
-	state.hedgeAt = never
+	state.nextAt = never
 	if plan.HedgeDelay > 0 && q.mayHedge(state) {
-		state.hedgeAt = now + plan.HedgeDelay
-		state.hedgeDelay = plan.HedgeDelay
+		state.nextAt = now + plan.HedgeDelay
+		state.nextDelay = plan.HedgeDelay
 	}
 	q.actions = append(q.actions, Action{
 		Kind: Send, Shard: shard, Attempt: attempt, Hedge: hedge, Timeout: q.plan.Deadline - now,
 	})
 }
 
-// dispatched sets the hedge by what is usual for the chosen replica.
-func (q *Query) dispatched(now time.Duration, event Event) {
-	state := &q.shards[event.Shard]
-	latest := event.Attempt == state.sent-1
-	if event.HedgeDelay <= 0 || !latest || state.settled {
-		return
-	}
-	if !q.mayHedge(state) {
-		state.diagnosis.NoHedge = q.whyNoHedge(state)
-		return
-	}
-	state.hedgeAt = now + event.HedgeDelay
-	state.hedgeDelay = event.HedgeDelay
-	q.wakeBy(state.hedgeAt)
-}
-
-// mayHedge is true while another attempt beside those in flight is allowed.
-func (q *Query) mayHedge(state *shardState) bool {
-	return !q.plan.RunsOnce && !q.plan.NoHedges && !state.hedgeOff && state.attempts < q.attemptLimit() && state.sent < maxAttempts
-}
-
-// whyNoHedge explains mayHedge.
-func (q *Query) whyNoHedge(state *shardState) HedgeDenial {
-	switch {
-	case q.plan.NoHedges:
-		return DeniedOverload
-	case state.hedgeOff:
-		return DeniedReplicas
-	default:
-		return DeniedAttempts
-	}
-}
-
-// The wait before a sub-request that found all replicas busy is tried again:
-// a part of the usual time of a reply, within bounds.
-const (
-	busyShare   = 4
-	busyAtLeast = 2 * time.Millisecond
-	busyAtMost  = 20 * time.Millisecond
-)
-
-// postpone takes an attempt back that was not sent, as all replicas were busy,
-// and sets the time to try again. It returns false when there would be no time
-// left then.
-func (q *Query) postpone(now time.Duration, state *shardState, shard int) bool {
-	state.sent--
-	state.attempts--
-	wait := min(max(q.plan.Shards[shard].Expected/busyShare, busyAtLeast), busyAtMost)
-	if state.inFlight == 0 && !q.mayAttempt(now+wait, shard) {
-		return false
-	}
-	if q.plan.OfferBy > 0 && len(q.shards) == 1 && state.attempts == 0 && now+wait > q.plan.OfferBy {
-		return false
-	}
-	state.hedgeAt = now + wait
-	state.hedgeDelay = wait
-	state.postponed = state.inFlight == 0
-	q.wakeBy(state.hedgeAt)
-	return true
-}
-
-// The wait after an attempt that came to no replica, before the next: it doubles
-// with each, as a replica that is full needs time.
-const (
-	refusedWait        = 20 * time.Millisecond
-	refusedWaitAtMost  = 200 * time.Millisecond
-	refusedWaitDoubles = 4
-)
-
-// retryLater sets the time for another attempt after one that came to no replica.
-// Such attempts neither use the policy's attempts up nor draw on the budget, which
-// is for what arrives. It returns false when there can be no other.
-func (q *Query) retryLater(now time.Duration, event Event) bool {
-	state := &q.shards[event.Shard]
-	if q.plan.RunsOnce && !event.Outcome.provesNotRun() {
-		return false
-	}
-	wait := min(refusedWait<<min(state.refusals, refusedWaitDoubles), refusedWaitAtMost)
-	if event.Outcome == Unreached && state.refusals == 0 {
-		wait = 0 // most likely that process has ended, and others have not
-	}
-	if !q.mayAttempt(now+wait, event.Shard) {
-		return false
-	}
-	state.refusals++
-	state.status.Reason = reasonAfter(state.status.Reason, event.Outcome)
-	if wait == 0 && state.inFlight == 0 {
-		q.send(now, event.Shard, false)
-		return true
-	}
-	state.hedgeAt = now + wait
-	state.hedgeDelay = wait
-	state.postponed = state.inFlight == 0
-	q.wakeBy(state.hedgeAt)
-	return true
-}
-
-func (q *Query) attemptLimit() int { return min(q.plan.Policy.Retry.Attempts, maxAttempts) }
-
 func (q *Query) replied(now time.Duration, event Event) {
 	state := &q.shards[event.Shard]
 	bit := uint16(1) << event.Attempt
@@ -253,7 +156,7 @@
 	if event.Outcome == NoReplica {
 		state.diagnosis.NoHedge = DeniedReplicas
 		state.hedgeOff = true
-		state.hedgeAt = never
+		state.nextAt = never
 	}
 	if state.inFlight != 0 {
 		return
@@ -265,71 +168,6 @@
 	q.settleShard(event.Shard)
 }
 
-// reasonAfter keeps the reason of an attempt that reached a replica when a
-// later one finds no replica left.
-func reasonAfter(earlier client.MissingReason, outcome Outcome) client.MissingReason {
-	if outcome == NoReplica && earlier != "" {
-		return earlier
-	}
-	return outcome.missing()
-}
-
-func (o Outcome) missing() client.MissingReason {
-	switch o {
-	case Shed, Draining, Elsewhere:
-		return client.MissingShed
-	case SnapshotNotHeld:
-		return client.MissingSnapshot
-	case Invalid:
-		return client.MissingInvalidReply
-	case NoReplica:
-		return client.MissingNoReplica
-	case DeadlinePassed:
-		return client.MissingTimeout
-	default:
-		return client.MissingFailed
-	}
-}
-
-func (q *Query) mayRetry(now time.Duration, shard int, outcome Outcome) bool {
-	if outcome == DeadlinePassed || !q.mayAttempt(now, shard) {
-		return false
-	}
-	if q.plan.RunsOnce && !outcome.provesNotRun() {
-		return false
-	}
-	switch outcome {
-	case Draining, SnapshotNotHeld:
-		return true // no work came to the replicas; the attempt limit bounds these
-	}
-	return q.withdraw(shard)
-}
-
-func (q *Query) mayAttempt(now time.Duration, shard int) bool {
-	if q.shards[shard].attempts >= q.attemptLimit() || q.shards[shard].sent >= maxAttempts {
-		return false
-	}
-	return now+q.plan.Shards[shard].Expected < min(q.plan.Deadline, q.graceAt, q.answerBy(now))
-}
-
-// answerBy is when the query ends if no more shards answer.
-func (q *Query) answerBy(now time.Duration) time.Duration {
-	if q.mayAnswer() && now < q.plan.AnswerBy {
-		return q.plan.AnswerBy
-	}
-	return never
-}
-
-func (q *Query) withdraw(shard int) bool {
-	budget := q.plan.Shards[shard].Budget
-	return budget != nil && budget.Withdraw()
-}
-
-func (q *Query) withdrawHedge(shard int) bool {
-	budget := q.plan.Shards[shard].Budget
-	return budget != nil && budget.WithdrawHedge()
-}
-
 func (q *Query) succeed(now time.Duration, shard int) {
 	state := &q.shards[shard]
 	state.status = ShardStatus{Answered: true}
@@ -345,7 +183,7 @@
 func (q *Query) settleShard(shard int) {
 	state := &q.shards[shard]
 	state.settled = true
-	state.hedgeAt = never
+	state.nextAt = never
 	q.settled++
 	q.snapshotLost = q.snapshotLost || state.status.Reason == client.MissingSnapshot
 	q.cancelAttempts(shard)
@@ -360,31 +198,6 @@
 	}
 }
 
-// fire sends the hedges that are due.
-func (q *Query) fire(now time.Duration) {
-	for i := range q.shards {
-		state := &q.shards[i]
-		if state.settled || state.hedgeAt > now {
-			continue
-		}
-		state.hedgeAt = never
-		if state.postponed {
-			state.postponed = false
-			q.send(now, i, false)
-			continue
-		}
-		switch {
-		case !q.mayAttempt(now, i):
-			state.diagnosis.NoHedge = DeniedTime
-		case q.withdrawHedge(i):
-			q.send(now, i, true)
-		default:
-			state.diagnosis.NoHedge = DeniedBudget
-			state.hedgeAt = now + state.hedgeDelay // the budget may be better off then
-		}
-	}
-}
-
 // settle ends the query if it is over, else sets the timer.
 func (q *Query) settle(now time.Duration) {
 	switch {
@@ -440,12 +253,12 @@
 	}
 	if q.timerAt == never {
 		for i := range q.shards {
-			next = min(next, q.hedgeTime(i))
+			next = min(next, q.nextTime(i))
 		}
 	} else {
 		for _, action := range q.actions {
 			if action.Kind == Send {
-				next = min(next, q.hedgeTime(action.Shard))
+				next = min(next, q.nextTime(action.Shard))
 			}
 		}
 	}
@@ -460,13 +273,6 @@
 	}
 }
 
-func (q *Query) hedgeTime(shard int) time.Duration {
-	if q.shards[shard].settled {
-		return never
-	}
-	return q.shards[shard].hedgeAt
-}
-
 func (q *Query) finish(reason FinishReason, missing client.MissingReason) {
 	q.finished = true
 	for i := range q.shards {
--- a/internal/edge/budget.go
+++ b/internal/edge/budget.go
@@ -12,8 +12,9 @@
 // that start anew with a budget of their own.
 const budgetShare = 0.9
 
-// retryReserve is the share of the slack that hedges leave to retries.
-const retryReserve = 0.2
+// noReserve: hedges leave nothing to retries. A reserve for those was worth nothing
+// (docs/ROUNDS.md).
+const noReserve = 0
 
 // standbyShare is the part of the slack that is left to the nodes to which
 // callers are not led: some come to them all the same.
@@ -59,7 +60,7 @@
 		}
 	}
 	if b.groups[group] == nil {
-		b.groups[group] = decision.NewReservingBudget(budgetShare*terms.ratio, b.burst(), retryReserve)
+		b.groups[group] = decision.NewReservingBudget(budgetShare*terms.ratio, b.burst(), noReserve)
 	}
 	return b.groups[group]
 }
