doorpond-edge explain tells when a late shard answered and why it was not hedged

Conclusion: a late request's id leads to the budget, the attempts or the overload that kept a hedge from being sent.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -134,12 +134,23 @@
 	}
 }
 
+// answered tells when the shard answered, if the trace says so.
+func (s *shard) answered() string {
+	if s.AnsweredMilliseconds == 0 {
+		return "answered"
+	}
+	return fmt.Sprintf("answered at %d ms", s.AnsweredMilliseconds)
+}
+
 // shard is a shard's trace as the nodes log it.
 type shard struct {
-	Group    string `json:"group"`
-	Reason   string `json:"reason"`
-	Error    string `json:"error"`
-	Attempts []struct {
+	Group  string `json:"group"`
+	Reason string `json:"reason"`
+	Error  string `json:"error"`
+	// AnsweredMilliseconds and NoHedge explain a shard that was late.
+	AnsweredMilliseconds int64  `json:"answered_ms"`
+	NoHedge              string `json:"no_hedge"`
+	Attempts             []struct {
 		Replica string `json:"replica"`
 		SentMS  int64  `json:"sent_ms"`
 		Outcome string `json:"outcome"`
@@ -153,7 +164,10 @@
 		return
 	}
 	for _, one := range shards {
-		_, _ = fmt.Fprintf(out, "    shard %s: %s %s\n", one.Group, cmp.Or(one.Reason, "answered"), one.Error)
+		_, _ = fmt.Fprintf(out, "    shard %s: %s %s\n", one.Group, cmp.Or(one.Reason, one.answered()), one.Error)
+		if one.NoHedge != "" {
+			_, _ = fmt.Fprintf(out, "      no hedge: %s\n", one.NoHedge)
+		}
 		for _, attempt := range one.Attempts {
 			_, _ = fmt.Fprintf(out, "      at %d ms to %s: %s\n", attempt.SentMS, cmp.Or(attempt.Replica, "no replica"), attempt.Outcome)
 		}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -9,7 +9,7 @@
   1.2 node-a {"time":"2026-01-01T10:00:01Z","level":"WARN","msg":"store lost; going on with what is known","error":"silent"}
   1.3 node-b {"time":"2026-01-01T10:00:02Z","level":"INFO","msg":"replica gone","address":"10.0.0.9:1"}
   0.1 node-a {"time":"2026-01-01T09:50:00Z","level":"INFO","msg":"started"}
-  1.4 node-a {"time":"2026-01-01T10:00:03.5Z","level":"INFO","msg":"request answered in part","request":"q1","route":"r","missing":1,"shards":[{"group":"g3","reason":"failed","error":"reset","attempts":[{"replica":"10.0.0.1:1","sent_ms":0,"outcome":"failed"},{"sent_ms":12,"outcome":"no_replica"}]}]}
+  1.4 node-a {"time":"2026-01-01T10:00:03.5Z","level":"INFO","msg":"request answered in part","request":"q1","route":"r","missing":1,"shards":[{"group":"g3","reason":"failed","error":"reset","attempts":[{"replica":"10.0.0.1:1","sent_ms":0,"outcome":"failed"},{"sent_ms":12,"outcome":"no_replica"}]},{"group":"g4","answered_ms":230,"no_hedge":"budget","attempts":[{"replica":"10.0.0.2:1","sent_ms":0,"outcome":"success"}]}]}
   1.5 node-b {"time":"2026-01-01T10:00:04Z","level":"INFO","msg":"request answered","request":"q2"}
 {"broken":
 `
@@ -31,6 +31,9 @@
     shard g3: failed reset
       at 0 ms to 10.0.0.1:1: failed
       at 12 ms to no replica: no_replica
+    shard g4: answered at 230 ms 
+      no hedge: budget
+      at 0 ms to 10.0.0.2:1: success
 `
 	if told.String() != want {
 		t.Errorf("story:\n%s\nwant:\n%s", told.String(), want)
