--- a/internal/edge/budget.go
+++ b/internal/edge/budget.go
@@ -12,9 +12,10 @@
 // that start anew with a budget of their own.
 const budgetShare = 0.9
 
-// noReserve: hedges leave nothing to retries. A reserve for those was worth nothing
-// (docs/ROUNDS.md).
-const noReserve = 0
+// retryReserve is the share of the slack that hedges leave to retries. Without it,
+// replicas that spoil answers while many are slow cost whole requests, as hedges have
+// spent what a retry needs (docs/ROUNDS.md).
+const retryReserve = 0.2
 
 // standbyShare is the part of the slack that is left to the nodes to which
 // callers are not led: some come to them all the same.
@@ -60,7 +61,7 @@
 		}
 	}
 	if b.groups[group] == nil {
-		b.groups[group] = decision.NewReservingBudget(budgetShare*terms.ratio, b.burst(), noReserve)
+		b.groups[group] = decision.NewReservingBudget(budgetShare*terms.ratio, b.burst(), retryReserve)
 	}
 	return b.groups[group]
 }
