The platform demo's caller names its region

Ruled out: the processor load (the stand-in's settings state no limit, so that no node of it counts as loaded for that). Change: callers of the stand-in are made by Deployment.NewClient, which gives zone and region. TestTheCallerIsLedToTheNodeOfItsZone asks when all nodes are known: failed before, passes now.

--- a/internal/lab/demo/platform.go
+++ b/internal/lab/demo/platform.go
@@ -52,7 +52,7 @@
 
 func (d *platformDemo) startNodes(ctx context.Context) error {
 	d.progress("starting an edge node in each of three zones")
-	d.caller = &standin.Client{Zone: platformZones[0], HTTP: &http.Client{Timeout: platformWait}}
+	d.caller = d.deployment.NewClient(platformZones[0], &http.Client{Timeout: platformWait})
 	for _, zone := range platformZones {
 		node, err := d.deployment.StartNode(d.deployment.NodeSettings("node-"+zone, zone), nil)
 		if err != nil {
