A refused node watches one of another zone when it knows none of its own

Cause: while the store refuses a node, it watches others in its pauses, one of its own zone first. When it knew none there (it stands alone in its zone and was refused before it had recorded itself) it watched nobody, and no other node knew it and told it of news; it only read a whole state, after 0.4 of the time for news and a pause of up to a second. That is the order in which TestANodeThatTheStoreRefusesKeepsUp can be late: it refuses the only node of a zone as soon as that is ready, which may be before it is recorded. Change: with no node of its own zone known, an entry node of any zone is watched.

--- a/internal/follower/source.go
+++ b/internal/follower/source.go
@@ -80,7 +80,7 @@
 		return netip.AddrPort{}, false
 	}
 	candidates := directory.Watchers(nodes.Nodes, f.options.Self.Place, watchers)
-	if try > 0 || slices.ContainsFunc(candidates, f.isSelf) {
+	if try > 0 || len(candidates) == 0 || slices.ContainsFunc(candidates, f.isSelf) {
 		candidates = slices.Clone(nodes.Entries)
 	}
 	candidates = slices.DeleteFunc(candidates, f.isSelf)
--- a/internal/follower/source_test.go
+++ b/internal/follower/source_test.go
@@ -74,15 +74,7 @@
 		Decoder: testDecoder{}, Keys: testKeys, Board: board, EntryNodes: 2,
 		Self: topology.Node{ID: "self"}, News: news, VanishedFor: time.Second,
 	})
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- made.Run(ctx) }()
-	t.Cleanup(func() {
-		cancel()
-		if err := <-ended; err != nil {
-			t.Error(err)
-		}
-	})
+	run(t, made)
 	return board
 }
 
@@ -183,3 +175,41 @@
 		t.Errorf("the store was read %d times in a second", after-before)
 	}
 }
+
+// TestARefusedNodeThatIsNotRecordedHearsFromOthers: it is the only node of its zone,
+// and the store refuses it before it has recorded itself. So it knows no node of its
+// zone, and no other node knows it and tells it anything; it watches one of another
+// zone all the same.
+func TestARefusedNodeThatIsNotRecordedHearsFromOthers(t *testing.T) {
+	source, relays := &fakeSource{}, &fakeRelays{batches: make(chan store.WatchBatch)}
+	far := topology.Node{ID: "z", Ready: true, StateAddress: "127.0.0.1:1003", Place: topology.Place{Zone: "z2"}}
+	source.put(store.KeyValue{Key: "nodes/z", Value: encoded(t, far), ModRevision: 1})
+	source.put(tableAt(t, 4, 1))
+	board := &blackboard.Board{}
+	made := New(Options{
+		Source: source, Peers: &fakePeers{received: make(chan announce.Announcement)}, Relays: relays,
+		Decoder: testDecoder{}, Keys: testKeys, Board: board, EntryNodes: 2,
+		Self: topology.Node{ID: "self", Place: topology.Place{Zone: "z1"}}, News: time.Minute, VanishedFor: time.Second,
+	})
+	run(t, made)
+	eventually(t, "the store is watched", func() bool { return source.watches() == 1 })
+	source.set(false, true)
+	source.breakWatches()
+	eventually(t, "a node of another zone is watched", func() bool { return len(relays.asked()) > 0 })
+	relays.batches <- store.WatchBatch{Revision: 9, Events: []store.Event{{KeyValue: tableAt(t, 9, 9)}}, Relayed: true}
+	eventually(t, "what it tells is in force", inForce(board, 9))
+}
+
+// run runs a follower until the test ends.
+func run(t *testing.T, made *Follower) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- made.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+}
