The proof of accepted changes kills a daemon while an edit is in flight

Cause: the check that the faults had an effect counts edits that were repeated, and an edit was in flight when a daemon was killed only by luck. Ruled out: load (the fault is the check's: nothing made an edit be in flight). Change: the daemon is frozen while it has an unanswered edit, and then killed; where the answer was already on its way it is resumed and the next edit is waited for.

--- a/internal/proofs/table.go
+++ b/internal/proofs/table.go
@@ -15,6 +15,7 @@
 
 	"github.com/doorpond/doorpond/client"
 
+	"github.com/doorpond/doorpond/internal/admin"
 	"github.com/doorpond/doorpond/internal/failure"
 	"github.com/doorpond/doorpond/internal/operator"
 	"github.com/doorpond/doorpond/internal/policy"
@@ -68,7 +69,7 @@
 // Table has operators race their edits while the store fails and daemons are
 // frozen, started and cut off, and watches every daemon's table all the time.
 func Table(ctx context.Context, cluster *Cluster, options TableOptions) (TableReport, error) {
-	run := &tableRun{cluster: cluster, options: options}
+	run := &tableRun{cluster: cluster, options: options, editing: make(map[*Process]int)}
 	watching, stopWatching := context.WithCancel(ctx)
 	var watchers errgroup.Group
 	defer func() { stopWatching(); _ = watchers.Wait() }()
@@ -101,10 +102,12 @@
 
 	accepted atomic.Int64
 	values   atomic.Int64
-	stop     atomic.Bool
-	mutex    sync.Mutex
-	changes  []acceptedChange
-	report   TableReport
+	// editing counts the edits in flight, by the daemon that was sent them first.
+	editing map[*Process]int
+	stop    atomic.Bool
+	mutex   sync.Mutex
+	changes []acceptedChange
+	report  TableReport
 }
 
 func (r *tableRun) finished() TableReport {
@@ -168,9 +171,8 @@
 func (r *tableRun) operate(ctx context.Context, number int) error {
 	for turn := 0; ctx.Err() == nil && !r.stop.Load(); turn++ {
 		alive := r.cluster.Alive()
-		api := apiOf(alive[number%len(alive)])
 		bounded, cancel := context.WithTimeout(ctx, 2*freezeTime)
-		err := r.edit(bounded, api, ownRow(number, turn))
+		err := r.edit(bounded, alive[number%len(alive)], ownRow(number, turn))
 		cancel()
 		if err != nil {
 			return err
@@ -189,7 +191,8 @@
 // edit makes one change of one row as the command line does: read the table,
 // change the row, expect that nobody was faster; an unknown outcome is cleared
 // up by the same ID through any daemon.
-func (r *tableRun) edit(ctx context.Context, api *operator.API, name string) error {
+func (r *tableRun) edit(ctx context.Context, process *Process, name string) error {
+	api := apiOf(process)
 	table, err := api.Table(ctx)
 	if err != nil {
 		return nil // a daemon that is frozen or just starting
@@ -199,8 +202,8 @@
 	edit := policytable.Edit{
 		ID: ulid.Make().String(), Author: author + "-" + name, ExpectedRevision: table.Revision, SetPolicies: []policy.Row{row},
 	}
-	for {
-		result, err := api.Edit(ctx, edit, 0)
+	for first := true; ; first = false {
+		result, err := r.send(ctx, api, process, edit, first)
 		if err == nil {
 			r.accept(acceptedChange{id: edit.ID, revision: result.Change.Revision, hits: row.Limits.Hits})
 			return nil
@@ -217,6 +220,29 @@
 	}
 }
 
+// send makes one attempt of an edit, which counts as in flight at the daemon if it
+// is the first.
+func (r *tableRun) send(ctx context.Context, api *operator.API, process *Process, edit policytable.Edit, first bool) (*admin.EditResult, error) {
+	if first {
+		r.countEditing(process, 1)
+		defer r.countEditing(process, -1)
+	}
+	return api.Edit(ctx, edit, 0)
+}
+
+func (r *tableRun) countEditing(process *Process, change int) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.editing[process] += change
+}
+
+// isEditing tells whether an edit is in flight at a daemon.
+func (r *tableRun) isEditing(process *Process) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.editing[process] > 0
+}
+
 // nextHits is a value that no other edit of late has set.
 func (r *tableRun) nextHits() int {
 	const mostHits = 9000
--- a/internal/proofs/table_faults.go
+++ b/internal/proofs/table_faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -68,11 +69,40 @@
 	return await(ctx, "the new daemon to be ready", func() (bool, error) { return ready(ctx, added), nil })
 }
 
+// killAndStart kills a daemon while an edit is in flight at it, so that the edit's
+// outcome is not known.
 func (r *tableRun) killAndStart(ctx context.Context) error {
-	r.cluster.oldestAlive().Kill()
+	killed := r.cluster.oldestAlive()
+	if err := r.freezeWhileEditing(ctx, killed); err != nil {
+		return err
+	}
+	killed.Kill()
 	return r.startDaemon(ctx)
 }
 
+// answerTime is how long an answer that a daemon has sent before it was frozen may
+// take to arrive.
+const answerTime = 100 * time.Millisecond
+
+// freezeWhileEditing freezes a daemon that has been sent an edit and has not
+// answered it. Where the answer was already on its way, it is resumed and frozen
+// again.
+func (r *tableRun) freezeWhileEditing(ctx context.Context, process *Process) error {
+	return await(ctx, "an edit in flight at a frozen daemon", func() (bool, error) {
+		if !r.isEditing(process) {
+			return false, nil
+		}
+		if err := process.Freeze(); err != nil {
+			return false, err
+		}
+		sleep(ctx, answerTime)
+		if r.isEditing(process) {
+			return true, nil
+		}
+		return false, process.Resume()
+	})
+}
+
 // freeze stops a daemon while changes come into force elsewhere; its first
 // answer after it is resumed must know them.
 func (r *tableRun) freeze(ctx context.Context) error {
