Nodes that do not answer are suspected, and known nodes are reached before they are named

Change: a watch of another node is answered each second, so that silence is noticed; a silent node is suspected for 5 s, counts as not ready, and the next one by capacity is watched (after three silent ones the store). The node that watches the store for its zone looks each half second whether the entry nodes and the next in line answer; its answers tell the zone, with the time left of each suspicion. A directory connects to nodes of which nothing recent is known before it names them, for 150 ms at most.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -9,7 +9,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"net/netip"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -85,9 +84,13 @@
 	idleTimeout   = 60 * time.Second
 	// maxHeaderBytes is net/http's limit; callers keep to the operators' own.
 	maxHeaderBytes = 64 << 10
-	// relaySlackShare of the time for news is how much longer than the wait for a
-	// change the answer of another node may take.
-	relaySlackShare = 0.1
+	// relayWait is how long a question to another node for changes waits for one. The
+	// answer shows that the node lives, so it is well under the time for which callers
+	// should notice that a node is gone (two seconds).
+	relayWait = time.Second
+	// relaySlack is how much longer the answer may take: one packet lost and sent
+	// again, or a busy node.
+	relaySlack = 500 * time.Millisecond
 	// sweepInterval is the time between two looks for connections to replicas that
 	// have rested for too long.
 	sweepInterval = time.Second
@@ -184,7 +187,8 @@
 		Peers: n.announcer, News: n.settings.Bounds.News(),
 		Others: handover.New(handover.Config{HTTP: stateClient(), Nodes: n.board.Nodes.Load, Seeds: n.settings.Seeds}),
 		Relays: relay.New(relay.Config{
-			HTTP: relayClient(), Wait: n.settings.Bounds.News(), Slack: shareOf(relaySlackShare, n.settings.Bounds.News()),
+			HTTP: relayClient(), Wait: relayWait, Slack: relaySlack,
+			Suspected: func(found []relay.Suspicion) { n.follower.Suspect(found) },
 		}),
 		VanishedFor: time.Duration(vanishedShare * float64(n.settings.Bounds.Drain)),
 	})
@@ -254,18 +258,13 @@
 // unreachable returns the IDs of the ready nodes at some addresses that cannot be
 // reached. This node itself can.
 func (n *Node) unreachable(nodes *topology.Nodes, addresses []string) []string {
-	var gone []string
-	for _, address := range addresses {
-		at := slices.IndexFunc(nodes.Nodes, func(node topology.Node) bool { return node.Address == address })
-		if at < 0 || nodes.Nodes[at].ID == n.self.ID || !nodes.Nodes[at].Ready {
-			continue
-		}
-		state, err := netip.ParseAddrPort(nodes.Nodes[at].StateAddress)
-		if err == nil && !n.liveness.Reachable(state) {
-			gone = append(gone, nodes.Nodes[at].ID)
+	var named []topology.Node
+	for _, node := range nodes.Nodes {
+		if node.Ready && node.ID != n.self.ID && slices.Contains(addresses, node.Address) {
+			named = append(named, node)
 		}
 	}
-	return gone
+	return n.silent(named)
 }
 
 // nodes returns the nodes with what this one knows of itself now: its entry in
@@ -304,6 +303,7 @@
 	group.Go(func() error { return n.monitor.Run(running) })
 	group.Go(func() error { return n.processor.Run(running) })
 	group.Go(func() error { return n.sweep(running) })
+	group.Go(func() error { return n.guard(running) })
 	group.Go(func() error {
 		defer close(recorded)
 		return n.registry.Run(recording)
--- a/internal/follower/attend.go
+++ b/internal/follower/attend.go
@@ -23,6 +23,8 @@
 		case <-timer.C:
 		case news := <-f.options.Peers.Received():
 			f.told(news)
+		case found := <-f.suspected:
+			f.suspect(found)
 		}
 		timer.Stop()
 	}
@@ -57,6 +59,8 @@
 				timer.Stop()
 				return
 			}
+		case found := <-f.suspected:
+			f.suspect(found)
 		}
 		timer.Stop()
 	}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -132,6 +132,11 @@
 	// relayFailedAt is when the last did.
 	relaysFailed  int
 	relayFailedAt time.Time
+	// silentInTurn counts the nodes that were watched one after the other and did not
+	// answer.
+	silentInTurn int
+	// suspected brings what is found out about other nodes.
+	suspected chan []relay.Suspicion
 }
 
 // The pauses between two attempts to read the store while it fails.
@@ -161,10 +166,13 @@
 	if options.Now == nil {
 		options.Now = time.Now
 	}
-	return &Follower{
+	f := &Follower{
 		options: options, state: newState(&options), reached: true, patience: options.share(askShare),
 		staleness: staleness{checkAfter: options.share(checkShare), grace: options.share(graceShare)},
+		suspected: make(chan []relay.Suspicion, 1),
 	}
+	f.feed.Suspected = f.suspicions
+	return f
 }
 
 // Run follows the store until ctx ends, and returns nil then.
--- a/internal/follower/source.go
+++ b/internal/follower/source.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/doorpond/doorpond/internal/directory"
+	"github.com/doorpond/doorpond/internal/relay"
 	"github.com/doorpond/doorpond/internal/store"
 	"github.com/doorpond/doorpond/internal/topology"
 )
@@ -22,6 +23,10 @@
 	// relayTries is the number of other nodes that are watched, one after the
 	// other, before the store is watched itself.
 	relayTries = 1
+	// silentTries is the number of nodes that may be silent, one after the other,
+	// before the store is watched instead: each costs a time-out, and where all are
+	// silent it is this node that is cut off.
+	silentTries = 3
 	// relayPause is how long after that other nodes are tried again.
 	relayPause = 5 * time.Second
 )
@@ -118,3 +123,29 @@
 func (f *Follower) noteFailed(nodes int) {
 	f.relaysFailed, f.relayFailedAt = nodes, f.options.Now()
 }
+
+// noteSilent notes that the node that was watched does not answer. It is suspected, so
+// that the next one by capacity is watched; that one finds the same out, and watches
+// the store when it is the first that is left.
+func (f *Follower) noteSilent(from source) {
+	f.suspect([]relay.Suspicion{{ID: f.nodeAt(from.node), Milliseconds: suspicionTime.Milliseconds()}})
+	f.silentInTurn++
+	if f.silentInTurn >= silentTries {
+		f.silentInTurn = 0
+		f.noteFailed(relayTries)
+	}
+}
+
+// nodeAt returns the ID of the node at a state address, or nothing.
+func (f *Follower) nodeAt(address netip.AddrPort) string {
+	nodes := f.options.Board.Nodes.Load()
+	if nodes == nil {
+		return ""
+	}
+	text := address.String()
+	at := slices.IndexFunc(nodes.Nodes, func(node topology.Node) bool { return node.StateAddress == text })
+	if at < 0 {
+		return ""
+	}
+	return nodes.Nodes[at].ID
+}
--- a/internal/follower/source_test.go
+++ b/internal/follower/source_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"sync"
 	"testing"
@@ -16,8 +17,10 @@
 
 // fakeRelays are other nodes that may be watched.
 type fakeRelays struct {
-	mu      sync.Mutex
-	broken  bool
+	mu     sync.Mutex
+	broken bool
+	// silent are the ports of nodes that do not answer.
+	silent  map[uint16]bool
 	watched []netip.AddrPort
 	batches chan store.WatchBatch
 }
@@ -25,8 +28,11 @@
 func (r *fakeRelays) Watch(ctx context.Context, node netip.AddrPort, _ int64, deliver func(store.WatchBatch) error) error {
 	r.mu.Lock()
 	r.watched = append(r.watched, node)
-	broken := r.broken
+	broken, silent := r.broken, r.silent[node.Port()]
 	r.mu.Unlock()
+	if silent {
+		return fmt.Errorf("%w: %w", relay.ErrBroken, relay.ErrSilent)
+	}
 	if broken {
 		return relay.ErrBroken
 	}
--- a/internal/follower/state.go
+++ b/internal/follower/state.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/doorpond/doorpond/internal/directory"
@@ -30,6 +31,10 @@
 	// while it is one.
 	entryUntil map[string]time.Time
 
+	// suspects are the nodes that do not answer; toldSuspects is what other nodes are
+	// told of them, nil while there are none.
+	suspects        suspects
+	toldSuspects    atomic.Pointer[suspects]
 	adoption        adoption
 	replicasChanged bool
 	nodesChanged    bool
@@ -54,6 +59,7 @@
 		nodes:      make(map[string]nodeEntry),
 		values:     make(map[string]store.KeyValue),
 		entryUntil: make(map[string]time.Time),
+		suspects:   make(suspects),
 		adoption:   adoption{wait: options.share(adoptShare)},
 	}
 }
@@ -140,7 +146,8 @@
 		s.options.Logger.Error("node's entry refused", "key", value.Key, "error", err.Error())
 		return
 	}
-	s.nodesChanged = s.nodesChanged || !found || known.node != node
+	started := s.suspects.clear(node.ID) // it has just written this
+	s.nodesChanged = s.nodesChanged || started || !found || known.node != node
 	s.nodes[value.Key] = nodeEntry{node: node, revision: value.ModRevision}
 }
 
@@ -154,8 +161,9 @@
 		s.replicasChanged = true
 		s.options.Logger.Info("replica gone", "address", known.replica.Address, "incarnation", known.replica.Incarnation)
 	}
-	if _, found := s.nodes[key]; found {
+	if known, found := s.nodes[key]; found {
 		delete(s.nodes, key)
+		s.suspects.clear(known.node.ID)
 		s.nodesChanged = true
 	}
 }
@@ -181,6 +189,7 @@
 	if s.replicasChanged {
 		s.options.Board.Replicas.Publish(&topology.Replicas{Groups: s.groups()})
 	}
+	s.nodesChanged = s.suspects.lapse(now) || s.nodesChanged
 	if s.nodesChanged || s.options.Board.Nodes.Load() == nil {
 		s.publishNodes(now)
 	}
@@ -206,7 +215,7 @@
 // dueAt returns when the next vanished replica is forgotten or a configuration is
 // put in force at the latest; zero when there is neither.
 func (s *state) dueAt() time.Time {
-	next := s.adoption.dueAt()
+	next := earliest(s.adoption.dueAt(), s.suspects.dueAt())
 	for _, entry := range s.replicas {
 		if entry.goneAt.IsZero() {
 			continue
@@ -241,8 +250,14 @@
 func (s *state) publishNodes(now time.Time) {
 	nodes := &topology.Nodes{Self: s.options.Self}
 	for _, known := range s.nodes {
-		nodes.Nodes = append(nodes.Nodes, known.node)
+		node := known.node
+		if _, suspected := s.suspects[node.ID]; suspected {
+			node.Ready = false
+		}
+		nodes.Nodes = append(nodes.Nodes, node)
 	}
+	nodes.Suspected = s.suspects.ids()
+	s.tellSuspects()
 	slices.SortFunc(nodes.Nodes, func(a, b topology.Node) int { return cmp.Compare(a.ID, b.ID) })
 	nodes.Entries = directory.EntryNodes(nodes.Nodes, s.options.EntryNodes)
 	s.noteEntries(now, nodes.Entries)
@@ -269,6 +284,12 @@
 	}
 }
 
+// isRecorded tells whether a node has an entry.
+func (s *state) isRecorded(id string) bool {
+	_, found := s.nodes[s.options.Keys.Nodes+id]
+	return found
+}
+
 // member is a node as those that divide connections see it.
 func member(node topology.Node) topology.Member {
 	return topology.Member{ID: node.ID, PeerAddress: node.PeerAddress, Place: node.Place}
--- /dev/null
+++ b/internal/follower/suspects.go
@@ -0,0 +1,128 @@
+package follower
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/doorpond/doorpond/internal/relay"
+)
+
+// suspicionTime is how long a node that does not answer counts as not ready; it is
+// renewed as long as the node is found silent. It is over the time between two looks
+// (sentinel) and two answers of a watched node, and short enough for a node that was
+// cut off or frozen to be led to again soon.
+const suspicionTime = 5 * time.Second
+
+// suspects are the recorded nodes that do not answer, with the time until which each
+// counts as not ready. A node's record outlives it by seconds, and until it lapses
+// callers, watches and budgets would wait for a node that is gone.
+type suspects map[string]time.Time
+
+// note adds a suspicion, and tells whether the node was not suspected before. A
+// suspicion is never shortened.
+func (s suspects) note(id string, until time.Time) (added bool) {
+	before, known := s[id]
+	if !known || until.After(before) {
+		s[id] = until
+	}
+	return !known
+}
+
+// clear ends the suspicion of a node, and tells whether there was one.
+func (s suspects) clear(id string) bool {
+	_, known := s[id]
+	delete(s, id)
+	return known
+}
+
+// lapse removes what is over, and tells whether anything was.
+func (s suspects) lapse(now time.Time) (changed bool) {
+	for id, until := range s {
+		if !now.Before(until) {
+			delete(s, id)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// dueAt is when the next suspicion lapses; zero when there is none.
+func (s suspects) dueAt() time.Time {
+	var next time.Time
+	for _, until := range s {
+		next = earliest(next, until)
+	}
+	return next
+}
+
+// ids returns the suspected nodes, sorted.
+func (s suspects) ids() []string {
+	found := make([]string, 0, len(s))
+	for id := range s {
+		found = append(found, id)
+	}
+	slices.Sort(found)
+	return found
+}
+
+// Suspect notes that recorded nodes do not answer, for a time. It may be called from
+// any goroutine; what comes while the follower is busy is told again soon, and is
+// dropped.
+func (f *Follower) Suspect(found []relay.Suspicion) {
+	select {
+	case f.suspected <- found:
+	default:
+	}
+}
+
+// SuspectSilent is Suspect for nodes that this one has found silent now.
+func (f *Follower) SuspectSilent(ids []string) {
+	found := make([]relay.Suspicion, 0, len(ids))
+	for _, id := range ids {
+		found = append(found, relay.Suspicion{ID: id, Milliseconds: suspicionTime.Milliseconds()})
+	}
+	f.Suspect(found)
+}
+
+// suspect takes suspicions in. A node never suspects itself.
+func (f *Follower) suspect(found []relay.Suspicion) {
+	now := f.options.Now()
+	for _, one := range found {
+		if one.ID == f.options.Self.ID || !f.state.isRecorded(one.ID) {
+			continue
+		}
+		if f.state.suspects.note(one.ID, now.Add(min(one.For(), suspicionTime))) {
+			f.state.nodesChanged = true
+			f.options.Logger.Info("node suspected", "node", one.ID)
+		}
+	}
+	f.state.tellSuspects()
+	f.state.publish(now)
+}
+
+// tellSuspects publishes the suspicions for those who watch this node.
+func (s *state) tellSuspects() {
+	if len(s.suspects) == 0 {
+		s.toldSuspects.Store(nil)
+		return
+	}
+	told := maps.Clone(s.suspects)
+	s.toldSuspects.Store(&told)
+}
+
+// suspicions returns what those who watch this node are told.
+func (f *Follower) suspicions() []relay.Suspicion {
+	told := f.state.toldSuspects.Load()
+	if told == nil {
+		return nil
+	}
+	now := f.options.Now()
+	var found []relay.Suspicion
+	for id, until := range *told {
+		if left := until.Sub(now).Milliseconds(); left > 0 {
+			found = append(found, relay.Suspicion{ID: id, Milliseconds: left})
+		}
+	}
+	return found
+}
--- a/internal/follower/watch.go
+++ b/internal/follower/watch.go
@@ -40,6 +40,8 @@
 	case errors.Is(err, errBehind):
 		f.noteFailed(relayTries) // whoever watches the store is behind as well
 		f.staleness.waitAnew(f.options.Now())
+	case errors.Is(err, relay.ErrSilent):
+		f.noteSilent(from)
 	case errors.Is(err, relay.ErrBroken):
 		f.noteFailed(f.relaysFailed + 1)
 	default:
@@ -77,12 +79,15 @@
 		case err := <-ended:
 			return err
 		case batch := <-batches:
+			f.silentInTurn = 0
 			f.deliver(batch)
 			if f.mayChange(from) {
 				return errOtherSource
 			}
 		case news := <-f.options.Peers.Received():
 			f.told(news)
+		case found := <-f.suspected:
+			f.suspect(found)
 		case <-timer.C:
 			if err := f.due(ctx); err != nil {
 				return err
--- a/internal/liveness/liveness.go
+++ b/internal/liveness/liveness.go
@@ -21,6 +21,14 @@
 	timeout = 300 * time.Millisecond
 	// enoughFailures in a row, a node counts as gone: one packet may be lost.
 	enoughFailures = 2
+	// provenFor is how long after it was reached a node is named without being asked
+	// anew. At hundreds of nodes each directory is asked seldom, so that what it knows
+	// of a node is mostly older.
+	provenFor = 3 * time.Second
+	// firstTimeout is how long an answer waits for nodes that are not proven: some
+	// times the way to another region and back, well under the second after which
+	// callers ask another directory.
+	firstTimeout = 150 * time.Millisecond
 	// forgetAfter is how long after the last question a node is forgotten.
 	forgetAfter = time.Minute
 )
@@ -42,8 +50,12 @@
 
 type state struct {
 	asked, checked time.Time
-	failures       int
-	checking       bool
+	// reached is when a check succeeded last.
+	reached  time.Time
+	failures int
+	checking bool
+	// ended is closed when the check that runs ends.
+	ended chan struct{}
 }
 
 // New makes a Checker.
@@ -69,6 +81,55 @@
 	return conn.Close()
 }
 
+// Unreachable returns those of some nodes that cannot be reached. Nodes of which
+// nothing recent is known are connected to first, all at once, which takes no longer
+// than firstTimeout.
+func (c *Checker) Unreachable(nodes []netip.AddrPort) []netip.AddrPort {
+	for _, node := range nodes {
+		c.Reachable(node)
+	}
+	timer := time.NewTimer(firstTimeout)
+	defer timer.Stop()
+	var unreachable []netip.AddrPort
+	for _, node := range nodes {
+		if !c.proven(node, timer.C) {
+			unreachable = append(unreachable, node)
+		}
+	}
+	return unreachable
+}
+
+// proven tells whether a node that has been asked about can be reached; where nothing
+// recent is known, it waits for the check that runs until a time-out.
+func (c *Checker) proven(node netip.AddrPort, timeout <-chan time.Time) bool {
+	known, recent, ended := c.known(node)
+	if recent || ended == nil {
+		return known && recent
+	}
+	select {
+	case <-ended:
+	case <-timeout:
+	}
+	known, recent, _ = c.known(node)
+	return known && recent
+}
+
+// known tells whether a node counts as reachable, whether it was reached lately, and
+// when the check that runs ends; nil when none does.
+func (c *Checker) known(node netip.AddrPort) (reachable, recent bool, ended <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known := c.nodes[node]
+	if known == nil {
+		return false, false, nil // forgotten since
+	}
+	recent = !known.reached.IsZero() && c.config.Now().Sub(known.reached) < provenFor
+	if known.checking {
+		ended = known.ended
+	}
+	return known.failures < enoughFailures, recent, ended
+}
+
 // Reachable tells what is known of a node, and has it checked when that is old. A
 // node of which nothing is known counts as reachable.
 func (c *Checker) Reachable(node netip.AddrPort) bool {
@@ -83,7 +144,7 @@
 	}
 	known.asked = now
 	if !known.checking && now.Sub(known.checked) >= known.counts() {
-		known.checking = true
+		known.checking, known.ended = true, make(chan struct{})
 		go c.check(node, known)
 	}
 	return known.failures < enoughFailures
@@ -114,8 +175,9 @@
 	defer c.mu.Unlock()
 	before := known.failures
 	known.checking, known.checked = false, c.config.Now()
+	close(known.ended)
 	if err == nil {
-		known.failures = 0
+		known.failures, known.reached = 0, known.checked
 	} else {
 		known.failures++
 	}
--- a/internal/liveness/liveness_test.go
+++ b/internal/liveness/liveness_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -124,3 +125,44 @@
 		t.Error("a node that is gone was reached")
 	}
 }
+
+// TestANodeOfWhichNothingIsKnownIsAskedFirst: a directory that is asked for the first
+// time names no node that is gone, and does not wait long for it.
+func TestANodeOfWhichNothingIsKnownIsAskedFirst(t *testing.T) {
+	there, gone, dark := netip.MustParseAddrPort("10.0.0.1:1"), netip.MustParseAddrPort("10.0.0.2:1"), netip.MustParseAddrPort("10.0.0.3:1")
+	c := New(Config{Connect: func(ctx context.Context, node netip.AddrPort) error {
+		switch node {
+		case there:
+			return nil
+		case gone:
+			return errors.New("refused")
+		default:
+			<-ctx.Done()
+			return ctx.Err()
+		}
+	}})
+	for range 2 {
+		found := c.Unreachable([]netip.AddrPort{dark, there, gone})
+		if !slices.Equal(found, []netip.AddrPort{dark, gone}) {
+			t.Errorf("not reached: %v", found)
+		}
+	}
+}
+
+// TestOneFailureIsForgiven for a node that was reached lately: one packet may be lost.
+func TestOneFailureIsForgiven(t *testing.T) {
+	f := &fake{now: time.Unix(1000, 0), attempts: make(chan struct{}, 1)}
+	c := New(Config{Connect: f.connect, Now: f.clock})
+	f.ask(t, c)
+	f.set(true)
+	f.pass(interval)
+	f.ask(t, c) // fails
+	nodes := []netip.AddrPort{address}
+	if found := c.Unreachable(nodes); len(found) != 0 {
+		t.Error("gone after one failure")
+	}
+	f.pass(provenFor - interval)
+	if found := c.Unreachable(nodes); len(found) != 1 {
+		t.Error("not reached for a long time, and counts as there")
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -22,8 +24,11 @@
 const Path = "/changes"
 
 // ErrBroken is returned when a watch of another node ends; nothing is wrong
-// with the store then.
-var ErrBroken = eris.New("the watch of another node has ended")
+// with the store then. ErrSilent comes with it when the node did not answer at all.
+var (
+	ErrBroken = errors.New("the watch of another node has ended")
+	ErrSilent = errors.New("the other node does not answer")
+)
 
 const (
 	// mostEvents is the number of changes that are kept for those who come late.
@@ -39,13 +44,32 @@
 	Revision int64 `msgpack:"r"`
 	// Events are in the order in which the node heard of them.
 	Events []store.Event `msgpack:"e"`
+	// Suspected are the recorded nodes that do not answer.
+	Suspected []Suspicion `msgpack:"u"`
+}
+
+// Suspicion says that a recorded node does not answer. It counts for a time, which
+// goes down as it is passed on, so that nodes that hear from each other do not keep
+// it up.
+type Suspicion struct {
+	// ID is the node's.
+	ID string `msgpack:"i"`
+	// Milliseconds is the time for which the suspicion still counts.
+	Milliseconds int64 `msgpack:"m"`
 }
 
+// For returns the time for which the suspicion still counts.
+func (s Suspicion) For() time.Duration { return time.Duration(s.Milliseconds) * time.Millisecond }
+
 // Feed keeps the latest changes that a node knows, and serves them to others.
 // Its zero value knows nothing. It is safe for concurrent use.
 //
 // Invariant: events holds every change after revision from, up to revision.
 type Feed struct {
+	// Suspected returns the nodes that do not answer now; nil means none. It must be
+	// set before the feed is served.
+	Suspected func() []Suspicion
+
 	mu       sync.Mutex
 	started  bool
 	from     int64
@@ -111,8 +135,9 @@
 }
 
 // ServeHTTP answers with the changes after a revision as soon as there are
-// some, with 204 when there are none in time, and with 410 when some of them are
-// not kept.
+// some, and with 410 when some of them are not kept. When there are none in time, it
+// answers with the nodes that do not answer, or with 204 when there are none of those
+// either.
 func (f *Feed) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	after, err := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
 	if err != nil {
@@ -133,13 +158,13 @@
 			w.WriteHeader(http.StatusGone)
 			return
 		case changed == nil:
-			answer(w, &found)
+			f.answer(w, &found)
 			return
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			w.WriteHeader(http.StatusNoContent)
+			f.answer(w, &Changes{Revision: after})
 			return
 		case <-r.Context().Done():
 			return
@@ -147,7 +172,14 @@
 	}
 }
 
-func answer(w http.ResponseWriter, found *Changes) {
+func (f *Feed) answer(w http.ResponseWriter, found *Changes) {
+	if f.Suspected != nil {
+		found.Suspected = f.Suspected()
+	}
+	if len(found.Events) == 0 && len(found.Suspected) == 0 {
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
 	encoded, err := msgpack.Marshal(found)
 	if err != nil {
 		w.WriteHeader(http.StatusInternalServerError)
@@ -161,8 +193,10 @@
 type Config struct {
 	HTTP *http.Client
 	// Wait is how long one question waits for a change, Slack how much longer the
-	// answer may take.
+	// answer may take. A node that has not answered by then is silent.
 	Wait, Slack time.Duration
+	// Suspected is told which nodes do not answer; nil means nobody.
+	Suspected func(found []Suspicion)
 }
 
 // Client watches other nodes.
@@ -179,7 +213,7 @@
 	for {
 		batch, err := c.ask(ctx, node, after)
 		if err != nil {
-			return eris.Wrapf(ErrBroken, "%s: %v", node, err)
+			return eris.Wrapf(err, "watch %s", node)
 		}
 		after = max(after, batch.Revision)
 		if err := deliver(batch); err != nil {
@@ -194,11 +228,11 @@
 	query := url.Values{"after": {strconv.FormatInt(after, 10)}, "wait": {c.config.Wait.String()}}
 	request, err := http.NewRequestWithContext(bounded, http.MethodGet, "http://"+node.String()+Path+"?"+query.Encode(), nil)
 	if err != nil {
-		return store.WatchBatch{}, err
+		return store.WatchBatch{}, fmt.Errorf("%w: %v", ErrBroken, err)
 	}
 	response, err := c.config.HTTP.Do(request)
 	if err != nil {
-		return store.WatchBatch{}, err
+		return store.WatchBatch{}, fmt.Errorf("%w: %w: %v", ErrBroken, ErrSilent, err)
 	}
 	defer func() { _ = response.Body.Close() }() // what matters was read
 	switch response.StatusCode {
@@ -206,11 +240,14 @@
 		return store.WatchBatch{Revision: after, Relayed: true}, nil
 	case http.StatusOK:
 	default:
-		return store.WatchBatch{}, eris.Errorf("status %d", response.StatusCode)
+		return store.WatchBatch{}, fmt.Errorf("%w: status %d", ErrBroken, response.StatusCode)
 	}
 	var found Changes
 	if err := msgpack.NewDecoder(response.Body).Decode(&found); err != nil {
-		return store.WatchBatch{}, err
+		return store.WatchBatch{}, fmt.Errorf("%w: %v", ErrBroken, err)
+	}
+	if len(found.Suspected) > 0 && c.config.Suspected != nil {
+		c.config.Suspected(found.Suspected)
 	}
 	return store.WatchBatch{Revision: found.Revision, Events: found.Events, Relayed: true}, nil
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -159,3 +159,44 @@
 		}
 	}
 }
+
+// TestAHeartbeatTellsWhoIsSuspected: an answer without changes has the nodes that do
+// not answer.
+func TestAHeartbeatTellsWhoIsSuspected(t *testing.T) {
+	feed := &Feed{Suspected: func() []Suspicion { return []Suspicion{{ID: "gone", Milliseconds: 1500}} }}
+	feed.Publish(7, nil)
+	server := httptest.NewServer(feed)
+	defer server.Close()
+	told := make(chan []Suspicion, 1)
+	client := New(Config{HTTP: server.Client(), Wait: time.Millisecond, Slack: time.Minute, Suspected: func(found []Suspicion) { told <- found }})
+	stop := errors.New("enough")
+	err := client.Watch(t.Context(), netip.MustParseAddrPort(server.Listener.Addr().String()), 8, func(batch store.WatchBatch) error {
+		if batch.Revision != 7 || len(batch.Events) != 0 || !batch.Relayed {
+			t.Errorf("batch %+v", batch)
+		}
+		return stop
+	})
+	if !errors.Is(err, stop) {
+		t.Fatal(err)
+	}
+	if found := <-told; len(found) != 1 || found[0].ID != "gone" || found[0].For() != 1500*time.Millisecond {
+		t.Errorf("told %v", found)
+	}
+}
+
+// TestANodeThatDoesNotAnswerIsSilent, and one that refuses is not.
+func TestANodeThatDoesNotAnswerIsSilent(t *testing.T) {
+	release := make(chan struct{})
+	hanging := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
+	defer hanging.Close()
+	defer close(release)
+	refusing := httptest.NewServer(http.NotFoundHandler())
+	defer refusing.Close()
+	client := New(Config{HTTP: &http.Client{Transport: &http.Transport{}}, Wait: time.Millisecond, Slack: 100 * time.Millisecond})
+	for server, silent := range map[*httptest.Server]bool{hanging: true, refusing: false} {
+		err := client.Watch(t.Context(), netip.MustParseAddrPort(server.Listener.Addr().String()), 8, nil)
+		if !errors.Is(err, ErrBroken) || errors.Is(err, ErrSilent) != silent {
+			t.Errorf("error %v, silent should be %v", err, silent)
+		}
+	}
+}
--- a/internal/topology/node.go
+++ b/internal/topology/node.go
@@ -32,6 +32,9 @@
 	// Shared is the number of entry nodes, present or of late, that a shared
 	// budget is divided by.
 	Shared int
+	// Suspected are the IDs of nodes that are recorded and do not answer. They count
+	// as not ready in Nodes.
+	Suspected []string
 }
 
 // SelfIsEntry tells whether callers are led to this node.
