Entry nodes by processor time; addresses are kept for as long as a stop allows

And each look-up at a directory whose power is gone costs the caller a second: with addresses kept for 1.5 s, 119 of 559 look-ups failed, and some three requests wait for each. Change: small nodes are entry nodes only where their region has no better one, and then as many as make up the processor time of the wanted best (eight at the most); addresses are kept for 0.44 of the grace time (2.6 s there), which a stopping node still serves, and for 1.5 s by callers that know fewer than the wanted two.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -21,7 +21,9 @@
 
 // Options bound an answer.
 type Options struct {
-	TTL time.Duration
+	// TTL is how long an answer is kept, FewTTL one with fewer nodes than EntryNodes:
+	// who knows only one has nowhere to go when it is lost.
+	TTL, FewTTL time.Duration
 	// EntryNodes is how many nodes of each zone callers should know, so that
 	// they can go on when some of them are lost.
 	EntryNodes int
@@ -39,7 +41,11 @@
 	if len(chosen) == 0 {
 		chosen = nearest(nodes.Nodes, caller)
 	}
-	return Answer{Addresses: chosen, TTL: options.TTL}, len(chosen) > 0
+	answer = Answer{Addresses: chosen, TTL: options.TTL}
+	if len(chosen) < options.EntryNodes {
+		answer.TTL = options.FewTTL
+	}
+	return answer, len(chosen) > 0
 }
 
 // nearest returns the nodes of the nearest distances up to the first one that
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -72,3 +72,16 @@
 		t.Errorf("%d addresses", len(answer.Addresses))
 	}
 }
+
+// TestWhoKnowsFewNodesAsksAgainSoon: when the only one is lost, it has nowhere to go.
+func TestWhoKnowsFewNodesAsksAgainSoon(t *testing.T) {
+	options := Options{TTL: 5 * time.Second, FewTTL: time.Second, EntryNodes: 2}
+	for want, nodes := range map[time.Duration][]topology.Node{
+		options.FewTTL: {node("a1", placeA, true)},
+		options.TTL:    {node("a1", placeA, true), node("a2", placeA, true)},
+	} {
+		if answer, _ := Resolve(&topology.Nodes{Nodes: nodes}, placeA, options); answer.TTL != want {
+			t.Errorf("%d nodes are kept for %v", len(nodes), answer.TTL)
+		}
+	}
+}
--- a/internal/directory/entry.go
+++ b/internal/directory/entry.go
@@ -7,27 +7,46 @@
 	"github.com/doorpond/doorpond/internal/topology"
 )
 
+const (
+	// fitShare of the processor time of a region's best node is what a node must have
+	// to be an entry node there, as long as one that is not loaded has it. Measured
+	// with nodes of 0.8 and 0.192 cores: half of a zone's callers on one of the small
+	// ones made it read their requests a second late (docs/ROUNDS.md).
+	fitShare = 0.5
+	// mostTimes the wanted number of nodes a zone may have as entry nodes when they
+	// are small: with many, each learns late which replicas are slow.
+	mostTimes = 4
+)
+
 // EntryNodes returns the nodes that callers are led to, in the order of the
 // nodes given: of each zone the ready ones with the most processor time, until
-// so many of them as are wanted are not loaded.
+// so many of them as are wanted are not loaded, and they have as much processor
+// time as so many of the best nodes that are recorded.
 //
 // Few nodes with many requests each serve better than many nodes with few: they
 // learn sooner which replicas are slow, share the connections of the replicas
 // among fewer, and keep them in use. The other nodes stand by, and take over as
-// soon as an entry node is gone or loaded. All nodes that know the same entries
-// choose the same ones.
+// soon as an entry node is gone or loaded. Small nodes take over only where their
+// region has no better ones; the callers of a zone without entry nodes are led to
+// those of its region. All nodes that know the same entries choose the same ones.
 func EntryNodes(nodes []topology.Node, wanted int) []topology.Node {
 	order := byCapacity(nodes)
-	idle := make(map[topology.Place]int)
+	least := leastProcessors(nodes)
+	zones := make(map[topology.Place]*zoneEntries)
+	whole := max(1, wanted)
+	best := bestProcessors(nodes)
 	chosen := order[:0]
 	for _, i := range order {
-		if idle[nodes[i].Place] >= max(1, wanted) {
+		node := nodes[i]
+		if zones[node.Place] == nil {
+			zones[node.Place] = &zoneEntries{}
+		}
+		zone := zones[node.Place]
+		if zone.enough(whole) || node.Processors < least[node.Place.Region] {
 			continue
 		}
 		chosen = append(chosen, i)
-		if !nodes[i].Loaded {
-			idle[nodes[i].Place]++
-		}
+		zone.add(node, best)
 	}
 	slices.Sort(chosen)
 	entries := make([]topology.Node, 0, len(chosen))
@@ -37,6 +56,57 @@
 	return entries
 }
 
+// zoneEntries counts the entry nodes of a zone that are not loaded.
+type zoneEntries struct {
+	idle int
+	// strength is their processor time, in nodes of the best kind.
+	strength float64
+}
+
+func (z *zoneEntries) add(node topology.Node, best float64) {
+	if node.Loaded {
+		return
+	}
+	z.idle++
+	if best > 0 {
+		z.strength += node.Processors / best
+	} else {
+		z.strength++
+	}
+}
+
+// enough tells whether a zone has the wanted entry nodes. A tenth of one less is
+// enough, so that small differences between nodes count for nothing.
+func (z *zoneEntries) enough(wanted int) bool {
+	const tolerance = 0.1
+	if z.idle >= mostTimes*wanted {
+		return true
+	}
+	return z.idle >= wanted && z.strength >= float64(wanted)-tolerance
+}
+
+// bestProcessors is the greatest processor time of a node, ready or not: where all of
+// the best are gone, the others together must take over what those have served.
+func bestProcessors(nodes []topology.Node) float64 {
+	best := 0.0
+	for i := range nodes {
+		best = max(best, nodes[i].Processors)
+	}
+	return best
+}
+
+// leastProcessors is the processor time that an entry node must have, by region: a
+// share of that of the best node that is ready and not loaded.
+func leastProcessors(nodes []topology.Node) map[string]float64 {
+	least := make(map[string]float64)
+	for i := range nodes {
+		if region := nodes[i].Place.Region; nodes[i].Ready && !nodes[i].Loaded {
+			least[region] = max(least[region], fitShare*nodes[i].Processors)
+		}
+	}
+	return least
+}
+
 // Watchers returns the nodes of a place that watch the store for the others of
 // their place: the first ones by capacity, whatever their load.
 func Watchers(nodes []topology.Node, place topology.Place, wanted int) []topology.Node {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -75,9 +75,14 @@
 	// entryTTL is how long a node's entry outlives it. Other nodes notice sooner that
 	// it is gone (liveness), and each renewal is priced.
 	entryTTL = 9 * time.Second
-	// directoryShare is the part of the longest time to keep addresses that is
-	// given: some callers keep them for three times as long as they are told.
-	directoryShare = 0.3
+	// fewShare is the part of the longest time to keep addresses for which a caller
+	// keeps them that was told few: some keep them for three times as long.
+	fewShare = 0.3
+	// stopShare of the grace time is for how long the others keep addresses, if they
+	// may: for as long as a stopping node takes new connections, less the time that
+	// the others need to hear of the stop. Shorter is worse: a caller that asks a
+	// directory whose power is gone waits for a second.
+	stopShare = 0.8 * acceptShare
 	// headerTimeout and idleTimeout bound what a caller may do with a
 	// connection; callers keep to the operators' smaller limits.
 	headerTimeout = 10 * time.Second
@@ -243,7 +248,11 @@
 // reached.
 func (n *Node) resolve(caller topology.Place) (directory.Answer, bool) {
 	bounds := n.current.Load().Bounds
-	options := directory.Options{TTL: shareOf(directoryShare, bounds.DirectoryTTL), EntryNodes: n.settings.Bounds.EntryNodes()}
+	few := shareOf(fewShare, bounds.DirectoryTTL)
+	options := directory.Options{
+		TTL:    max(few, min(bounds.DirectoryTTL, shareOf(stopShare, bounds.Grace))),
+		FewTTL: few, EntryNodes: n.settings.Bounds.EntryNodes(),
+	}
 	nodes := n.nodes()
 	for {
 		answer, known := directory.Resolve(nodes, caller, options)
