Changes for other nodes are encoded once and compressed; replicas are logged in batches

Cause: a reshard makes some 1,600 changes in seconds. Each of 48 nodes of a zone was sent them anew encoded and in full, by a node with 20 Mbit/s where the large ones were gone; they came too late, and over 200 nodes gave the watch up and asked the store for five seconds. Each node wrote a line for each of 400 replicas. Change: the answer to the same question is encoded once and compressed; more than four replicas that leave or go at once are one line.

--- a/internal/follower/state.go
+++ b/internal/follower/state.go
@@ -33,9 +33,12 @@
 
 	// suspects are the nodes that do not answer; toldSuspects is what other nodes are
 	// told of them, nil while there are none.
-	suspects        suspects
-	toldSuspects    atomic.Pointer[suspects]
-	adoption        adoption
+	suspects     suspects
+	toldSuspects atomic.Pointer[suspects]
+	adoption     adoption
+	// leaving and gone are the replicas that have said so, or vanished, since the last
+	// publication; they are logged with it.
+	leaving, gone   []topology.Replica
 	replicasChanged bool
 	nodesChanged    bool
 }
@@ -132,7 +135,7 @@
 	s.replicas[value.Key] = replicaEntry{replica: replica, revision: value.ModRevision}
 	s.replicasChanged = true
 	if replica.State == topology.ReplicaLeaving {
-		s.options.Logger.Info("replica leaving", "address", replica.Address, "incarnation", replica.Incarnation, "revision", value.ModRevision)
+		s.leaving = append(s.leaving, replica)
 	}
 }
 
@@ -159,7 +162,7 @@
 		known.goneAt = now
 		s.replicas[key] = known
 		s.replicasChanged = true
-		s.options.Logger.Info("replica gone", "address", known.replica.Address, "incarnation", known.replica.Incarnation)
+		s.gone = append(s.gone, known.replica)
 	}
 	if known, found := s.nodes[key]; found {
 		delete(s.nodes, key)
@@ -193,9 +196,31 @@
 	if s.nodesChanged || s.options.Board.Nodes.Load() == nil {
 		s.publishNodes(now)
 	}
+	s.logReplicas("replica leaving", s.leaving)
+	s.logReplicas("replica gone", s.gone)
+	s.leaving, s.gone = nil, nil
 	s.replicasChanged, s.nodesChanged = false, false
 }
 
+// mostReplicaLines is the number of replicas that are logged with a line each. A
+// reshard takes hundreds away at once; then one line counts them.
+const mostReplicaLines = 4
+
+// logReplicas logs what has become of some replicas.
+func (s *state) logReplicas(message string, replicas []topology.Replica) {
+	if len(replicas) > mostReplicaLines {
+		groups := make(map[string]bool)
+		for _, replica := range replicas {
+			groups[replica.Group] = true
+		}
+		s.options.Logger.Info(message, "replicas", len(replicas), "groups", len(groups), "first", replicas[0].Address)
+		return
+	}
+	for _, replica := range replicas {
+		s.options.Logger.Info(message, "address", replica.Address, "incarnation", replica.Incarnation)
+	}
+}
+
 // forget drops replicas that have been gone for long enough.
 func (s *state) forget(now time.Time) {
 	for key, entry := range s.replicas {
--- a/internal/follower/state_test.go
+++ b/internal/follower/state_test.go
@@ -1,7 +1,11 @@
 package follower
 
 import (
+	"bytes"
+	"fmt"
+	"log/slog"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -178,3 +182,19 @@
 	}
 	return found
 }
+
+// TestManyReplicasAreLoggedInOneLine: a reshard takes hundreds away, on each node.
+func TestManyReplicasAreLoggedInOneLine(t *testing.T) {
+	for replicas, want := range map[int]int{mostReplicaLines: mostReplicaLines, mostReplicaLines + 1: 1} {
+		var log bytes.Buffer
+		known, _ := newTestState(t)
+		known.options.Logger = slog.New(slog.NewTextHandler(&log, nil))
+		for i := range replicas {
+			known.put(replicaAt(t, int64(i+1), fmt.Sprint("r", i), topology.ReplicaLeaving))
+		}
+		known.publish(start)
+		if lines := strings.Count(log.String(), "replica leaving"); lines != want {
+			t.Errorf("%d replicas in %d lines:\n%s", replicas, lines, log.String())
+		}
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -4,9 +4,12 @@
 package relay
 
 import (
+	"bytes"
+	"compress/flate"
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -36,6 +39,8 @@
 	// longestWait bounds the time for which a question waits.
 	longestWait = 30 * time.Second
 	contentType = "application/msgpack"
+	// contentEncoding is raw DEFLATE, as package flate writes it.
+	contentEncoding = "deflate"
 )
 
 // Changes is the answer to one question.
@@ -76,6 +81,10 @@
 	revision int64
 	events   []numbered
 	changed  chan struct{} // closed when revision rises
+
+	// encoding guards last, the last answer with changes.
+	encoding sync.Mutex
+	last     encodedAnswer
 }
 
 // numbered is an event with the revision at which it was published, which may
@@ -158,13 +167,13 @@
 			w.WriteHeader(http.StatusGone)
 			return
 		case changed == nil:
-			f.answer(w, &found)
+			f.answer(w, after, &found)
 			return
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			f.answer(w, &Changes{Revision: after})
+			f.answer(w, after, &Changes{Revision: after})
 			return
 		case <-r.Context().Done():
 			return
@@ -172,7 +181,8 @@
 	}
 }
 
-func (f *Feed) answer(w http.ResponseWriter, found *Changes) {
+// answer writes what was found after a revision.
+func (f *Feed) answer(w http.ResponseWriter, after int64, found *Changes) {
 	if f.Suspected != nil {
 		found.Suspected = f.Suspected()
 	}
@@ -180,15 +190,73 @@
 		w.WriteHeader(http.StatusNoContent)
 		return
 	}
-	encoded, err := msgpack.Marshal(found)
+	encoded, err := f.encoded(after, found)
 	if err != nil {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
 	w.Header().Set("Content-Type", contentType)
+	w.Header().Set("Content-Encoding", contentEncoding)
 	_, _ = w.Write(encoded) // the other node is gone if this fails
 }
 
+// encoded returns an answer as it is sent. All nodes of a zone ask for the changes
+// after the same revision, so the last answer with changes is kept and encoded once.
+func (f *Feed) encoded(after int64, found *Changes) ([]byte, error) {
+	if len(found.Events) == 0 {
+		return encode(found)
+	}
+	f.encoding.Lock()
+	defer f.encoding.Unlock()
+	now := time.Now()
+	if f.last.serves(after, found.Revision, now) {
+		return f.last.content, nil
+	}
+	content, err := encode(found)
+	if err == nil {
+		f.last = encodedAnswer{after: after, revision: found.Revision, at: now, content: content}
+	}
+	return content, err
+}
+
+// encodedAnswer is an answer as it was sent, and what it was an answer to.
+type encodedAnswer struct {
+	after, revision int64
+	at              time.Time
+	content         []byte
+}
+
+// answerLife is how long an encoded answer is used: the nodes of a zone ask within
+// milliseconds of each other, and the times of its suspicions run on.
+const answerLife = 200 * time.Millisecond
+
+func (a *encodedAnswer) serves(after, revision int64, now time.Time) bool {
+	return a.after == after && a.revision == revision && a.content != nil && now.Sub(a.at) < answerLife
+}
+
+// encode compresses: entries are much alike, and while many replicas come and go at
+// once, what a small node tells its zone would fill its link for seconds.
+func encode(found *Changes) ([]byte, error) {
+	var compressed bytes.Buffer
+	writer, err := flate.NewWriter(&compressed, flate.BestSpeed)
+	if err != nil {
+		return nil, eris.Wrap(err, "compress changes")
+	}
+	if err := msgpack.NewEncoder(writer).Encode(found); err != nil {
+		return nil, eris.Wrap(err, "encode changes")
+	}
+	if err := writer.Close(); err != nil {
+		return nil, eris.Wrap(err, "compress changes")
+	}
+	return compressed.Bytes(), nil
+}
+
+func decode(compressed io.Reader) (Changes, error) {
+	var found Changes
+	err := msgpack.NewDecoder(flate.NewReader(compressed)).Decode(&found)
+	return found, eris.Wrap(err, "decode changes")
+}
+
 // Config is what a Client is made of.
 type Config struct {
 	HTTP *http.Client
@@ -242,8 +310,8 @@
 	default:
 		return store.WatchBatch{}, fmt.Errorf("%w: status %d", ErrBroken, response.StatusCode)
 	}
-	var found Changes
-	if err := msgpack.NewDecoder(response.Body).Decode(&found); err != nil {
+	found, err := decode(response.Body)
+	if err != nil {
 		return store.WatchBatch{}, fmt.Errorf("%w: %v", ErrBroken, err)
 	}
 	if len(found.Suspected) > 0 && c.config.Suspected != nil {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net/http"
@@ -200,3 +201,33 @@
 		}
 	}
 }
+
+// TestAnAnswerToAllNodesOfAZoneIsEncodedOnce, and compressed.
+func TestAnAnswerToAllNodesOfAZoneIsEncodedOnce(t *testing.T) {
+	var feed Feed
+	found := Changes{Revision: 9}
+	plain := 0
+	for range 400 {
+		event := store.Event{KeyValue: store.KeyValue{Key: "servers/1", Value: []byte(`{"address":"10.0.0.1:80","state":"ready"}`)}}
+		found.Events = append(found.Events, event)
+		plain += len(event.KeyValue.Value)
+	}
+	first, err := feed.encoded(8, &found)
+	if err != nil {
+		t.Fatal(err)
+	}
+	second, err := feed.encoded(8, &found)
+	if err != nil || &first[0] != &second[0] {
+		t.Errorf("encoded again, error %v", err)
+	}
+	if len(first) > plain/4 {
+		t.Errorf("%d bytes of %d", len(first), plain)
+	}
+	if other, err := feed.encoded(7, &found); err != nil || &other[0] == &first[0] {
+		t.Errorf("another question has the same answer, error %v", err)
+	}
+	decoded, err := decode(bytes.NewReader(first))
+	if diff := cmp.Diff(found, decoded); err != nil || diff != "" {
+		t.Errorf("error %v, decoded (-want +got):\n%s", err, diff)
+	}
+}
