Watches of other nodes: no starving under a flood of changes, no circles, no dead successors

Ruled out: the link of the small node alone (compressed answers did not end it). Change: what is known is told on at once; each revision that is missing has its own time; a node that is the first of its zone watches the store also if it watches another one; the five next in line are looked at together when one falls silent. Tests: TestANodeThatIsBackWatchesTheStore failed before (20 s).

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -195,6 +195,7 @@
 			HTTP: relayClient(), Wait: relayWait, Slack: relaySlack,
 			Suspected: func(found []relay.Suspicion) { n.follower.Suspect(found) },
 		}),
+		Unreachable: n.liveness.Unreachable,
 		VanishedFor: time.Duration(vanishedShare * float64(n.settings.Bounds.Drain)),
 	})
 	n.monitor = freshness.New(freshness.Options{Confirm: n.follower.Confirm, Logger: n.logger, Registerer: registerer})
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -68,10 +68,13 @@
 	// Others are asked while the store serves them and not this node.
 	Others Others
 	// Relays may be left out: then this node watches the store itself.
-	Relays  Relays
-	Decoder Decoder
-	Keys    Keys
-	Board   *blackboard.Board
+	Relays Relays
+	// Unreachable returns those of some nodes, by their state addresses, that cannot be
+	// reached; nil means that it is not known.
+	Unreachable func(nodes []netip.AddrPort) []netip.AddrPort
+	Decoder     Decoder
+	Keys        Keys
+	Board       *blackboard.Board
 	// Regions names the region of each zone.
 	Regions map[string]string
 	Self    topology.Node
@@ -250,6 +253,7 @@
 	f.state.publish(now)
 	if batch.Relayed {
 		f.staleness.learn(batch.Revision)
+		f.feedOthers()
 		return
 	}
 	f.heard(now)
@@ -272,6 +276,7 @@
 // others when that is news.
 func (f *Follower) learned(now time.Time, revision int64) {
 	f.staleness.learn(revision)
+	f.feedOthers()
 	if f.confirm(now, now, revision) {
 		f.options.Peers.Send(announce.Announcement{Revision: revision})
 	}
--- a/internal/follower/others.go
+++ b/internal/follower/others.go
@@ -64,6 +64,7 @@
 		f.state.replace(now, handed.Values)
 		f.state.publish(now)
 		f.staleness.learn(handed.Revision)
+		f.feedOthers()
 	}
 	f.confirm(now, now.Add(-handed.Age()), handed.Revision)
 }
@@ -89,6 +90,11 @@
 	}
 	f.state.valuesChanged = false
 	f.snapshot.Store(kept)
-	f.feed.Publish(kept.revision, f.state.unpublished)
+}
+
+// feedOthers tells those who watch this node what is known now, also while others are
+// known to know more: while changes come without a pause, they always are.
+func (f *Follower) feedOthers() {
+	f.feed.Publish(f.staleness.known, f.state.unpublished)
 	f.state.unpublished = nil
 }
--- a/internal/follower/source.go
+++ b/internal/follower/source.go
@@ -27,6 +27,10 @@
 	// before the store is watched instead: each costs a time-out, and where all are
 	// silent it is this node that is cut off.
 	silentTries = 3
+	// probedSuccessors is the number of nodes that are looked at when the one that was
+	// watched is silent: where a quarter of the nodes are lost at once, four in a row
+	// are once in 256 times.
+	probedSuccessors = 5
 	// relayPause is how long after that other nodes are tried again.
 	relayPause = 5 * time.Second
 )
@@ -106,19 +110,27 @@
 	return address, err == nil
 }
 
-// mayChange tells whether a watch of the store should give way to one of
-// another node.
+// mayChange tells whether a watch should give way to another one: that of the store
+// to one of another node, and that of another node to the store's where this node has
+// become the one that watches it for its zone. Otherwise a node that starts anew would
+// watch the one that stood in for it, and that one it.
 func (f *Follower) mayChange(from source) bool {
 	if f.relaysFailed > 0 && f.options.Now().Sub(f.relayFailedAt) >= relayPause {
 		f.relaysFailed = 0
 	}
 	if from.node.IsValid() {
-		return false
+		return !f.refused && f.isWatcher()
 	}
 	_, found := f.watchedNode()
 	return found
 }
 
+// isWatcher tells whether this node is one that watches the store for its zone.
+func (f *Follower) isWatcher() bool {
+	nodes := f.options.Board.Nodes.Load()
+	return nodes != nil && slices.ContainsFunc(directory.Watchers(nodes.Nodes, f.options.Self.Place, watchers), f.isSelf)
+}
+
 // noteFailed notes that so many other nodes have been watched in vain.
 func (f *Follower) noteFailed(nodes int) {
 	f.relaysFailed, f.relayFailedAt = nodes, f.options.Now()
@@ -128,7 +140,8 @@
 // that the next one by capacity is watched; that one finds the same out, and watches
 // the store when it is the first that is left.
 func (f *Follower) noteSilent(from source) {
-	f.suspect([]relay.Suspicion{{ID: f.nodeAt(from.node), Milliseconds: suspicionTime.Milliseconds()}})
+	f.suspectAt([]netip.AddrPort{from.node})
+	f.probeSuccessors()
 	f.silentInTurn++
 	if f.silentInTurn >= silentTries {
 		f.silentInTurn = 0
@@ -136,16 +149,38 @@
 	}
 }
 
-// nodeAt returns the ID of the node at a state address, or nothing.
-func (f *Follower) nodeAt(address netip.AddrPort) string {
+// probeSuccessors looks at the nodes that come next by capacity, all at once: they may
+// have been lost with the one that was watched, and watching each in vain would take
+// seconds.
+func (f *Follower) probeSuccessors() {
+	nodes := f.options.Board.Nodes.Load()
+	if f.options.Unreachable == nil || nodes == nil {
+		return
+	}
+	var addresses []netip.AddrPort
+	for _, node := range directory.Watchers(nodes.Nodes, f.options.Self.Place, probedSuccessors) {
+		address, err := netip.ParseAddrPort(node.StateAddress)
+		if err == nil && !f.isSelf(node) {
+			addresses = append(addresses, address)
+		}
+	}
+	var unreachable []netip.AddrPort
+	f.attend(func() { unreachable = f.options.Unreachable(addresses) })
+	f.suspectAt(unreachable)
+}
+
+// suspectAt suspects the nodes with some state addresses.
+func (f *Follower) suspectAt(addresses []netip.AddrPort) {
 	nodes := f.options.Board.Nodes.Load()
 	if nodes == nil {
-		return ""
+		return
 	}
-	text := address.String()
-	at := slices.IndexFunc(nodes.Nodes, func(node topology.Node) bool { return node.StateAddress == text })
-	if at < 0 {
-		return ""
+	var found []relay.Suspicion
+	for _, node := range nodes.Nodes {
+		address, err := netip.ParseAddrPort(node.StateAddress)
+		if err == nil && slices.Contains(addresses, address) {
+			found = append(found, relay.Suspicion{ID: node.ID, Milliseconds: suspicionTime.Milliseconds()})
+		}
 	}
-	return nodes.Nodes[at].ID
+	f.suspect(found)
 }
--- a/internal/follower/source_test.go
+++ b/internal/follower/source_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"sync"
 	"testing"
@@ -219,3 +221,31 @@
 		}
 	})
 }
+
+// TestANodeThatIsBackWatchesTheStore: it has started anew and watches the node that
+// stood in for it, until it hears of its own record; that node watches it then.
+func TestANodeThatIsBackWatchesTheStore(t *testing.T) {
+	source, relays := &fakeSource{}, &fakeRelays{batches: make(chan store.WatchBatch)}
+	startRelayed(t, source, relays, []store.KeyValue{nodeWith(t, 2, "z", "127.0.0.1:1001")})
+	eventually(t, "the node that stood in is watched", func() bool { return len(relays.asked()) == 1 })
+	own := nodeWith(t, 9, "self", "127.0.0.1:1004")
+	relays.batches <- store.WatchBatch{Revision: 9, Events: []store.Event{{KeyValue: own}}, Relayed: true}
+	eventually(t, "the store is watched", func() bool { return source.watches() == 1 })
+}
+
+// TestANodeTellsOnWhatItKnowsThoughOthersKnowMore: while changes come without a
+// pause, another node always does.
+func TestANodeTellsOnWhatItKnowsThoughOthersKnowMore(t *testing.T) {
+	f := New(Options{
+		Decoder: testDecoder{}, Keys: testKeys, Board: &blackboard.Board{}, Self: topology.Node{ID: "self"},
+		News: time.Minute, Peers: &fakePeers{received: make(chan announce.Announcement)},
+	})
+	f.learned(start, 4)
+	f.confirm(start, start, 9)
+	f.deliver(store.WatchBatch{Revision: 7, Events: []store.Event{{KeyValue: tableAt(t, 7, 7)}}})
+	answer := httptest.NewRecorder()
+	f.Feed().ServeHTTP(answer, httptest.NewRequest(http.MethodGet, relay.Path+"?after=4&wait=1ms", nil))
+	if answer.Code != http.StatusOK {
+		t.Errorf("status %d", answer.Code)
+	}
+}
--- a/internal/follower/staleness.go
+++ b/internal/follower/staleness.go
@@ -1,6 +1,9 @@
 package follower
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // staleness decides when what is known of the store must be confirmed, and
 // when a watch that should have told more is given up. It is pure: times are
@@ -18,15 +21,26 @@
 	known       int64
 	confirmed   int64
 	confirmedAt time.Time
-	behindSince time.Time // zero while nothing is known to be missing
+	// missing are the revisions that others know and this node does not, in ascending
+	// order, each with when it was heard of. While changes come without a pause, a
+	// watch that brings each in time is always behind the latest.
+	missing []heardRevision
 }
 
+// heardRevision is a revision of the store that this node has heard of.
+type heardRevision struct {
+	revision int64
+	at       time.Time
+}
+
+// mostMissing bounds the revisions that are kept; beyond it, later ones count as heard
+// of when the last one was.
+const mostMissing = 64
+
 // learn notes that everything up to a revision is known.
 func (s *staleness) learn(revision int64) {
 	s.known = max(s.known, revision)
-	if s.known >= s.confirmed {
-		s.behindSince = time.Time{}
-	}
+	s.missing = slices.DeleteFunc(s.missing, func(one heardRevision) bool { return one.revision <= s.known })
 }
 
 // confirm notes that the store was at a revision at some time. It returns true
@@ -37,17 +51,28 @@
 	if at.After(s.confirmedAt) {
 		s.confirmedAt = at
 	}
-	s.confirmed = max(s.confirmed, revision)
-	if s.confirmed > s.known && s.behindSince.IsZero() {
-		s.behindSince = now
+	if revision > s.confirmed {
+		s.confirmed = revision
+		s.miss(now, revision)
 	}
 	return news
 }
 
+// miss notes that a revision was heard of that may not be known yet.
+func (s *staleness) miss(now time.Time, revision int64) {
+	switch {
+	case revision <= s.known:
+	case len(s.missing) == mostMissing:
+		s.missing[mostMissing-1].revision = revision
+	default:
+		s.missing = append(s.missing, heardRevision{revision: revision, at: now})
+	}
+}
+
 // waitAnew gives another watch the time to tell what is missing.
 func (s *staleness) waitAnew(now time.Time) {
-	if !s.behindSince.IsZero() {
-		s.behindSince = now
+	for i := range s.missing {
+		s.missing[i].at = now
 	}
 }
 
@@ -59,8 +84,8 @@
 // giveUpAt is when the watch is given up for missing what others know; zero
 // while it misses nothing.
 func (s *staleness) giveUpAt() time.Time {
-	if s.behindSince.IsZero() {
+	if len(s.missing) == 0 {
 		return time.Time{}
 	}
-	return s.behindSince.Add(s.grace)
+	return s.missing[0].at.Add(s.grace)
 }
--- a/internal/follower/state_test.go
+++ b/internal/follower/state_test.go
@@ -153,6 +153,27 @@
 			t.Error("given up though all is known")
 		}
 	})
+	t.Run("a watch that tells each change in time is not given up while more come", func(t *testing.T) {
+		checked := fresh()
+		for i := range 10 {
+			now := start.Add(time.Duration(i) * 100 * time.Millisecond)
+			checked.confirm(now, now, int64(i+1))
+			if giveUp := checked.giveUpAt(); !giveUp.IsZero() && !now.Before(giveUp) {
+				t.Fatalf("given up after %v", now.Sub(start))
+			}
+			checked.learn(int64(i)) // always one behind
+		}
+	})
+	t.Run("what is heard of beyond the bound counts from the last that is kept", func(t *testing.T) {
+		checked := fresh()
+		for i := range 2 * mostMissing {
+			checked.confirm(start.Add(time.Duration(i)*time.Millisecond), start, int64(i+1))
+		}
+		checked.learn(2*mostMissing - 1)
+		if got := checked.giveUpAt().Sub(start); got != (mostMissing-1)*time.Millisecond+200*time.Millisecond {
+			t.Errorf("given up after %v", got)
+		}
+	})
 }
 
 // TestEntryNodesAreTheMembers: the connections to the replicas are divided among
--- a/internal/follower/suspects_test.go
+++ b/internal/follower/suspects_test.go
@@ -1,10 +1,12 @@
 package follower
 
 import (
+	"net/netip"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/doorpond/doorpond/internal/announce"
 	"github.com/doorpond/doorpond/internal/blackboard"
 	"github.com/doorpond/doorpond/internal/relay"
 	"github.com/doorpond/doorpond/internal/store"
@@ -57,6 +59,28 @@
 	}
 }
 
+// TestSuccessorsThatAreLostTooAreNotWatched: they are looked at all at once when the
+// node that is watched falls silent.
+func TestSuccessorsThatAreLostTooAreNotWatched(t *testing.T) {
+	lost := []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1002"), netip.MustParseAddrPort("127.0.0.1:1003")}
+	source, relays := &fakeSource{}, &fakeRelays{silent: map[uint16]bool{1001: true, 1002: true, 1003: true}, batches: make(chan store.WatchBatch)}
+	for _, other := range append(twoOthers(t), nodeWith(t, 4, "c", "127.0.0.1:1003"), nodeWith(t, 5, "d", "127.0.0.1:1005")) {
+		source.put(other)
+	}
+	source.put(tableAt(t, 6, 1))
+	board := &blackboard.Board{}
+	run(t, New(Options{
+		Source: source, Peers: &fakePeers{received: make(chan announce.Announcement)}, Relays: relays,
+		Decoder: testDecoder{}, Keys: testKeys, Board: board, EntryNodes: 2, Self: topology.Node{ID: "self"},
+		News: time.Minute, VanishedFor: time.Second, Unreachable: func([]netip.AddrPort) []netip.AddrPort { return lost },
+	}))
+	relays.batches <- store.WatchBatch{Revision: 9, Events: []store.Event{{KeyValue: tableAt(t, 9, 9)}}, Relayed: true}
+	eventually(t, "what the fourth node tells is in force", inForce(board, 9))
+	if tried := relays.asked(); len(tried) != 2 || source.watches() != 0 {
+		t.Errorf("tried %v, the store is watched %d times", tried, source.watches())
+	}
+}
+
 // TestWhoIsCutOffWatchesTheStore: where several nodes are silent one after the other,
 // the node does not try all of them.
 func TestWhoIsCutOffWatchesTheStore(t *testing.T) {
--- a/internal/follower/watch.go
+++ b/internal/follower/watch.go
@@ -81,9 +81,6 @@
 		case batch := <-batches:
 			f.silentInTurn = 0
 			f.deliver(batch)
-			if f.mayChange(from) {
-				return errOtherSource
-			}
 		case news := <-f.options.Peers.Received():
 			f.told(news)
 		case found := <-f.suspected:
@@ -93,6 +90,9 @@
 				return err
 			}
 		}
+		if f.mayChange(from) {
+			return errOtherSource
+		}
 	}
 }
 
