Fewer calls to the store: stale first readings, leases of 30 s, no readings after an outage

Change: the first reading is stale (a tenth, outside the rate), made again while it has no configuration, and confirms nothing; who knows no node of its zone waits a second and reads who has recorded itself before it watches; a node that has just started is waited for by those who watch it, and the store is watched for one answer where it does not keep what is asked for; leases last 30 s, and an entry that is not listed is checked; failed calls of the registry double their pause; a store that was away is watched from what is known, not read; nodes that hear from eager ones leave it alone for the longest pause at once.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -74,7 +74,8 @@
 const (
 	// entryTTL is how long a node's entry outlives it. Other nodes notice sooner that
 	// it is gone (liveness), and each renewal is priced.
-	entryTTL = 9 * time.Second
+	// With 30 s it is renewed each 10 s; no node waits for its end.
+	entryTTL = 30 * time.Second
 	// fewShare is the part of the longest time to keep addresses for which a caller
 	// keeps them that was told few: some keep them for three times as long.
 	fewShare = 0.3
@@ -201,6 +202,7 @@
 	n.monitor = freshness.New(freshness.Options{Confirm: n.follower.Confirm, Logger: n.logger, Registerer: registerer})
 	n.registry = registry.New(registry.Config{
 		Store: source, Key: n.platform.Keys.Nodes + n.settings.Node, TTL: max(entryTTL, n.settings.Store.LeastTTL),
+		Listed: n.listed,
 		Node: func() topology.Node {
 			recorded := n.self
 			recorded.Ready, recorded.Loaded = n.ready(), n.loaded()
@@ -277,6 +279,12 @@
 	return n.silent(named)
 }
 
+// listed tells whether this node is among those that are known.
+func (n *Node) listed() bool {
+	nodes := n.board.Nodes.Load()
+	return nodes == nil || slices.ContainsFunc(nodes.Nodes, func(node topology.Node) bool { return node.ID == n.self.ID })
+}
+
 // nodes returns the nodes with what this one knows of itself now: its entry in
 // the store may have lapsed, or be older than its load.
 func (n *Node) nodes() *topology.Nodes {
--- a/internal/edge/storecalls.go
+++ b/internal/edge/storecalls.go
@@ -20,6 +20,7 @@
 const (
 	causeConfirm = "confirm"
 	causeRead    = "read"
+	causeStale   = "read_stale"
 	causeWatch   = "watch"
 	causeRecord  = "record"
 	causeGrant   = "grant"
@@ -53,6 +54,12 @@
 	return s.Store.List(ctx, prefix, limit)
 }
 
+// ListStale implements store.StaleReader.
+func (s *countedStore) ListStale(ctx context.Context, prefix string) ([]store.KeyValue, int64, error) {
+	s.count(causeStale)
+	return s.Store.ListStale(ctx, prefix)
+}
+
 // Watch implements store.Watcher.
 func (s *countedStore) Watch(ctx context.Context, prefix string, fromRevision int64, deliver func(store.WatchBatch) error) error {
 	s.count(causeWatch)
--- /dev/null
+++ b/internal/follower/begin.go
@@ -0,0 +1,96 @@
+package follower
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/doorpond/doorpond/internal/directory"
+	"github.com/doorpond/doorpond/internal/store"
+)
+
+// startPause is how long a node that knows no other of its zone waits for them to
+// record themselves before it watches the store: nodes that start together are all
+// recorded within it, and each watch of the store is told of each of them.
+const startPause = time.Second
+
+// mostFirstTries is how often a first reading without a configuration is made again,
+// with a pause of firstReadingPause. Such a reading is from before the first
+// configuration, as all machines start for the first time; each costs a tenth of one
+// that is not stale.
+const (
+	mostFirstTries    = 8
+	firstReadingPause = 300 * time.Millisecond
+)
+
+// readFirst makes the first reading, which may be old: nothing is known that it could
+// take back, and the watch brings the rest at once. It must not be so old that there
+// was no configuration yet.
+func (f *Follower) readFirst(ctx context.Context) error {
+	values, revision, err := f.list(ctx, f.readStale)
+	for try := 1; err == nil && !f.hasConfiguration(values); try++ {
+		if try == mostFirstTries {
+			values, revision, err = f.list(ctx, f.readAll)
+			break
+		}
+		f.attend(func() { sleep(ctx, firstReadingPause) })
+		values, revision, err = f.list(ctx, f.readStale)
+	}
+	if err != nil {
+		return err
+	}
+	f.began(f.takeIn(values), revision)
+	f.awaitOthers(ctx)
+	return nil
+}
+
+func (f *Follower) readStale(ctx context.Context) ([]store.KeyValue, int64, error) {
+	return f.options.Source.ListStale(ctx, "")
+}
+
+func (f *Follower) hasConfiguration(values []store.KeyValue) bool {
+	return slices.ContainsFunc(values, func(value store.KeyValue) bool { return value.Key == f.options.Keys.Configuration })
+}
+
+// began notes what the first reading has told.
+func (f *Follower) began(now time.Time, revision int64) {
+	f.staleness.begin(now, revision)
+	f.feedOthers()
+	f.keepSnapshot()
+}
+
+// awaitOthers waits for other nodes of this zone, where none is known, and reads who
+// has recorded itself. Changes that come meanwhile are told by the watch that follows.
+func (f *Follower) awaitOthers(ctx context.Context) {
+	if f.options.Relays == nil || f.knowsZone() {
+		return
+	}
+	f.attend(func() { sleep(ctx, startPause) })
+	bounded, cancel := context.WithTimeout(ctx, f.options.share(askShare))
+	defer cancel()
+	var values []store.KeyValue
+	var err error
+	f.attend(func() { values, _, err = f.options.Source.List(bounded, f.options.Keys.Nodes, 0) })
+	if err != nil {
+		f.options.Logger.Info("the other nodes are not known yet; watching the store", "error", err.Error())
+		return
+	}
+	for _, value := range values {
+		f.state.put(value)
+	}
+	f.state.publish(f.options.Now())
+}
+
+// knowsZone tells whether another node of this zone is known and ready.
+func (f *Follower) knowsZone() bool {
+	nodes := f.options.Board.Nodes.Load()
+	if nodes == nil {
+		return false
+	}
+	for _, node := range directory.Watchers(nodes.Nodes, f.options.Self.Place, 2) {
+		if !f.isSelf(node) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/follower/begin_test.go
@@ -0,0 +1,109 @@
+package follower
+
+import (
+	"testing"
+	"time"
+
+	"github.com/doorpond/doorpond/internal/announce"
+	"github.com/doorpond/doorpond/internal/store"
+)
+
+// TestNodesThatStartTogetherWatchTheFirst: a node that knows no other waits for them
+// to record themselves, and watches the store only if it is the first.
+func TestNodesThatStartTogetherWatchTheFirst(t *testing.T) {
+	source, relays := &fakeSource{}, &fakeRelays{batches: make(chan store.WatchBatch)}
+	recording := time.AfterFunc(startPause/4, func() {
+		source.put(nodeWith(t, 8, "a", "127.0.0.1:1001"))
+		source.put(nodeWith(t, 9, "self", "127.0.0.1:1004"))
+	})
+	defer recording.Stop()
+	board := startRelayed(t, source, relays, nil)
+	eventually(t, "it serves before that", inForce(board, 1))
+	eventually(t, "the first is watched", func() bool { return len(relays.asked()) == 1 })
+	if watches := source.watches(); watches != 0 {
+		t.Errorf("the store is watched %d times", watches)
+	}
+	source.mutex.Lock()
+	defer source.mutex.Unlock()
+	if source.stales != 1 || source.lists != 2 {
+		t.Errorf("%d readings, %d of them stale", source.lists, source.stales)
+	}
+}
+
+// TestAFirstReadingConfirmsNothing: it may be seconds old, so that the others are not
+// told of it, and a node that has heard of more reads anew, this time for certain.
+func TestAFirstReadingConfirmsNothing(t *testing.T) {
+	source := &fakeSource{}
+	source.put(tableAt(t, 1, 1))
+	board, peers := startFollower(t, source, 2*time.Second)
+	eventually(t, "the table is in force", inForce(board, 1))
+	if told := peers.highest(); told != 0 {
+		t.Errorf("the others are told of revision %d", told)
+	}
+	source.set(true, false)
+	source.put(tableAt(t, 2, 2))
+	peers.received <- announce.Announcement{Revision: 2}
+	eventually(t, "the second table is in force", inForce(board, 2))
+	source.mutex.Lock()
+	defer source.mutex.Unlock()
+	if source.lists != 2 || source.stales != 1 {
+		t.Errorf("%d readings, %d of them stale", source.lists, source.stales)
+	}
+}
+
+// TestTheStoreIsWatchedForWhatAnotherNodeHasForgotten, and for no longer than that.
+func TestTheStoreIsWatchedForWhatAnotherNodeHasForgotten(t *testing.T) {
+	source, relays := &fakeSource{}, &fakeRelays{batches: make(chan store.WatchBatch), forgetful: true}
+	board := startRelayed(t, source, relays, twoOthers(t))
+	eventually(t, "the store is watched", func() bool { return source.watches() == 1 })
+	relays.mu.Lock()
+	relays.forgetful = false
+	relays.mu.Unlock()
+	source.put(tableAt(t, 9, 9))
+	eventually(t, "what the store tells is in force", inForce(board, 9))
+	relays.batches <- store.WatchBatch{Revision: 10, Events: []store.Event{{KeyValue: tableAt(t, 10, 10)}}, Relayed: true}
+	eventually(t, "what the other node tells is in force", inForce(board, 10))
+}
+
+// TestAllDoNotAskAtOnceWhoStartTogether: each waits for its turn from its reading on.
+func TestAllDoNotAskAtOnceWhoStartTogether(t *testing.T) {
+	checked := &staleness{checkAfter: time.Second, slot: 100 * time.Millisecond, grace: time.Second}
+	checked.begin(start, 5)
+	if got := checked.checkAt(3).Sub(start); got != 1300*time.Millisecond || checked.confirmed != 0 {
+		t.Errorf("asks after %v, confirmed %d", got, checked.confirmed)
+	}
+}
+
+// TestAStoreThatWasAwayIsNotReadAnew: its history tells what has changed since, and a
+// reading by each of hundreds of nodes is what a store that has just come back bears
+// least.
+func TestAStoreThatWasAwayIsNotReadAnew(t *testing.T) {
+	source := &fakeSource{}
+	source.put(tableAt(t, 1, 1))
+	board, _ := startFollower(t, source, time.Minute)
+	eventually(t, "the store is watched", func() bool { return source.watches() == 1 })
+	source.set(false, true)
+	source.breakWatches()
+	time.Sleep(3 * shortestPause)
+	source.set(false, false)
+	eventually(t, "the store is watched again", func() bool { return source.watches() == 1 })
+	source.put(tableAt(t, 2, 2))
+	eventually(t, "the second table is in force", inForce(board, 2))
+	if lists, _ := source.counts(); lists != 1 {
+		t.Errorf("the store was read %d times", lists)
+	}
+}
+
+// TestAReadingFromBeforeTheFirstConfigurationIsMadeAgain, and for certain in the end.
+func TestAReadingFromBeforeTheFirstConfigurationIsMadeAgain(t *testing.T) {
+	source := &fakeSource{}
+	later := time.AfterFunc(2*firstReadingPause, func() { source.put(tableAt(t, 1, 1)) })
+	defer later.Stop()
+	board, _ := startFollower(t, source, time.Minute)
+	eventually(t, "the table is in force", inForce(board, 1))
+	source.mutex.Lock()
+	defer source.mutex.Unlock()
+	if source.stales < 2 || source.lists != source.stales {
+		t.Errorf("%d readings, %d of them stale", source.lists, source.stales)
+	}
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -34,6 +34,7 @@
 // Source is the part of the store that a Follower reads.
 type Source interface {
 	store.Reader
+	store.StaleReader
 	store.Watcher
 }
 
@@ -119,6 +120,11 @@
 	state     *state
 	staleness staleness
 	reached   bool
+	// mustRead is true while everything has to be read before it is watched: at the
+	// start, and when the store's history or a watch has let changes pass.
+	mustRead bool
+	// answers counts the answers of the store.
+	answers int
 	// refused is true while the store is left alone for a pause.
 	refused bool
 	// patience bounds the next reading of everything. A call that the store has
@@ -135,6 +141,9 @@
 	// relayFailedAt is when the last did.
 	relaysFailed  int
 	relayFailedAt time.Time
+	// needsStore is true from when the node that was watched no longer had the changes
+	// that this one lacks until the store has told them.
+	needsStore bool
 	// silentInTurn counts the nodes that were watched one after the other and did not
 	// answer.
 	silentInTurn int
@@ -161,6 +170,16 @@
 	return max(longestPause, f.options.share(patientShare))
 }
 
+// nextPause is the pause after another one. A node that knows others which call the
+// store again soon leaves it alone for the longest at once.
+func (f *Follower) nextPause(last time.Duration) time.Duration {
+	longest := f.longestPause()
+	if longest > longestPause {
+		return longest
+	}
+	return min(max(shortestPause, 2*last), longest)
+}
+
 // New makes a Follower.
 func New(options Options) *Follower {
 	if options.Logger == nil {
@@ -170,7 +189,7 @@
 		options.Now = time.Now
 	}
 	f := &Follower{
-		options: options, state: newState(&options), reached: true, patience: options.share(askShare),
+		options: options, state: newState(&options), reached: true, mustRead: true, patience: options.share(askShare),
 		staleness: staleness{checkAfter: options.share(checkShare), grace: options.share(graceShare)},
 		suspected: make(chan []relay.Suspicion, 1),
 	}
@@ -180,19 +199,19 @@
 
 // Run follows the store until ctx ends, and returns nil then.
 func (f *Follower) Run(ctx context.Context) error {
-	pause := shortestPause
+	pause := time.Duration(0)
 	for ctx.Err() == nil {
-		read, err := f.follow(ctx)
+		heard, err := f.follow(ctx)
 		if ctx.Err() != nil {
 			return nil
 		}
 		f.lost(err)
-		if read {
-			pause = shortestPause
-			continue // it was read since; read again at once
+		if heard {
+			pause = 0
+			continue // it has answered since; call it again at once
 		}
+		pause = f.nextPause(pause)
 		f.withoutStore(ctx, pause)
-		pause = min(2*pause, f.longestPause())
 	}
 	return nil
 }
@@ -206,29 +225,59 @@
 	}
 }
 
-// follow reads everything and then watches until that fails. read is true when
-// the reading succeeded.
-func (f *Follower) follow(ctx context.Context) (read bool, err error) {
-	values, revision, err := f.list(ctx)
+// follow watches until that fails, from a reading of everything or, where the store
+// has only been away, from what is known: its history tells what has changed since.
+// heard is true when the store has answered.
+func (f *Follower) follow(ctx context.Context) (heard bool, err error) {
+	answers := f.answers
+	if f.mustRead {
+		if err := f.read(ctx); err != nil {
+			return false, err
+		}
+	}
+	err = f.watch(ctx, f.staleness.known)
+	f.mustRead = errors.Is(err, store.ErrCompacted) || errors.Is(err, errBehind)
+	return f.answers > answers, err
+}
+
+// read takes everything in.
+func (f *Follower) read(ctx context.Context) error {
+	if f.staleness.known == 0 {
+		return f.readFirst(ctx)
+	}
+	values, revision, err := f.list(ctx, f.readAll)
 	if err != nil {
-		return false, err
+		return err
 	}
+	now := f.takeIn(values)
+	f.learned(now, revision)
+	return nil
+}
+
+// takeIn puts a whole reading in force, and returns when.
+func (f *Follower) takeIn(values []store.KeyValue) time.Time {
 	now := f.options.Now()
 	f.heard(now)
 	f.state.replace(now, values)
 	f.state.publish(now)
-	f.learned(now, revision)
-	return true, f.watch(ctx, revision)
+	return now
+}
+
+// reading reads everything from the store.
+type reading func(ctx context.Context) ([]store.KeyValue, int64, error)
+
+func (f *Follower) readAll(ctx context.Context) ([]store.KeyValue, int64, error) {
+	return f.options.Source.List(ctx, "", 0)
 }
 
-// list reads everything, within its patience.
-func (f *Follower) list(ctx context.Context) ([]store.KeyValue, int64, error) {
+// list makes a reading within the node's patience.
+func (f *Follower) list(ctx context.Context, read reading) ([]store.KeyValue, int64, error) {
 	bounded, cancel := context.WithTimeout(ctx, f.patience)
 	defer cancel()
 	var values []store.KeyValue
 	var revision int64
 	var err error
-	f.attend(func() { values, revision, err = f.options.Source.List(bounded, "", 0) })
+	f.attend(func() { values, revision, err = read(bounded) })
 	if err != nil {
 		f.patience = min(2*f.patience, f.options.News)
 		return nil, 0, err
@@ -256,6 +305,7 @@
 		f.feedOthers()
 		return
 	}
+	f.needsStore = false
 	f.heard(now)
 	f.learned(now, batch.Revision)
 }
@@ -284,6 +334,7 @@
 
 // heard notes that the store has spoken.
 func (f *Follower) heard(now time.Time) {
+	f.answers++
 	if f.reached && f.options.Board.Store.Load() != nil {
 		return
 	}
--- a/internal/follower/source.go
+++ b/internal/follower/source.go
@@ -71,7 +71,7 @@
 // when this node watches the store.
 func (f *Follower) watchedNode() (address netip.AddrPort, found bool) {
 	nodes := f.options.Board.Nodes.Load()
-	if f.options.Relays == nil || nodes == nil || f.relaysFailed >= relayTries {
+	if f.options.Relays == nil || nodes == nil || f.needsStore || f.relaysFailed >= relayTries {
 		return netip.AddrPort{}, false
 	}
 	watching := directory.Watchers(nodes.Nodes, f.options.Self.Place, watchers)
--- a/internal/follower/staleness.go
+++ b/internal/follower/staleness.go
@@ -21,6 +21,8 @@
 	known       int64
 	confirmed   int64
 	confirmedAt time.Time
+	// readAt is when a reading that may be old began what is known; zero before.
+	readAt time.Time
 	// missing are the revisions that others know and this node does not, in ascending
 	// order, each with when it was heard of. While changes come without a pause, a
 	// watch that brings each in time is always behind the latest.
@@ -69,6 +71,14 @@
 	}
 }
 
+// begin notes what a first reading has told, which may be old: it confirms nothing.
+// Until the first confirmation each node waits for its turn from the reading on, as
+// all would ask at once when they start together.
+func (s *staleness) begin(now time.Time, revision int64) {
+	s.readAt = now
+	s.learn(revision)
+}
+
 // waitAnew gives another watch the time to tell what is missing.
 func (s *staleness) waitAnew(now time.Time) {
 	for i := range s.missing {
@@ -78,7 +88,11 @@
 
 // checkAt is when this node asks the store, if it hears nothing before.
 func (s *staleness) checkAt(rank int) time.Time {
-	return s.confirmedAt.Add(s.checkAfter + time.Duration(rank)*s.slot)
+	since := s.confirmedAt
+	if s.readAt.After(since) {
+		since = s.readAt
+	}
+	return since.Add(s.checkAfter + time.Duration(rank)*s.slot)
 }
 
 // giveUpAt is when the watch is given up for missing what others know; zero
--- a/internal/follower/watch.go
+++ b/internal/follower/watch.go
@@ -40,6 +40,8 @@
 	case errors.Is(err, errBehind):
 		f.noteFailed(relayTries) // whoever watches the store is behind as well
 		f.staleness.waitAnew(f.options.Now())
+	case errors.Is(err, relay.ErrForgotten):
+		f.needsStore = true
 	case errors.Is(err, relay.ErrSilent):
 		f.noteSilent(from)
 	case errors.Is(err, relay.ErrBroken):
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -30,6 +31,9 @@
 	Key string
 	// Node returns the entry as it should be now.
 	Node func() topology.Node
+	// Listed tells whether the entry is among those that this node knows of; nil means
+	// that it is. The lease of one that is not may have lapsed before its time.
+	Listed func() bool
 	// TTL is how long the entry outlives the node.
 	TTL    time.Duration
 	Logger *slog.Logger
@@ -44,7 +48,13 @@
 	renewedAt time.Time
 	// recorded is what the entry holds, if it is there.
 	recorded topology.Node
-	failing  bool
+	// checkedAt is when the entry was written, or its lease last checked since it is
+	// not listed.
+	checkedAt time.Time
+	failing   bool
+	// retryAt is when a call that has failed may be made again, after pause.
+	retryAt time.Time
+	pause   time.Duration
 }
 
 // New makes a Registry.
@@ -55,15 +65,27 @@
 	if config.Now == nil {
 		config.Now = time.Now
 	}
+	if config.Listed == nil {
+		config.Listed = func() bool { return true }
+	}
 	return &Registry{config: config}
 }
 
 const (
 	// renewals is how often a lease is renewed in its time.
 	renewals = 3
-	// looks is how often in that time the node is compared with its entry, and a
-	// call that has failed is made again.
-	looks = 9
+	// looks is how often in that time the node is compared with its entry, but at least
+	// each longestLook.
+	looks       = 9
+	longestLook = time.Second
+	// firstPause and longestPause bound the time after which a call that has failed is
+	// made again, which doubles: calls that the store refuses are priced and counted
+	// against its rate as well.
+	firstPause   = 500 * time.Millisecond
+	longestPause = 4 * time.Second
+	// listedWait is how long after it was written, or its lease was checked, an entry
+	// may be missing among those that are known: news takes a while.
+	listedWait = 3 * time.Second
 	// readyWait is for how long a node that has just started is not recorded while
 	// it is not ready: one entry that says so is enough.
 	readyWait = time.Second
@@ -74,10 +96,10 @@
 // Run keeps the entry until ctx ends, and returns nil then.
 func (r *Registry) Run(ctx context.Context) error {
 	r.awaitReady(ctx)
-	ticker := time.NewTicker(r.config.TTL / looks)
+	ticker := time.NewTicker(min(r.config.TTL/looks, longestLook))
 	defer ticker.Stop()
 	for {
-		r.note(r.renew(ctx))
+		r.attempt(ctx)
 		select {
 		case <-ctx.Done():
 			return nil
@@ -86,6 +108,22 @@
 	}
 }
 
+// attempt renews, unless a call has failed a short while ago.
+func (r *Registry) attempt(ctx context.Context) {
+	if r.config.Now().Before(r.retryAt) {
+		return
+	}
+	err := r.renew(ctx)
+	r.note(err)
+	if err == nil {
+		r.pause, r.retryAt = 0, time.Time{}
+		return
+	}
+	r.pause = min(max(firstPause, 2*r.pause), longestPause)
+	jittered := r.pause/2 + rand.N(r.pause)
+	r.retryAt = r.config.Now().Add(jittered)
+}
+
 // awaitReady lets a node that has just started become ready first.
 func (r *Registry) awaitReady(ctx context.Context) {
 	bounded, cancel := context.WithTimeout(ctx, readyWait)
@@ -104,7 +142,8 @@
 // renew makes the entry what it should be.
 func (r *Registry) renew(ctx context.Context) error {
 	wanted := r.config.Node()
-	if r.lease != 0 && r.config.Now().Sub(r.renewedAt) >= r.config.TTL/renewals {
+	if r.lease != 0 && (r.config.Now().Sub(r.renewedAt) >= r.config.TTL/renewals || r.missing()) {
+		r.checkedAt = r.config.Now()
 		asked := r.config.Now()
 		err := r.config.Store.KeepAlive(ctx, r.lease)
 		if errors.Is(err, store.ErrLeaseNotFound) {
@@ -129,6 +168,11 @@
 	return r.record(ctx, wanted)
 }
 
+// missing tells whether the entry should be listed and is not.
+func (r *Registry) missing() bool {
+	return !r.config.Listed() && r.config.Now().Sub(r.checkedAt) >= listedWait
+}
+
 // record writes the entry. The write has no condition: the entry is this
 // node's alone, and writing it twice does no harm.
 func (r *Registry) record(ctx context.Context, node topology.Node) error {
@@ -143,7 +187,7 @@
 		r.lease = 0
 	}
 	if err == nil {
-		r.recorded = node
+		r.recorded, r.checkedAt = node, r.config.Now()
 	}
 	return err
 }
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -169,3 +169,46 @@
 		t.Errorf("calls %v, error %v", fake.calls, err)
 	}
 }
+
+// TestAnEntryThatIsNotListedIsChecked: the store may have ended its lease before its
+// time; the node does not wait for the next renewal.
+func TestAnEntryThatIsNotListedIsChecked(t *testing.T) {
+	lapsed := fmt.Errorf("%w: %w", store.ErrLeaseNotFound, store.ErrNotApplied)
+	fake := &fakeStore{errors: []error{nil, nil, lapsed}}
+	now := time.Unix(1000, 0)
+	listed := true
+	kept := New(Config{
+		Store: fake, Key: "k", TTL: time.Hour, Now: func() time.Time { return now },
+		Node: func() topology.Node { return topology.Node{ID: "n"} }, Listed: func() bool { return listed },
+	})
+	for _, state := range []bool{true, false, false, false} {
+		listed = state
+		kept.attempt(t.Context())
+		now = now.Add(listedWait / 2)
+	}
+	want := []string{"grant", "put k under 1", "keep 1", "grant", "put k under 2"}
+	if diff := cmp.Diff(want, fake.calls); diff != "" {
+		t.Errorf("calls (-want +got):\n%s", diff)
+	}
+}
+
+// TestCallsThatFailAreMadeLessAndLessOften: those that the store refuses are priced.
+func TestCallsThatFailAreMadeLessAndLessOften(t *testing.T) {
+	fake := &fakeStore{}
+	for range 1000 {
+		fake.errors = append(fake.errors, store.ErrNotApplied)
+	}
+	now := time.Unix(1000, 0)
+	kept := New(Config{
+		Store: fake, Key: "k", TTL: time.Hour, Now: func() time.Time { return now },
+		Node: func() topology.Node { return topology.Node{ID: "n"} },
+	})
+	const seconds = 60
+	for range seconds {
+		kept.attempt(t.Context())
+		now = now.Add(time.Second)
+	}
+	if least, most := seconds/8, seconds/2; len(fake.calls) < least || len(fake.calls) > most {
+		t.Errorf("%d calls in %d s", len(fake.calls), seconds)
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -27,10 +27,12 @@
 const Path = "/changes"
 
 // ErrBroken is returned when a watch of another node ends; nothing is wrong
-// with the store then. ErrSilent comes with it when the node did not answer at all.
+// with the store then. ErrSilent comes with it when the node did not answer at all,
+// ErrForgotten when it does not keep changes from as far back as is asked for.
 var (
-	ErrBroken = errors.New("the watch of another node has ended")
-	ErrSilent = errors.New("the other node does not answer")
+	ErrBroken    = errors.New("the watch of another node has ended")
+	ErrSilent    = errors.New("the other node does not answer")
+	ErrForgotten = errors.New("the other node does not keep these changes")
 )
 
 const (
@@ -101,6 +103,7 @@
 	defer f.mu.Unlock()
 	if !f.started {
 		f.started, f.from, f.revision = true, revision, revision
+		f.wake()
 		return
 	}
 	for _, event := range events {
@@ -114,6 +117,11 @@
 		return
 	}
 	f.revision = revision
+	f.wake()
+}
+
+// wake must be called with the mutex held.
+func (f *Feed) wake() {
 	if f.changed != nil {
 		close(f.changed)
 		f.changed = nil
@@ -125,10 +133,10 @@
 func (f *Feed) since(after int64) (found Changes, changed <-chan struct{}, known bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.started || after < f.from {
+	if f.started && after < f.from {
 		return Changes{}, nil, false
 	}
-	if after >= f.revision {
+	if !f.started || after >= f.revision {
 		if f.changed == nil {
 			f.changed = make(chan struct{})
 		}
@@ -144,7 +152,7 @@
 }
 
 // ServeHTTP answers with the changes after a revision as soon as there are
-// some, and with 410 when some of them are not kept. When there are none in time, it
+// some (a node that has just started knows none yet), and with 410 when some of them are not kept. When there are none in time, it
 // answers with the nodes that do not answer, or with 204 when there are none of those
 // either.
 func (f *Feed) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -307,6 +315,8 @@
 	case http.StatusNoContent:
 		return store.WatchBatch{Revision: after, Relayed: true}, nil
 	case http.StatusOK:
+	case http.StatusGone:
+		return store.WatchBatch{}, fmt.Errorf("%w: %w", ErrBroken, ErrForgotten)
 	default:
 		return store.WatchBatch{}, fmt.Errorf("%w: status %d", ErrBroken, response.StatusCode)
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -99,6 +99,13 @@
 	List(ctx context.Context, prefix string, limit int) (values []KeyValue, revision int64, err error)
 }
 
+// StaleReader reads keys more cheaply than a Reader, as they were some time ago.
+type StaleReader interface {
+	// ListStale returns the keys with a prefix as they were at a revision or later;
+	// that may be seconds old. A watch from the revision on brings the rest.
+	ListStale(ctx context.Context, prefix string) (values []KeyValue, revision int64, err error)
+}
+
 // Committer writes keys.
 type Committer interface {
 	// Commit applies one transaction.
