History that has gone is read at once; who watches for a zone stays eager

Cause, found on reading the change before: a watch that ended with 'compacted' counted as a store that does not answer, so that a node which is not among the first three left it alone for 0.6 of the time for news before it read; the same for the node that watches for its zone when an idle watch of it was only cut. Change: history that has gone, or a watch that has let news pass, is read at once, as before; nodes that watch for their zones pause as the first three do. Tests: TestForgottenHistoryIsReadAtOnce failed before (20 s); TestWhoWatchesForAZoneIsEager.

--- a/internal/follower/begin_test.go
+++ b/internal/follower/begin_test.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"github.com/doorpond/doorpond/internal/announce"
+	"github.com/doorpond/doorpond/internal/blackboard"
 	"github.com/doorpond/doorpond/internal/store"
+	"github.com/doorpond/doorpond/internal/topology"
 )
 
 // TestNodesThatStartTogetherWatchTheFirst: a node that knows no other waits for them
@@ -107,3 +109,49 @@
 		t.Errorf("%d readings, %d of them stale", source.lists, source.stales)
 	}
 }
+
+// TestForgottenHistoryIsReadAtOnce: the store serves; it only no longer keeps what the
+// watch asks for. A node that leaves the store alone for long when it is away must not
+// do so then.
+func TestForgottenHistoryIsReadAtOnce(t *testing.T) {
+	source, relays := &fakeSource{}, &fakeRelays{broken: true}
+	others := append(twoOthers(t), nodeWith(t, 4, "c", "127.0.0.1:1003"))
+	board := startRelayed(t, source, relays, others)
+	eventually(t, "the store is watched", func() bool { return source.watches() == 1 })
+	source.mutex.Lock()
+	source.compacted = 1
+	source.mutex.Unlock()
+	source.breakWatches()
+	started := time.Now()
+	eventually(t, "the store is watched again", func() bool { return source.watches() == 1 })
+	if lists, _ := source.counts(); lists != 2 {
+		t.Errorf("the store was read %d times", lists)
+	}
+	if took := time.Since(started); took > longestPause {
+		t.Errorf("read after %v", took)
+	}
+	source.put(tableAt(t, 9, 9))
+	eventually(t, "what the store tells is in force", inForce(board, 9))
+}
+
+// TestWhoWatchesForAZoneIsEager: the others hear of news by it, also when its watch was
+// only cut; they leave the store alone for long at once.
+func TestWhoWatchesForAZoneIsEager(t *testing.T) {
+	for self, want := range map[string]time.Duration{"self-first": shortestPause, "z": 36 * time.Second} {
+		f := New(Options{
+			Decoder: testDecoder{}, Keys: testKeys, Board: &blackboard.Board{}, News: time.Minute,
+			Self: topology.Node{ID: self, Place: topology.Place{Zone: "z2"}},
+		})
+		for i, id := range []string{"a", "b", "c", "self-first", "z"} {
+			node := topology.Node{ID: id, Ready: true}
+			if id == "self-first" || id == "z" {
+				node.Place.Zone = "z2"
+			}
+			f.state.put(store.KeyValue{Key: "nodes/" + id, Value: encoded(t, node), ModRevision: int64(i + 1)})
+		}
+		f.state.publish(start)
+		if got := f.nextPause(0); got != want {
+			t.Errorf("%s pauses for %v, want %v", self, got, want)
+		}
+	}
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -155,8 +155,9 @@
 const (
 	shortestPause = 100 * time.Millisecond
 	longestPause  = time.Second
-	// eagerNodes pause for no longer than longestPause; the others, which hear from
-	// them that the store is back, for patientShare of the time for news.
+	// eagerNodes, and those that watch the store for their zones, pause for no longer
+	// than longestPause; the others, which hear from them that the store is back, for
+	// patientShare of the time for news.
 	eagerNodes   = 3
 	patientShare = 0.6
 )
@@ -164,7 +165,7 @@
 // longestPause is this node's longest pause. Calls that the store refuses are
 // priced as well.
 func (f *Follower) longestPause() time.Duration {
-	if f.rank() < eagerNodes {
+	if f.rank() < eagerNodes || f.isWatcher() {
 		return longestPause
 	}
 	return max(longestPause, f.options.share(patientShare))
@@ -227,7 +228,8 @@
 
 // follow watches until that fails, from a reading of everything or, where the store
 // has only been away, from what is known: its history tells what has changed since.
-// heard is true when the store has answered.
+// heard is true when the store has answered, also that its history has gone: then it
+// is read at once.
 func (f *Follower) follow(ctx context.Context) (heard bool, err error) {
 	answers := f.answers
 	if f.mustRead {
@@ -237,7 +239,7 @@
 	}
 	err = f.watch(ctx, f.staleness.known)
 	f.mustRead = errors.Is(err, store.ErrCompacted) || errors.Is(err, errBehind)
-	return f.answers > answers, err
+	return f.mustRead || f.answers > answers, err
 }
 
 // read takes everything in.
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -99,8 +99,10 @@
 	silent   bool
 	lists    int
 	stales   int
-	gets     int
-	watching []chan store.WatchBatch
+	// compacted is the number of watches that ask for what is no longer kept.
+	compacted int
+	gets      int
+	watching  []chan store.WatchBatch
 }
 
 func (s *fakeSource) put(value store.KeyValue) {
@@ -199,6 +201,11 @@
 		s.mutex.Unlock()
 		return store.ErrUnavailable
 	}
+	if s.compacted > 0 {
+		s.compacted--
+		s.mutex.Unlock()
+		return store.ErrCompacted
+	}
 	s.watching = append(s.watching, events)
 	s.mutex.Unlock()
 	for {
