--- a/internal/follower/source.go
+++ b/internal/follower/source.go
@@ -11,7 +11,6 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/doorpond/doorpond/internal/directory"
-	"github.com/doorpond/doorpond/internal/relay"
 	"github.com/doorpond/doorpond/internal/store"
 	"github.com/doorpond/doorpond/internal/topology"
 )
@@ -23,14 +22,6 @@
 	// relayTries is the number of other nodes that are watched, one after the
 	// other, before the store is watched itself.
 	relayTries = 1
-	// silentTries is the number of nodes that may be silent, one after the other,
-	// before the store is watched instead: each costs a time-out, and where all are
-	// silent it is this node that is cut off.
-	silentTries = 3
-	// probedSuccessors is the number of nodes that are looked at when the one that was
-	// watched is silent: where a quarter of the nodes are lost at once, four in a row
-	// are once in 256 times.
-	probedSuccessors = 5
 	// relayPause is how long after that other nodes are tried again.
 	relayPause = 5 * time.Second
 )
@@ -135,52 +126,3 @@
 func (f *Follower) noteFailed(nodes int) {
 	f.relaysFailed, f.relayFailedAt = nodes, f.options.Now()
 }
-
-// noteSilent notes that the node that was watched does not answer. It is suspected, so
-// that the next one by capacity is watched; that one finds the same out, and watches
-// the store when it is the first that is left.
-func (f *Follower) noteSilent(from source) {
-	f.suspectAt([]netip.AddrPort{from.node})
-	f.probeSuccessors()
-	f.silentInTurn++
-	if f.silentInTurn >= silentTries {
-		f.silentInTurn = 0
-		f.noteFailed(relayTries)
-	}
-}
-
-// probeSuccessors looks at the nodes that come next by capacity, all at once: they may
-// have been lost with the one that was watched, and watching each in vain would take
-// seconds.
-func (f *Follower) probeSuccessors() {
-	nodes := f.options.Board.Nodes.Load()
-	if f.options.Unreachable == nil || nodes == nil {
-		return
-	}
-	var addresses []netip.AddrPort
-	for _, node := range directory.Watchers(nodes.Nodes, f.options.Self.Place, probedSuccessors) {
-		address, err := netip.ParseAddrPort(node.StateAddress)
-		if err == nil && !f.isSelf(node) {
-			addresses = append(addresses, address)
-		}
-	}
-	var unreachable []netip.AddrPort
-	f.attend(func() { unreachable = f.options.Unreachable(addresses) })
-	f.suspectAt(unreachable)
-}
-
-// suspectAt suspects the nodes with some state addresses.
-func (f *Follower) suspectAt(addresses []netip.AddrPort) {
-	nodes := f.options.Board.Nodes.Load()
-	if nodes == nil {
-		return
-	}
-	var found []relay.Suspicion
-	for _, node := range nodes.Nodes {
-		address, err := netip.ParseAddrPort(node.StateAddress)
-		if err == nil && slices.Contains(addresses, address) {
-			found = append(found, relay.Suspicion{ID: node.ID, Milliseconds: suspicionTime.Milliseconds()})
-		}
-	}
-	f.suspect(found)
-}
--- a/internal/follower/suspects.go
+++ b/internal/follower/suspects.go
@@ -2,17 +2,29 @@
 
 import (
 	"maps"
+	"net/netip"
 	"slices"
 	"time"
 
+	"github.com/doorpond/doorpond/internal/directory"
 	"github.com/doorpond/doorpond/internal/relay"
 )
 
-// suspicionTime is how long a node that does not answer counts as not ready; it is
-// renewed as long as the node is found silent. It is over the time between two looks
-// (sentinel) and two answers of a watched node, and short enough for a node that was
-// cut off or frozen to be led to again soon.
-const suspicionTime = 5 * time.Second
+const (
+	// suspicionTime is how long a node that does not answer counts as not ready; it is
+	// renewed as long as the node is found silent. It is over the time between two looks
+	// of the node that guards the zone and two answers of a watched node, and short
+	// enough for callers to be led again soon to a node that was cut off or frozen.
+	suspicionTime = 5 * time.Second
+	// silentTries is the number of nodes that may be silent, one after the other,
+	// before the store is watched instead: each costs a time-out, and where all are
+	// silent it is this node that is cut off.
+	silentTries = 3
+	// probedSuccessors is the number of nodes that are looked at when the one that was
+	// watched is silent: where a quarter of the nodes are lost at once, four in a row
+	// are once in 256 times.
+	probedSuccessors = 5
+)
 
 // suspects are the recorded nodes that do not answer, with the time until which each
 // counts as not ready. A node's record outlives it by seconds, and until it lapses
@@ -126,3 +138,52 @@
 	}
 	return found
 }
+
+// noteSilent notes that the node that was watched does not answer. It is suspected, so
+// that the next one by capacity is watched; that one finds the same out, and watches
+// the store when it is the first that is left.
+func (f *Follower) noteSilent(from source) {
+	f.suspectAt([]netip.AddrPort{from.node})
+	f.probeSuccessors()
+	f.silentInTurn++
+	if f.silentInTurn >= silentTries {
+		f.silentInTurn = 0
+		f.noteFailed(relayTries)
+	}
+}
+
+// probeSuccessors looks at the nodes that come next by capacity, all at once: they may
+// have been lost with the one that was watched, and watching each in vain would take
+// seconds.
+func (f *Follower) probeSuccessors() {
+	nodes := f.options.Board.Nodes.Load()
+	if f.options.Unreachable == nil || nodes == nil {
+		return
+	}
+	var addresses []netip.AddrPort
+	for _, node := range directory.Watchers(nodes.Nodes, f.options.Self.Place, probedSuccessors) {
+		address, err := netip.ParseAddrPort(node.StateAddress)
+		if err == nil && !f.isSelf(node) {
+			addresses = append(addresses, address)
+		}
+	}
+	var unreachable []netip.AddrPort
+	f.attend(func() { unreachable = f.options.Unreachable(addresses) })
+	f.suspectAt(unreachable)
+}
+
+// suspectAt suspects the nodes with some state addresses.
+func (f *Follower) suspectAt(addresses []netip.AddrPort) {
+	nodes := f.options.Board.Nodes.Load()
+	if nodes == nil {
+		return
+	}
+	var found []relay.Suspicion
+	for _, node := range nodes.Nodes {
+		address, err := netip.ParseAddrPort(node.StateAddress)
+		if err == nil && slices.Contains(addresses, address) {
+			found = append(found, relay.Suspicion{ID: node.ID, Milliseconds: suspicionTime.Milliseconds()})
+		}
+	}
+	f.suspect(found)
+}
