--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -76,14 +76,6 @@
 	// it is gone (liveness), and each renewal is priced.
 	// With 30 s it is renewed each 10 s; no node waits for its end.
 	entryTTL = 30 * time.Second
-	// fewShare is the part of the longest time to keep addresses for which a caller
-	// keeps them that was told few: some keep them for three times as long.
-	fewShare = 0.3
-	// stopShare of the grace time is for how long the others keep addresses, if they
-	// may: for as long as a stopping node takes new connections, less the time that
-	// the others need to hear of the stop. Shorter is worse: a caller that asks a
-	// directory whose power is gone waits for a second.
-	stopShare = 0.8 * acceptShare
 	// headerTimeout and idleTimeout bound what a caller may do with a
 	// connection; callers keep to the operators' smaller limits.
 	headerTimeout = 10 * time.Second
@@ -247,38 +239,6 @@
 // loaded tells whether callers should be led to further nodes beside this one.
 func (n *Node) loaded() bool { return n.queries.Loaded() || n.processor.Loaded() }
 
-// resolve names the nodes that a caller should use, without those that cannot be
-// reached.
-func (n *Node) resolve(caller topology.Place) (directory.Answer, bool) {
-	bounds := n.current.Load().Bounds
-	few := shareOf(fewShare, bounds.DirectoryTTL)
-	options := directory.Options{
-		TTL:    max(few, min(bounds.DirectoryTTL, shareOf(stopShare, bounds.Grace))),
-		FewTTL: few, EntryNodes: n.settings.Bounds.EntryNodes(),
-	}
-	nodes := n.nodes()
-	for {
-		answer, known := directory.Resolve(nodes, caller, options)
-		gone := n.unreachable(nodes, answer.Addresses)
-		if len(gone) == 0 {
-			return answer, known
-		}
-		nodes = nodes.Without(gone)
-	}
-}
-
-// unreachable returns the IDs of the ready nodes at some addresses that cannot be
-// reached. This node itself can.
-func (n *Node) unreachable(nodes *topology.Nodes, addresses []string) []string {
-	var named []topology.Node
-	for _, node := range nodes.Nodes {
-		if node.Ready && node.ID != n.self.ID && slices.Contains(addresses, node.Address) {
-			named = append(named, node)
-		}
-	}
-	return n.silent(named)
-}
-
 // listed tells whether this node is among those that are known.
 func (n *Node) listed() bool {
 	nodes := n.board.Nodes.Load()
--- a/internal/edge/guard.go
+++ b/internal/edge/guard.go
@@ -34,7 +34,7 @@
 		case <-ticker.C:
 		}
 		if nodes := n.board.Nodes.Load(); nodes != nil && n.guards(nodes) {
-			if silent := n.silent(n.guarded(nodes)); len(silent) > 0 {
+			if silent := n.silent(ctx, n.guarded(nodes)); len(silent) > 0 {
 				n.follower.SuspectSilent(silent)
 			}
 		}
@@ -61,7 +61,7 @@
 }
 
 // silent returns the IDs of those of some nodes that do not answer.
-func (n *Node) silent(nodes []topology.Node) []string {
+func (n *Node) silent(ctx context.Context, nodes []topology.Node) []string {
 	ids := make(map[netip.AddrPort]string, len(nodes))
 	addresses := make([]netip.AddrPort, 0, len(nodes))
 	for _, node := range nodes {
@@ -73,7 +73,7 @@
 		addresses = append(addresses, address)
 	}
 	var silent []string
-	for _, address := range n.liveness.Unreachable(addresses) {
+	for _, address := range n.liveness.Unreachable(ctx, addresses) {
 		silent = append(silent, ids[address])
 	}
 	return silent
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -72,7 +72,7 @@
 	Relays Relays
 	// Unreachable returns those of some nodes, by their state addresses, that cannot be
 	// reached; nil means that it is not known.
-	Unreachable func(nodes []netip.AddrPort) []netip.AddrPort
+	Unreachable func(ctx context.Context, nodes []netip.AddrPort) []netip.AddrPort
 	Decoder     Decoder
 	Keys        Keys
 	Board       *blackboard.Board
--- a/internal/follower/suspects.go
+++ b/internal/follower/suspects.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"context"
 	"maps"
 	"net/netip"
 	"slices"
@@ -168,7 +169,7 @@
 		}
 	}
 	var unreachable []netip.AddrPort
-	f.attend(func() { unreachable = f.options.Unreachable(addresses) })
+	f.attend(func() { unreachable = f.options.Unreachable(context.Background(), addresses) })
 	f.suspectAt(unreachable)
 }
 
--- a/internal/follower/suspects_test.go
+++ b/internal/follower/suspects_test.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"context"
 	"net/netip"
 	"slices"
 	"testing"
@@ -72,7 +73,7 @@
 	run(t, New(Options{
 		Source: source, Peers: &fakePeers{received: make(chan announce.Announcement)}, Relays: relays,
 		Decoder: testDecoder{}, Keys: testKeys, Board: board, EntryNodes: 2, Self: topology.Node{ID: "self"},
-		News: time.Minute, VanishedFor: time.Second, Unreachable: func([]netip.AddrPort) []netip.AddrPort { return lost },
+		News: time.Minute, VanishedFor: time.Second, Unreachable: func(context.Context, []netip.AddrPort) []netip.AddrPort { return lost },
 	}))
 	relays.batches <- store.WatchBatch{Revision: 9, Events: []store.Event{{KeyValue: tableAt(t, 9, 9)}}, Relayed: true}
 	eventually(t, "what the fourth node tells is in force", inForce(board, 9))
--- a/internal/liveness/liveness.go
+++ b/internal/liveness/liveness.go
@@ -83,16 +83,16 @@
 
 // Unreachable returns those of some nodes that cannot be reached. Nodes of which
 // nothing recent is known are connected to first, all at once, which takes no longer
-// than firstTimeout.
-func (c *Checker) Unreachable(nodes []netip.AddrPort) []netip.AddrPort {
+// than firstTimeout, and ends with ctx.
+func (c *Checker) Unreachable(ctx context.Context, nodes []netip.AddrPort) []netip.AddrPort {
 	for _, node := range nodes {
 		c.Reachable(node)
 	}
-	timer := time.NewTimer(firstTimeout)
-	defer timer.Stop()
+	bounded, cancel := context.WithTimeout(ctx, firstTimeout)
+	defer cancel()
 	var unreachable []netip.AddrPort
 	for _, node := range nodes {
-		if !c.proven(node, timer.C) {
+		if !c.proven(bounded, node) {
 			unreachable = append(unreachable, node)
 		}
 	}
@@ -100,15 +100,15 @@
 }
 
 // proven tells whether a node that has been asked about can be reached; where nothing
-// recent is known, it waits for the check that runs until a time-out.
-func (c *Checker) proven(node netip.AddrPort, timeout <-chan time.Time) bool {
+// recent is known, it waits for the check that runs until ctx ends.
+func (c *Checker) proven(ctx context.Context, node netip.AddrPort) bool {
 	known, recent, ended := c.known(node)
 	if recent || ended == nil {
 		return known && recent
 	}
 	select {
 	case <-ended:
-	case <-timeout:
+	case <-ctx.Done():
 	}
 	known, recent, _ = c.known(node)
 	return known && recent
--- a/internal/liveness/liveness_test.go
+++ b/internal/liveness/liveness_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -142,7 +143,7 @@
 		}
 	}})
 	for range 2 {
-		found := c.Unreachable([]netip.AddrPort{dark, there, gone})
+		found := c.Unreachable(t.Context(), []netip.AddrPort{dark, there, gone})
 		if !slices.Equal(found, []netip.AddrPort{dark, gone}) {
 			t.Errorf("not reached: %v", found)
 		}
@@ -158,11 +159,28 @@
 	f.pass(interval)
 	f.ask(t, c) // fails
 	nodes := []netip.AddrPort{address}
-	if found := c.Unreachable(nodes); len(found) != 0 {
+	if found := c.Unreachable(t.Context(), nodes); len(found) != 0 {
 		t.Error("gone after one failure")
 	}
 	f.pass(provenFor - interval)
-	if found := c.Unreachable(nodes); len(found) != 1 {
+	if found := c.Unreachable(t.Context(), nodes); len(found) != 1 {
 		t.Error("not reached for a long time, and counts as there")
 	}
 }
+
+// TestTheWaitIsOneForAllNodes: several that say nothing take no longer than one.
+func TestTheWaitIsOneForAllNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New(Config{Connect: func(ctx context.Context, _ netip.AddrPort) error {
+			<-ctx.Done()
+			return ctx.Err()
+		}})
+		dark := []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:1"), netip.MustParseAddrPort("10.0.0.2:1"), netip.MustParseAddrPort("10.0.0.3:1")}
+		asked := time.Now()
+		found := c.Unreachable(t.Context(), dark)
+		if took := time.Since(asked); len(found) != len(dark) || took != firstTimeout {
+			t.Errorf("%d not reached, after %v", len(found), took)
+		}
+		time.Sleep(timeout) // the checks end
+	})
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -152,9 +152,9 @@
 }
 
 // ServeHTTP answers with the changes after a revision as soon as there are
-// some (a node that has just started knows none yet), and with 410 when some of them are not kept. When there are none in time, it
-// answers with the nodes that do not answer, or with 204 when there are none of those
-// either.
+// some (a node that has just started knows none yet), and with 410 when some of them
+// are not kept. When there are none in time, it answers with the nodes that do not
+// answer, or with 204 when there are none of those either.
 func (f *Feed) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	after, err := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
 	if err != nil {
