--- a/internal/follower/source_test.go
+++ b/internal/follower/source_test.go
@@ -1,12 +1,8 @@
 package follower
 
 import (
-	"context"
-	"fmt"
 	"net/http"
 	"net/http/httptest"
-	"net/netip"
-	"sync"
 	"testing"
 	"time"
 
@@ -17,85 +13,6 @@
 	"github.com/doorpond/doorpond/internal/topology"
 )
 
-// fakeRelays are other nodes that may be watched.
-type fakeRelays struct {
-	mu     sync.Mutex
-	broken bool
-	// forgetful nodes do not keep the changes that are asked for.
-	forgetful bool
-	// silent are the ports of nodes that do not answer.
-	silent  map[uint16]bool
-	watched []netip.AddrPort
-	batches chan store.WatchBatch
-}
-
-func (r *fakeRelays) Watch(ctx context.Context, node netip.AddrPort, _ int64, deliver func(store.WatchBatch) error) error {
-	r.mu.Lock()
-	r.watched = append(r.watched, node)
-	broken, silent, forgetful := r.broken, r.silent[node.Port()], r.forgetful
-	r.mu.Unlock()
-	if forgetful {
-		return fmt.Errorf("%w: %w", relay.ErrBroken, relay.ErrForgotten)
-	}
-	if silent {
-		return fmt.Errorf("%w: %w", relay.ErrBroken, relay.ErrSilent)
-	}
-	if broken {
-		return relay.ErrBroken
-	}
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case batch := <-r.batches:
-			if err := deliver(batch); err != nil {
-				return err
-			}
-		}
-	}
-}
-
-func (r *fakeRelays) asked() []netip.AddrPort {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return append([]netip.AddrPort(nil), r.watched...)
-}
-
-// nodeWith is a node's entry with its state address.
-func nodeWith(t *testing.T, revision int64, id, address string) store.KeyValue {
-	t.Helper()
-	node := topology.Node{ID: id, Ready: true, StateAddress: address}
-	return store.KeyValue{Key: "nodes/" + id, Value: encoded(t, node), ModRevision: revision}
-}
-
-// startRelayed runs a follower of node "self", beside others that are recorded.
-func startRelayed(t *testing.T, source *fakeSource, relays *fakeRelays, others []store.KeyValue) *blackboard.Board {
-	t.Helper()
-	return startTold(t, source, relays, others, &fakePeers{received: make(chan announce.Announcement)}, time.Minute)
-}
-
-// startTold is startRelayed with what other nodes announce, and the time for news.
-func startTold(t *testing.T, source *fakeSource, relays *fakeRelays, others []store.KeyValue, peers *fakePeers, news time.Duration) *blackboard.Board {
-	t.Helper()
-	for _, other := range others {
-		source.put(other)
-	}
-	source.put(tableAt(t, 4, 1))
-	board := &blackboard.Board{}
-	made := New(Options{
-		Source: source, Peers: peers, Relays: relays,
-		Decoder: testDecoder{}, Keys: testKeys, Board: board, EntryNodes: 2,
-		Self: topology.Node{ID: "self"}, News: news, VanishedFor: time.Second,
-	})
-	run(t, made)
-	return board
-}
-
-func twoOthers(t *testing.T) []store.KeyValue {
-	t.Helper()
-	return []store.KeyValue{nodeWith(t, 2, "a", "127.0.0.1:1001"), nodeWith(t, 3, "b", "127.0.0.1:1002")}
-}
-
 // TestMostNodesWatchAnother: what it tells is in force, and the store is not
 // watched.
 func TestMostNodesWatchAnother(t *testing.T) {
@@ -213,20 +130,6 @@
 	eventually(t, "what it tells is in force", inForce(board, 9))
 }
 
-// run runs a follower until the test ends.
-func run(t *testing.T, made *Follower) {
-	t.Helper()
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- made.Run(ctx) }()
-	t.Cleanup(func() {
-		cancel()
-		if err := <-ended; err != nil {
-			t.Error(err)
-		}
-	})
-}
-
 // TestANodeThatIsBackWatchesTheStore: it has started anew and watches the node that
 // stood in for it, until it hears of its own record; that node watches it then.
 func TestANodeThatIsBackWatchesTheStore(t *testing.T) {
