Routes bound to regions: replicas, refusals and the directory keep to them

Cause: the adapter did not read allowedRegions, so that a route had no regions inside and its requests went to the nearest or fastest replicas. Change: routing.Route.Regions; the choice bars replicas elsewhere (first attempts, hedges, retries, the wait for connections); a request with too few shards that it may ask is refused at once, before anything is sent, so that the refusal's promise holds; callers of a host whose routes are bound are led to nodes in its regions or their own. Weighed: to filter the replicas before the choice, or to bar them in it. The second: the core decides and its tests show it, and a barred replica is neither waited for nor counts as the one that keeps a group from being all ejected.

--- a/internal/decision/choice.go
+++ b/internal/decision/choice.go
@@ -28,11 +28,13 @@
 	// than is usual.
 	Silent bool
 	Tried  bool
+	// Barred is true when the request must not go there: it is bound to other regions.
+	Barred bool
 	// ConnectionAvailable is false when the connection budget is used up.
 	ConnectionAvailable bool
 }
 
-func (c *Candidate) usable() bool { return !c.Tried && c.ConnectionAvailable }
+func (c *Candidate) usable() bool { return !c.Tried && !c.Barred && c.ConnectionAvailable }
 
 // NoCandidate is what ChooseReplica returns when none can be used.
 const NoCandidate = -1
--- a/internal/decision/selection_test.go
+++ b/internal/decision/selection_test.go
@@ -123,6 +123,7 @@
 	cold := with(near, func(c *Candidate) { c.Warmth = 0 })
 	backing := with(near, func(c *Candidate) { c.BackingOff = true })
 	busy := with(near, func(c *Candidate) { c.ReportedLoad = 9 })
+	barred := with(near, func(c *Candidate) { c.Barred = true })
 	cases := []struct {
 		name       string
 		candidates []Candidate
@@ -140,6 +141,8 @@
 		{"saturated before ejected", []Candidate{ejected, saturated}, 1},
 		{"ejected rather than none", []Candidate{ejected, tried}, 0},
 		{"weight 0 is never used", []Candidate{far}, NoCandidate},
+		{"barred is never used, though the other is ejected", []Candidate{barred, ejected}, 1},
+		{"barred is never used, though there is no other", []Candidate{barred, barred}, NoCandidate},
 		{"tried is never used", []Candidate{tried}, NoCandidate},
 		{"no connection is never used", []Candidate{unconnected}, NoCandidate},
 		{"slow loses to fast", []Candidate{slow, near}, 1},
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -3,6 +3,7 @@
 package directory
 
 import (
+	"slices"
 	"time"
 
 	"github.com/doorpond/doorpond/internal/topology"
@@ -27,6 +28,15 @@
 	// EntryNodes is how many nodes of each zone callers should know, so that
 	// they can go on when some of them are lost.
 	EntryNodes int
+	// Bound is true when callers ask for a host whose requests are bound to Regions.
+	// They are led to nodes there or in their own region, as long as any is ready.
+	Bound   bool
+	Regions []string
+}
+
+// allows tells whether a caller may be led to a node.
+func (o *Options) allows(caller topology.Place, node topology.Node) bool {
+	return !o.Bound || node.Place.Region == caller.Region || slices.Contains(o.Regions, node.Place.Region)
 }
 
 // Resolve returns the entry nodes nearest to a caller: those of its zone, and
@@ -37,7 +47,11 @@
 	if nodes == nil {
 		return Answer{}, false
 	}
-	chosen := nearest(EntryNodes(nodes.Nodes, options.EntryNodes), caller)
+	entries := EntryNodes(nodes.Nodes, options.EntryNodes)
+	chosen := nearest(options.allowed(entries, caller), caller)
+	if len(chosen) == 0 {
+		chosen = nearest(entries, caller)
+	}
 	if len(chosen) == 0 {
 		chosen = nearest(nodes.Nodes, caller)
 	}
@@ -48,6 +62,14 @@
 	return answer, len(chosen) > 0
 }
 
+// allowed returns those of some nodes that a caller may be led to.
+func (o *Options) allowed(nodes []topology.Node, caller topology.Place) []topology.Node {
+	if !o.Bound {
+		return nodes
+	}
+	return slices.DeleteFunc(slices.Clone(nodes), func(node topology.Node) bool { return !o.allows(caller, node) })
+}
+
 // nearest returns the nodes of the nearest distances up to the first one that
 // has a node that is not loaded.
 func nearest(nodes []topology.Node, caller topology.Place) []string {
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -62,6 +62,36 @@
 	}
 }
 
+// TestCallersOfABoundHostStayInItsRegions: a near node that is loaded is no reason to
+// lead them where their requests must not go; only where none is left elsewhere.
+func TestCallersOfABoundHostStayInItsRegions(t *testing.T) {
+	placeD := topology.Place{Region: "r3", Zone: "d"}
+	nearLoaded := []topology.Node{loaded("a1", placeA), loaded("b1", placeB), node("c1", placeC, true), node("d1", placeD, true)}
+	cases := []struct {
+		name    string
+		nodes   []topology.Node
+		bound   bool
+		regions []string
+		want    []string
+	}{
+		{"not bound", nearLoaded, false, nil, []string{"a1", "b1", "c1", "d1"}},
+		{"bound to the caller's own", nearLoaded, true, []string{"r1"}, []string{"a1", "b1"}},
+		{"bound to another one", nearLoaded, true, []string{"r3"}, []string{"a1", "b1", "d1"}},
+		{"bound to none that all routes allow", nearLoaded, true, nil, []string{"a1", "b1"}},
+		{"the caller's region is lost", nearLoaded[2:], true, []string{"r3"}, []string{"d1"}},
+		{"all allowed regions are lost", nearLoaded[2:3], true, []string{"r3"}, []string{"c1"}},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			options := Options{EntryNodes: 1, Bound: test.bound, Regions: test.regions}
+			answer, _ := Resolve(&topology.Nodes{Nodes: test.nodes}, placeA, options)
+			if diff := cmp.Diff(test.want, answer.Addresses); diff != "" {
+				t.Errorf("addresses (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 func TestAnAnswerIsBounded(t *testing.T) {
 	nodes := &topology.Nodes{}
 	for i := range 3 * mostAddresses {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -58,7 +58,7 @@
 	Keys  follower.Keys
 	// Ready and Directory make the handlers of the platform's calls.
 	Ready     func(ready func() bool) http.Handler
-	Directory func(resolve func(caller topology.Place) (directory.Answer, bool)) http.Handler
+	Directory func(resolve func(host string, caller topology.Place) (directory.Answer, bool)) http.Handler
 }
 
 // Options are what a Node is made of.
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -353,7 +353,7 @@
 		err = json.NewDecoder(response.Body).Decode(&seen)
 		return err == nil && len(seen.Nodes) == len(s.nodes) && seen.Version > 0 && len(seen.Lagging) == 0
 	})
-	if len(seen.Routes) != 3 || seen.Replicas != (shards+1)*len(zones) || len(seen.Unreachable) != 0 {
+	if len(seen.Routes) != 4 || seen.Replicas != (shards+1)*len(zones) || len(seen.Unreachable) != 0 {
 		t.Errorf("%d routes, %d replicas, unreachable %v", len(seen.Routes), seen.Replicas, seen.Unreachable)
 	}
 }
--- a/internal/edge/resolve.go
+++ b/internal/edge/resolve.go
@@ -24,15 +24,18 @@
 	resolveTimeout = 300 * time.Millisecond
 )
 
-// resolve names the nodes that a caller should use, without those that cannot be
-// reached.
-func (n *Node) resolve(caller topology.Place) (directory.Answer, bool) {
+// resolve names the nodes that a caller of a host should use, without those that
+// cannot be reached.
+func (n *Node) resolve(host string, caller topology.Place) (directory.Answer, bool) {
 	bounds := n.current.Load().Bounds
 	few := shareOf(fewShare, bounds.DirectoryTTL)
 	options := directory.Options{
 		TTL:    max(few, min(bounds.DirectoryTTL, shareOf(stopShare, bounds.Grace))),
 		FewTTL: few, EntryNodes: n.settings.Bounds.EntryNodes(),
 	}
+	if table := n.board.Routes.Load(); table != nil {
+		options.Regions, options.Bound = table.RegionsOf(host)
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), resolveTimeout)
 	defer cancel()
 	return resolveReachable(ctx, n.nodes(), caller, options, n.unreachable)
--- a/internal/inspect/inspect.go
+++ b/internal/inspect/inspect.go
@@ -63,6 +63,8 @@
 	// requests.
 	Shards int             `json:"shards"`
 	Shares []routing.Share `json:"shares"`
+	// Regions are those whose replicas may take a request; empty means all.
+	Regions []string `json:"regions"`
 }
 
 // System is all nodes, and what the one that was asked knows.
@@ -169,7 +171,7 @@
 		Name: route.Name, Host: route.Host, PathPrefix: route.PathPrefix, Rank: route.Rank, Repeatable: route.Repeatable,
 		Attempts: route.Policy.Retry.Attempts, LeastShare: route.Policy.Completeness.Least, TopRecords: route.TopRecords,
 		Timeout: time.Duration(route.Policy.Wait.Timeout).Milliseconds(), Objective: route.Objective.Milliseconds(),
-		Shards: len(route.Shards), Shares: route.Shares,
+		Shards: len(route.Shards), Shares: route.Shares, Regions: route.Regions,
 	}
 }
 
--- a/internal/operator/system.go
+++ b/internal/operator/system.go
@@ -73,14 +73,21 @@
 }
 
 func printRoutes(to io.Writer, routes []inspect.Route) {
-	lines := newGrid(to, "ROUTE", "HOST", "PATH", "RANK", "REPEATABLE", "ATTEMPTS", "TIMEOUT", "OBJECTIVE", "TO")
+	lines := newGrid(to, "ROUTE", "HOST", "PATH", "RANK", "REPEATABLE", "ATTEMPTS", "TIMEOUT", "OBJECTIVE", "REGIONS", "TO")
 	for _, one := range routes {
 		lines.row(one.Name, one.Host, one.PathPrefix, one.Rank, one.Repeatable, one.Attempts,
-			fmt.Sprintf("%d ms", one.Timeout), fmt.Sprintf("%d ms", one.Objective), targetText(&one))
+			fmt.Sprintf("%d ms", one.Timeout), fmt.Sprintf("%d ms", one.Objective), regionsText(one.Regions), targetText(&one))
 	}
 	lines.end()
 }
 
+func regionsText(regions []string) string {
+	if len(regions) == 0 {
+		return "all"
+	}
+	return strings.Join(regions, ",")
+}
+
 func targetText(route *inspect.Route) string {
 	if route.Shards > 0 {
 		return fmt.Sprintf("%d shards, at least %.2f, top %d", route.Shards, route.LeastShare, route.TopRecords)
--- a/internal/query/forward.go
+++ b/internal/query/forward.go
@@ -103,6 +103,11 @@
 		deadline = min(deadline, forwarding.Wait)
 	}
 	groups := s.groupsOf(forwarding.Route)
+	terms := s.termsOf(forwarding.Route)
+	if err := s.checkServable(forwarding.Route, groups, terms); err != nil {
+		s.metrics.observe(s.options.Now().Sub(started), err)
+		return Forwarded{}, err
+	}
 	target := s.targets.Of(groups[0])
 	ticket, err := target.Admit(row, row.Priority, started, deadline)
 	if err != nil {
@@ -110,7 +115,7 @@
 		return Forwarded{}, err
 	}
 	defer ticket.Release()
-	current := s.newForwardRun(forwarding, groups, deadline, target.Loaded(started))
+	current := s.newForwardRun(forwarding, groups, terms, deadline, target.Loaded(started))
 	current.execute(ctx, deadline)
 	answer, err := current.conclude()
 	s.recordForward(current, ticket, s.options.Now().Sub(started), err)
@@ -135,11 +140,33 @@
 	return []string{s.splitter.Pick(route)}
 }
 
-func (s *Service) newForwardRun(forwarding *Forwarding, groups []string, deadline time.Duration, overloaded bool) *forwardRun {
+// termsOf returns what the replicas for a route's requests are chosen by.
+func (s *Service) termsOf(route *routing.Route) replica.Terms {
+	return replica.Terms{
+		Weights:   route.Policy.Replicas,
+		Usual:     s.usuals.Of(route.Name),
+		LateAfter: time.Duration(unknownLateShare * float64(route.Objective)),
+		Regions:   route.Regions,
+	}
+}
+
+// checkServable refuses a request at once for which too few shards have a replica that
+// it may go to: what is sent to the others would be work for nothing, and the refusal
+// could no longer say that nothing ran.
+func (s *Service) checkServable(route *routing.Route, groups []string, terms replica.Terms) error {
+	servable, needed := s.options.Pool.Servable(groups, &terms), max(1, route.LeastShards)
+	if servable >= needed {
+		return nil
+	}
+	return failure.New(failure.NoReplica, fmt.Sprintf("%d of %d shards have a replica, %d are needed", servable, len(groups), needed))
+}
+
+func (s *Service) newForwardRun(
+	forwarding *Forwarding, groups []string, terms replica.Terms, deadline time.Duration, overloaded bool,
+) *forwardRun {
 	route := forwarding.Route
-	usual := s.usuals.Of(route.Name)
 	plan := decision.Plan{
-		Shards: s.forwardShards(route, groups, usual), Policy: route.Policy, Deadline: deadline,
+		Shards: s.forwardShards(route, groups, terms.Usual), Policy: route.Policy, Deadline: deadline,
 		LeastShards: route.LeastShards, RunsOnce: !route.Repeatable, NoHedges: overloaded,
 	}
 	if !route.Scattered() {
@@ -147,11 +174,7 @@
 	} else {
 		plan.AnswerBy = time.Duration(answerShare * float64(route.Objective))
 	}
-	forward := &forwardRun{forwarding: forwarding, terms: replica.Terms{
-		Weights:   route.Policy.Replicas,
-		Usual:     usual,
-		LateAfter: time.Duration(unknownLateShare * float64(route.Objective)),
-	}}
+	forward := &forwardRun{forwarding: forwarding, terms: terms}
 	forward.run = s.newRun(plan, forward)
 	forward.linger = lingerTime
 	return forward
--- a/internal/replica/forward_message.go
+++ b/internal/replica/forward_message.go
@@ -21,6 +21,13 @@
 	Usual *Usual
 	// LateAfter is used while the usual time is not known.
 	LateAfter time.Duration
+	// Regions are those whose replicas may take the message; empty means all.
+	Regions []string
+}
+
+// allows tells whether a replica may take the message.
+func (t *Terms) allows(handle *Handle) bool {
+	return len(t.Regions) == 0 || slices.Contains(t.Regions, handle.replica.Place.Region)
 }
 
 // lateAfter returns the time after which an answer from a distance is late.
@@ -64,7 +71,7 @@
 	busy := false
 	describe := func(handle *Handle) decision.Candidate {
 		candidate := handle.candidateFor(now, terms)
-		busy = busy || (!candidate.ConnectionAvailable && !slices.Contains(tried, handle))
+		busy = busy || (!candidate.ConnectionAvailable && !candidate.Barred && !slices.Contains(tried, handle))
 		return candidate
 	}
 	chosen := p.chooseFrom(found.handles, terms.Weights, tried, choose, now, describe)
@@ -76,6 +83,18 @@
 	return Acquired{Handle: chosen, LateAfter: terms.lateAfter(chosen)}
 }
 
+// Servable counts those of some groups that have a replica which may take a message.
+func (p *Pool) Servable(groups []string, terms *Terms) int {
+	seen := p.current()
+	servable := 0
+	for _, name := range groups {
+		if found := seen.groups[name]; found != nil && slices.ContainsFunc(found.handles, terms.allows) {
+			servable++
+		}
+	}
+	return servable
+}
+
 // candidateFor is candidate with the latency that a message is expected to
 // have there.
 func (h *Handle) candidateFor(now time.Time, terms *Terms) decision.Candidate {
@@ -84,6 +103,7 @@
 	usual := terms.Usual.At(h.distance)
 	candidate.LatencyEWMA = time.Duration(h.speed.slowness(age) * float64(usual))
 	candidate.ConnectionAvailable = candidate.ConnectionAvailable && candidate.InFlight < candidate.Limit
+	candidate.Barred = !terms.allows(h)
 	candidate.Warmth = 1 // the replica's own speed tells whether it is slow
 	candidate.Ejected = candidate.Ejected || h.vanished.Load()
 	candidate.Silent = h.silence.lasts(age, h.inFlight.Load()) > terms.lateAfter(h)
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -71,10 +71,11 @@
 	shard.Expected = g.LatencyQuantile(expectedQuantile)
 }
 
-// AllEjected is true when no replica of a group is left that is not ejected.
+// AllEjected is true when no replica of a group is left that is not ejected, of those
+// that the request may go to.
 func AllEjected(candidates []decision.Candidate) bool {
 	for i := range candidates {
-		if !candidates[i].Ejected {
+		if !candidates[i].Ejected && !candidates[i].Barred {
 			return false
 		}
 	}
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -43,6 +43,34 @@
 	}
 }
 
+// TestRegionsOfAHost: callers ask for the addresses of a host, whatever its routes.
+func TestRegionsOfAHost(t *testing.T) {
+	table := NewTable(1, []Route{
+		{Name: "free", Host: "a.example", PathPrefix: "/"},
+		{Name: "one", Host: "a.example", PathPrefix: "/x/", Regions: []string{"r1", "r2"}},
+		{Name: "two", Host: "a.example", PathPrefix: "/y/", Regions: []string{"r2", "r3"}},
+		{Name: "apart", Host: "b.example", PathPrefix: "/x/", Regions: []string{"r1"}},
+		{Name: "elsewhere", Host: "b.example", PathPrefix: "/y/", Regions: []string{"r2"}},
+		{Name: "open", Host: "c.example", PathPrefix: "/"},
+	}, nil, Limits{})
+	cases := []struct {
+		host  string
+		want  []string
+		bound bool
+	}{
+		{"A.example:80", []string{"r2"}, true}, {"b.example", []string{}, true}, {"c.example", nil, false}, {"d.example", nil, false},
+	}
+	for _, test := range cases {
+		got, bound := table.RegionsOf(test.host)
+		if diff := cmp.Diff(test.want, got); diff != "" || bound != test.bound {
+			t.Errorf("%s: bound %v (-want +got):\n%s", test.host, bound, diff)
+		}
+	}
+	if free, bound := &table.Routes[0], &table.Routes[1]; !free.Allows("r9") || !bound.Allows("r2") || bound.Allows("r3") {
+		t.Error("a route allows the wrong regions")
+	}
+}
+
 func TestSplitterGivesEachShareItsWeight(t *testing.T) {
 	route := &Route{Name: "r", Shares: []Share{{"a", 5}, {"b", 3}, {"c", 2}}}
 	var splitter Splitter
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -4,6 +4,7 @@
 package routing
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -30,6 +31,9 @@
 	Rank int
 	// Repeatable is true when a request may run more than once.
 	Repeatable bool
+	// Regions are those whose replicas may take a request; empty means all. A request
+	// that must not leave a country reaches no replica beyond it, at any attempt.
+	Regions []string
 	// Shares are the plain services that requests are divided among; empty for
 	// a scattered route.
 	Shares []Share
@@ -42,6 +46,11 @@
 	LeastShards int
 }
 
+// Allows tells whether the replicas of a region may take the route's requests.
+func (r *Route) Allows(region string) bool {
+	return len(r.Regions) == 0 || slices.Contains(r.Regions, region)
+}
+
 // Scattered is true when a request goes to one replica of each shard.
 func (r *Route) Scattered() bool { return len(r.Shards) > 0 }
 
@@ -71,19 +80,47 @@
 	Limits   Limits
 
 	byHost map[string][]*Route
+	// regionsOf has the regions of the hosts with a route that is bound to some.
+	regionsOf map[string][]string
 }
 
 // NewTable indexes routes by host, longest path prefix first.
 func NewTable(version uint64, routes []Route, services map[string]Service, limits Limits) *Table {
 	table := &Table{Version: version, Routes: routes, Services: services, Limits: limits}
 	table.byHost = make(map[string][]*Route)
+	table.regionsOf = make(map[string][]string)
 	for i := range routes {
 		route := &routes[i]
 		table.byHost[route.Host] = insertByPrefix(table.byHost[route.Host], route)
+		if len(route.Regions) > 0 {
+			table.narrow(route)
+		}
 	}
 	return table
 }
 
+// narrow leaves those regions of a host that one of its routes allows as well.
+func (t *Table) narrow(route *Route) {
+	regions, bound := t.regionsOf[route.Host]
+	if !bound {
+		regions = route.Regions
+	}
+	common := make([]string, 0, len(regions))
+	for _, region := range regions {
+		if route.Allows(region) {
+			common = append(common, region)
+		}
+	}
+	t.regionsOf[route.Host] = common
+}
+
+// RegionsOf returns the regions that all bound routes of a host allow; bound is
+// false when no route of the host is bound to regions.
+func (t *Table) RegionsOf(host string) (regions []string, bound bool) {
+	regions, bound = t.regionsOf[canonicalHost(host)]
+	return regions, bound
+}
+
 func insertByPrefix(routes []*Route, route *Route) []*Route {
 	at := len(routes)
 	for at > 0 && len(routes[at-1].PathPrefix) < len(route.PathPrefix) {
