An evacuated zone takes no work on any node

Cause: the operators' keys of evacuated zones were watched with all others and not read. Ruled out: a second watch or a flag of its own on the blackboard; the one watch carries the key, relays and hand-overs pass it on, so that nodes that start, are refused or hear through others know it as they know the configuration. Change: the follower keeps the evacuated zones and publishes their replicas in a state of their own, which the pool leaves out: what is queued, hedged or tried again chooses among what is left, and connections there are closed. The time for news is bounded by the time to evacuate where one is promised. The system command and the log tell of the zones. Weighed: to bar the zone's replicas at each choice, or to publish them as taking no work. The second: one place, no cost on a request's path, and the connections go. TestOptionalBounds plays the template with and without the field; the template's fixture learned the platform's optional parts.

--- /dev/null
+++ b/internal/edge/evacuation_test.go
@@ -0,0 +1,76 @@
+package edge_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/doorpond/doorpond/platform/standin"
+)
+
+// arrivalsAt counts what has come to the replicas of a zone.
+func (s *system) arrivalsAt(zone string) int {
+	count := 0
+	for _, replica := range s.Replicas {
+		if replica.Zone() == zone {
+			count += replica.Arrivals()
+		}
+	}
+	return count
+}
+
+// TestNothingReachesAnEvacuatedZone: on no node, also on one that starts meanwhile, by
+// no hedge, until it is withdrawn. With both zones evacuated, requests are refused at
+// once and have not run.
+func TestNothingReachesAnEvacuatedZone(t *testing.T) {
+	s := startSystem(t, nil)
+	for range 30 {
+		s.whole() // connections rest at replicas of both zones, and hedges know what is usual
+	}
+	if err := s.Evacuate("a"); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(3 * time.Second) // the time to evacuate of the settings
+	before := s.arrivalsAt("a")
+	s.Of(standin.ShardService(1))[1].Pause() // that of zone b: a hedge would go to zone a
+	for range 5 {
+		if _, response, err := s.send(standin.ScatteredPath); err != nil || response.Status != http.StatusOK {
+			t.Errorf("status %d, error %v", response.Status, err)
+		}
+	}
+	s.Of(standin.ShardService(1))[1].Resume()
+	node, err := s.StartNode(s.NodeSettings(fmt.Sprint("n", len(s.nodes)), "a"), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.nodes = append(s.nodes, node)
+	s.eventually("the node is ready", func() bool {
+		return s.get(node.Addresses().Readiness, standin.ReadyPath) == http.StatusOK
+	})
+	for range 5 {
+		if status := s.get(node.Addresses().Callers, standin.ScatteredPath); status == 0 {
+			t.Error("the node does not answer")
+		}
+	}
+	if got := s.arrivalsAt("a"); got != before {
+		t.Errorf("%d requests reached the evacuated zone", got-before)
+	}
+	if err := s.Evacuate("b"); err != nil {
+		t.Fatal(err)
+	}
+	s.eventually("requests are refused, with a time to come back", func() bool {
+		id, response, err := s.send(standin.ScatteredPath)
+		return err == nil && response.Status == http.StatusServiceUnavailable &&
+			response.Header.Get("Retry-After") != "" && len(s.ranAt(id)) == 0
+	})
+	for _, zone := range zones {
+		if err := s.Readmit(zone); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s.eventually("both zones serve again", func() bool {
+		_, _, _ = s.send(standin.ScatteredPath) // what it does is read from the replicas
+		return s.arrivalsAt("a") > before
+	})
+}
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -59,6 +59,9 @@
 	Grace time.Duration `yaml:"grace" validate:"gt=0,lte=10m"`
 	// Apply is the time within which a configuration must be in force.
 	Apply time.Duration `yaml:"apply" validate:"gt=0,lte=10m"`
+	// Evacuate is the time within which nothing more is sent to an evacuated zone; 0
+	// when none is promised.
+	Evacuate time.Duration `yaml:"evacuate" validate:"gte=0,lte=10m"`
 	// RetryRatio and RetrySlack bound hedges and retries of all nodes to one
 	// service: the ratio of its requests and the slack in each window.
 	RetryRatio float64 `yaml:"retry_ratio" validate:"gte=0,lte=10"`
@@ -87,7 +90,12 @@
 }
 
 // News is the time within which news from the store must have been acted on.
-func (b BoundsSettings) News() time.Duration { return min(b.Drain, b.Apply) }
+func (b BoundsSettings) News() time.Duration {
+	if b.Evacuate > 0 {
+		return min(b.Drain, b.Apply, b.Evacuate)
+	}
+	return min(b.Drain, b.Apply)
+}
 
 // LoadSettings reads and checks a settings file.
 func LoadSettings(path string) (Settings, error) {
--- a/internal/edge/settings_test.go
+++ b/internal/edge/settings_test.go
@@ -26,14 +26,33 @@
 	"limits.cpuShare": "0.4", "limits.cores": "1", "faultTolerance.machines": "1",
 }
 
-// filled returns the deploy file's template with each gap filled.
-func filled(t *testing.T) string {
+// optionalFields are fields that the platform gives on some deployments only.
+var optionalFields = map[string]string{"bounds.evacuateMs": "1500"}
+
+// optionalLine is a part of the template that stands only where its field is given.
+var optionalLine = regexp.MustCompile(`\{\{#(.*?)\}\}(.*?)\{\{/.*?\}\}`)
+
+// filled returns the deploy file's template with each gap filled, for a deployment
+// without the optional fields.
+func filled(t *testing.T) string { return filledWith(t, nil) }
+
+func filledWith(t *testing.T, given map[string]string) string {
 	t.Helper()
 	template, err := os.ReadFile("../../deploy/settings.yaml.tmpl")
 	if err != nil {
 		t.Fatal(err)
 	}
-	return regexp.MustCompile(`\{\{(.*?)\}\}`).ReplaceAllStringFunc(string(template), func(gap string) string {
+	text := optionalLine.ReplaceAllStringFunc(string(template), func(part string) string {
+		found := optionalLine.FindStringSubmatch(part)
+		if _, known := optionalFields[found[1]]; !known {
+			t.Errorf("the template names %s, which the platform does not have", found[1])
+		}
+		if value := given[found[1]]; value != "" {
+			return strings.ReplaceAll(found[2], "{{.}}", value)
+		}
+		return ""
+	})
+	return regexp.MustCompile(`\{\{(.*?)\}\}`).ReplaceAllStringFunc(text, func(gap string) string {
 		value, known := platformFields[strings.Trim(gap, "{}")]
 		if !known {
 			t.Errorf("the template names %s, which the platform does not have", gap)
@@ -67,6 +86,23 @@
 	}
 }
 
+func TestOptionalBounds(t *testing.T) {
+	with, err := LoadSettings(write(t, filledWith(t, optionalFields)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	without, err := LoadSettings(write(t, filled(t)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if with.Bounds.Evacuate != 1500*time.Millisecond || with.Bounds.News() != with.Bounds.Evacuate {
+		t.Errorf("bounds %+v, time for news %v", with.Bounds, with.Bounds.News())
+	}
+	if without.Bounds.Evacuate != 0 || without.Bounds.News() != 2*time.Second {
+		t.Errorf("bounds %+v, time for news %v", without.Bounds, without.Bounds.News())
+	}
+}
+
 func TestSettingsThatAreRefused(t *testing.T) {
 	cases := []struct{ name, from, to, key string }{
 		{"unknown key", "region:", "regoin:", "regoin"},
--- a/internal/follower/adopt.go
+++ b/internal/follower/adopt.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/doorpond/doorpond/internal/routing"
-	"github.com/doorpond/doorpond/internal/topology"
 )
 
 // adoption decides when a configuration is put in force. One that names new groups
@@ -75,7 +74,7 @@
 // hasReplica tells whether a replica of a group takes requests.
 func (s *state) hasReplica(group string) bool {
 	for _, entry := range s.replicas {
-		if entry.replica.Group == group && entry.goneAt.IsZero() && entry.replica.State != topology.ReplicaLeaving {
+		if entry.replica.Group == group && entry.goneAt.IsZero() && s.stateOf(&entry).TakesWork() {
 			return true
 		}
 	}
--- /dev/null
+++ b/internal/follower/evacuation.go
@@ -0,0 +1,34 @@
+package follower
+
+// evacuate takes in that nothing is to be sent to a zone's replicas any more. Requests
+// that are queued, hedged or tried again choose among what is published, so that it
+// holds for them as well.
+func (s *state) evacuate(zone string) {
+	if s.evacuated[zone] {
+		return
+	}
+	s.evacuated[zone] = true
+	s.replicasChanged = true
+	s.options.Logger.Info("zone evacuated", "zone", zone, "replicas", s.replicasIn(zone))
+}
+
+// readmit takes in that an evacuation was withdrawn.
+func (s *state) readmit(zone string) {
+	if !s.evacuated[zone] {
+		return
+	}
+	delete(s.evacuated, zone)
+	s.replicasChanged = true
+	s.options.Logger.Info("zone no longer evacuated", "zone", zone, "replicas", s.replicasIn(zone))
+}
+
+// replicasIn counts the replicas that stand in a zone.
+func (s *state) replicasIn(zone string) int {
+	count := 0
+	for _, entry := range s.replicas {
+		if entry.replica.Place.Zone == zone {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/follower/fakes_test.go
+++ b/internal/follower/fakes_test.go
@@ -43,7 +43,7 @@
 	return read, err
 }
 
-var testKeys = Keys{Configuration: "table", Replicas: "replicas/", Nodes: "nodes/"}
+var testKeys = Keys{Configuration: "table", Replicas: "replicas/", Nodes: "nodes/", Evacuations: "evacuated/"}
 
 func encoded(t *testing.T, value any) []byte {
 	t.Helper()
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -58,8 +58,10 @@
 type Keys struct {
 	// Configuration is the key of the operators' configuration.
 	Configuration string
-	// Replicas and Nodes begin the keys of their entries.
-	Replicas, Nodes string
+	// Replicas and Nodes begin the keys of their entries, Evacuations those of the
+	// zones to whose replicas nothing is to be sent; the rest of such a key is the
+	// zone's name.
+	Replicas, Nodes, Evacuations string
 }
 
 // Options are what a Follower needs.
--- a/internal/follower/state.go
+++ b/internal/follower/state.go
@@ -22,6 +22,8 @@
 	options  *Options
 	replicas map[string]replicaEntry
 	nodes    map[string]nodeEntry
+	// evacuated are the zones to whose replicas nothing is to be sent.
+	evacuated map[string]bool
 	// values are the store's, as they are handed over to other nodes.
 	values        map[string]store.KeyValue
 	valuesChanged bool
@@ -60,6 +62,7 @@
 		options:    options,
 		replicas:   make(map[string]replicaEntry),
 		nodes:      make(map[string]nodeEntry),
+		evacuated:  make(map[string]bool),
 		values:     make(map[string]store.KeyValue),
 		entryUntil: make(map[string]time.Time),
 		suspects:   make(suspects),
@@ -101,6 +104,8 @@
 		s.putTable(value)
 	case hasPrefix(value.Key, s.options.Keys.Replicas):
 		s.putReplica(value)
+	case hasPrefix(value.Key, s.options.Keys.Evacuations):
+		s.evacuate(value.Key[len(s.options.Keys.Evacuations):])
 	case hasPrefix(value.Key, s.options.Keys.Nodes):
 		s.putNode(value)
 	}
@@ -164,6 +169,9 @@
 		s.replicasChanged = true
 		s.gone = append(s.gone, known.replica)
 	}
+	if hasPrefix(key, s.options.Keys.Evacuations) {
+		s.readmit(key[len(s.options.Keys.Evacuations):])
+	}
 	if known, found := s.nodes[key]; found {
 		delete(s.nodes, key)
 		s.suspects.clear(known.node.ID)
@@ -252,13 +260,25 @@
 	return next
 }
 
+// stateOf is what is believed of a replica: its entry does not tell of an evacuation.
+func (s *state) stateOf(entry *replicaEntry) topology.ReplicaState {
+	switch {
+	case entry.replica.State == topology.ReplicaLeaving:
+		return topology.ReplicaLeaving
+	case s.evacuated[entry.replica.Place.Zone]:
+		return topology.ReplicaEvacuated
+	case !entry.goneAt.IsZero():
+		return topology.ReplicaVanished
+	default:
+		return entry.replica.State
+	}
+}
+
 func (s *state) groups() map[string][]topology.Replica {
 	groups := make(map[string][]topology.Replica)
 	for _, entry := range s.replicas {
 		replica := entry.replica
-		if !entry.goneAt.IsZero() && replica.State != topology.ReplicaLeaving {
-			replica.State = topology.ReplicaVanished
-		}
+		replica.State = s.stateOf(&entry)
 		if table := s.adoption.inForce; table != nil {
 			replica.ConnectionLimit = table.Services[replica.Group].ConnectionLimit
 		}
--- a/internal/inspect/inspect.go
+++ b/internal/inspect/inspect.go
@@ -79,6 +79,8 @@
 	// Replicas counts those that serve, Leaving are the others.
 	Replicas int                `json:"replicas"`
 	Leaving  []topology.Replica `json:"leaving"`
+	// Evacuated counts the replicas of each evacuated zone that has any.
+	Evacuated map[string]int `json:"evacuated"`
 }
 
 // The paths of the calls.
@@ -131,7 +133,7 @@
 }
 
 func (h *handler) system(ctx context.Context) System {
-	known := System{Lagging: []string{}, Routes: []Route{}, Leaving: []topology.Replica{}}
+	known := System{Lagging: []string{}, Routes: []Route{}, Leaving: []topology.Replica{}, Evacuated: map[string]int{}}
 	known.Nodes, known.Unreachable = gather(ctx, h, pathNode, h.node())
 	for _, node := range known.Nodes {
 		known.Version = max(known.Version, node.Version)
@@ -157,11 +159,14 @@
 	}
 	for _, group := range replicas.Groups {
 		for _, replica := range group {
-			if replica.State >= topology.ReplicaLeaving {
+			switch replica.State {
+			case topology.ReplicaLeaving, topology.ReplicaVanished:
 				known.Leaving = append(known.Leaving, replica)
-				continue
+			case topology.ReplicaEvacuated:
+				known.Evacuated[replica.Place.Zone]++
+			default:
+				known.Replicas++
 			}
-			known.Replicas++
 		}
 	}
 }
--- a/internal/operator/system.go
+++ b/internal/operator/system.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 
@@ -39,6 +40,9 @@
 		fmt.Fprintln(to)
 		printLeaving(to, system.Leaving)
 	}
+	for _, zone := range slices.Sorted(maps.Keys(system.Evacuated)) {
+		fmt.Fprintf(to, "evacuated: %s, %d replicas\n", oneLine(zone), system.Evacuated[zone])
+	}
 	for _, lagging := range system.Lagging {
 		fmt.Fprintln(to, "lags:", oneLine(lagging))
 	}
--- a/internal/operator/system_test.go
+++ b/internal/operator/system_test.go
@@ -25,7 +25,8 @@
 			{Name: "fetch", Host: "h", Shares: []routing.Share{{Group: "a", Weight: 3}, {Group: "b", Weight: 1}}},
 			{Name: "plain", Host: "h", Shares: []routing.Share{{Group: "a", Weight: 1}}},
 		},
-		Leaving: []topology.Replica{{Group: "a", Address: "10.0.0.9:1", State: topology.ReplicaVanished}},
+		Leaving:   []topology.Replica{{Group: "a", Address: "10.0.0.9:1", State: topology.ReplicaVanished}},
+		Evacuated: map[string]int{"adum": 4},
 	}
 	var out strings.Builder
 	printSystem(&out, system)
@@ -39,6 +40,7 @@
 		"plain h 0 false 0 0 ms 0 ms all a",
 		"vanished a 10.0.0.9:1",
 		"lags: n2",
+		"evacuated: adum, 4 replicas",
 		"does not answer: n3 no answer",
 	} {
 		if !hasLine(lines, want) {
--- a/internal/replica/pool.go
+++ b/internal/replica/pool.go
@@ -239,7 +239,7 @@
 func takingWork(listed []topology.Replica) []topology.Replica {
 	usable := make([]topology.Replica, 0, len(listed))
 	for _, replica := range listed {
-		if replica.State != topology.ReplicaLeaving {
+		if replica.State.TakesWork() {
 			usable = append(usable, replica)
 		}
 	}
--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -83,8 +83,14 @@
 	// ReplicaVanished is no longer listed, without having said that it leaves;
 	// it takes requests only when no other replica is left.
 	ReplicaVanished
+	// ReplicaEvacuated stands in a zone to which operators want nothing sent. It may
+	// serve again, and is cold then.
+	ReplicaEvacuated
 )
 
+// TakesWork is true for the states in which a replica may be sent requests.
+func (s ReplicaState) TakesWork() bool { return s != ReplicaLeaving && s != ReplicaEvacuated }
+
 // Replica is one back-end process.
 type Replica struct {
 	// Address is IP:port. Address and Incarnation together name one process.
