Cold replicas take no more than their rate, divided among the entry nodes

Cause: what replicas say of their warmth had no effect on messages, and the rate that a cold one bears was not read. Sites whose services state such a rate break FAILBACK, and replicas fall over: they answer nothing then, and the shards are lost. Ways weighed: (a) a share for each entry node, by the hash of its ID and the replica's zone, in a window of one second; (b) one node a zone that hands the shares out; (c) a rate learned from refusals. (b) costs a message on a request's path and a fault of its own; (c) learns when the replica has fallen over. (a) was built: no message; half of the bound is used, so that two divisions with no node in common keep it; nodes lost of late count on, as they may be cut off and live. The same nodes have the share of all of a zone's replicas, so that whole queries can be served. Change: decision.ColdBound and ColdShare (pure); the follower says who is cold (entry, for its time; a zone whose evacuation was withdrawn, as no entry tells); the pool's gate is taken with the choice. Replicas over their share are passed by; a request that needs them is refused at once and may come back after a second. Health answers, which tell of warmth too, are not asked: each is priced, and entries tell it within a heartbeat.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -19,6 +19,7 @@
 	"github.com/doorpond/doorpond/internal/admission"
 	"github.com/doorpond/doorpond/internal/announce"
 	"github.com/doorpond/doorpond/internal/blackboard"
+	"github.com/doorpond/doorpond/internal/decision"
 	"github.com/doorpond/doorpond/internal/directory"
 	"github.com/doorpond/doorpond/internal/drain"
 	"github.com/doorpond/doorpond/internal/follower"
@@ -190,6 +191,7 @@
 		}),
 		Unreachable: n.liveness.Unreachable,
 		VanishedFor: time.Duration(vanishedShare * float64(n.settings.Bounds.Drain)),
+		ColdBound:   decision.ColdBound{Overage: n.settings.Bounds.ColdOverage, Slack: n.settings.Bounds.ColdSlack},
 	})
 	n.monitor = freshness.New(freshness.Options{Confirm: n.follower.Confirm, Logger: n.logger, Registerer: registerer})
 	n.registry = registry.New(registry.Config{
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -62,6 +62,11 @@
 	// Evacuate is the time within which nothing more is sent to an evacuated zone; 0
 	// when none is promised.
 	Evacuate time.Duration `yaml:"evacuate" validate:"gte=0,lte=10m"`
+	// ColdOverage and ColdSlack state how many requests a cold replica may receive in a
+	// second from all nodes: the rate that its service bears, times the overage, and the
+	// slack besides.
+	ColdOverage float64 `yaml:"cold_overage" validate:"gte=0,lte=100"`
+	ColdSlack   float64 `yaml:"cold_slack" validate:"gte=0"`
 	// RetryRatio and RetrySlack bound hedges and retries of all nodes to one
 	// service: the ratio of its requests and the slack in each window.
 	RetryRatio float64 `yaml:"retry_ratio" validate:"gte=0,lte=10"`
--- a/internal/edge/settings_test.go
+++ b/internal/edge/settings_test.go
@@ -27,7 +27,9 @@
 }
 
 // optionalFields are fields that the platform gives on some deployments only.
-var optionalFields = map[string]string{"bounds.evacuateMs": "1500"}
+var optionalFields = map[string]string{
+	"bounds.evacuateMs": "1500", "bounds.warmupOverage": "1.5", "bounds.warmupSlack": "5",
+}
 
 // optionalLine is a part of the template that stands only where its field is given.
 var optionalLine = regexp.MustCompile(`\{\{#(.*?)\}\}(.*?)\{\{/.*?\}\}`)
@@ -98,6 +100,9 @@
 	if with.Bounds.Evacuate != 1500*time.Millisecond || with.Bounds.News() != with.Bounds.Evacuate {
 		t.Errorf("bounds %+v, time for news %v", with.Bounds, with.Bounds.News())
 	}
+	if with.Bounds.ColdOverage != 1.5 || with.Bounds.ColdSlack != 5 || without.Bounds.ColdOverage != 0 {
+		t.Errorf("bounds %+v and %+v", with.Bounds, without.Bounds)
+	}
 	if without.Bounds.Evacuate != 0 || without.Bounds.News() != 2*time.Second {
 		t.Errorf("bounds %+v, time for news %v", without.Bounds, without.Bounds.News())
 	}
--- a/internal/follower/adopt.go
+++ b/internal/follower/adopt.go
@@ -74,7 +74,7 @@
 // hasReplica tells whether a replica of a group takes requests.
 func (s *state) hasReplica(group string) bool {
 	for _, entry := range s.replicas {
-		if entry.replica.Group == group && entry.goneAt.IsZero() && s.stateOf(&entry).TakesWork() {
+		if entry.replica.Group == group && entry.goneAt.IsZero() && s.stateOf(s.options.Now(), &entry).TakesWork() {
 			return true
 		}
 	}
--- a/internal/follower/evacuation.go
+++ b/internal/follower/evacuation.go
@@ -1,5 +1,7 @@
 package follower
 
+import "time"
+
 // evacuate takes in that nothing is to be sent to a zone's replicas any more. Requests
 // that are queued, hedged or tried again choose among what is published, so that it
 // holds for them as well.
@@ -12,12 +14,14 @@
 	s.options.Logger.Info("zone evacuated", "zone", zone, "replicas", s.replicasIn(zone))
 }
 
-// readmit takes in that an evacuation was withdrawn.
-func (s *state) readmit(zone string) {
+// readmit takes in that an evacuation was withdrawn. The zone's replicas may be cold
+// then, and no entry says so.
+func (s *state) readmit(now time.Time, zone string) {
 	if !s.evacuated[zone] {
 		return
 	}
 	delete(s.evacuated, zone)
+	s.readmitted[zone] = now
 	s.replicasChanged = true
 	s.options.Logger.Info("zone no longer evacuated", "zone", zone, "replicas", s.replicasIn(zone))
 }
--- a/internal/follower/fakes_test.go
+++ b/internal/follower/fakes_test.go
@@ -32,7 +32,9 @@
 	if err := json.Unmarshal(value, &read); err != nil {
 		return nil, err
 	}
-	services := map[string]routing.Service{"g": {Name: "g", ConnectionLimit: read.Limit}}
+	services := map[string]routing.Service{"g": {
+		Name: "g", ConnectionLimit: read.Limit, ColdTime: testColdTime, ColdRate: testColdRate,
+	}}
 	return routing.NewTable(read.Version, nil, services, routing.Limits{}), nil
 }
 
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -16,6 +16,7 @@
 
 	"github.com/doorpond/doorpond/internal/announce"
 	"github.com/doorpond/doorpond/internal/blackboard"
+	"github.com/doorpond/doorpond/internal/decision"
 	"github.com/doorpond/doorpond/internal/handover"
 	"github.com/doorpond/doorpond/internal/relay"
 	"github.com/doorpond/doorpond/internal/routing"
@@ -89,6 +90,8 @@
 	// VanishedFor is how long a replica whose entry is gone may still be asked
 	// when no other is left.
 	VanishedFor time.Duration
+	// ColdBound is what a cold replica may receive from all nodes.
+	ColdBound decision.ColdBound
 	// Logger and Now may be left out.
 	Logger *slog.Logger
 	Now    func() time.Time
--- a/internal/follower/state.go
+++ b/internal/follower/state.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"maps"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -24,6 +25,8 @@
 	nodes    map[string]nodeEntry
 	// evacuated are the zones to whose replicas nothing is to be sent.
 	evacuated map[string]bool
+	// readmitted says since when zones that were evacuated are so no more.
+	readmitted map[string]time.Time
 	// values are the store's, as they are handed over to other nodes.
 	values        map[string]store.KeyValue
 	valuesChanged bool
@@ -43,6 +46,9 @@
 	leaving, gone   []topology.Replica
 	replicasChanged bool
 	nodesChanged    bool
+	// warmAt is when the next replica that was published as cold is warm by its time;
+	// zero while there is none.
+	warmAt time.Time
 }
 
 type replicaEntry struct {
@@ -50,6 +56,9 @@
 	revision int64
 	// goneAt is when the entry was found to be gone; zero while it is there.
 	goneAt time.Time
+	// coldUntil is when the replica is warm at the latest, as its entry says; zero when
+	// it says nothing of that.
+	coldUntil time.Time
 }
 
 type nodeEntry struct {
@@ -63,6 +72,7 @@
 		replicas:   make(map[string]replicaEntry),
 		nodes:      make(map[string]nodeEntry),
 		evacuated:  make(map[string]bool),
+		readmitted: make(map[string]time.Time),
 		values:     make(map[string]store.KeyValue),
 		entryUntil: make(map[string]time.Time),
 		suspects:   make(suspects),
@@ -132,12 +142,14 @@
 		return
 	}
 	replica.Place.Region = s.options.Regions[replica.Place.Zone]
-	if found && known.goneAt.IsZero() && known.replica == replica {
-		known.revision = value.ModRevision
-		s.replicas[value.Key] = known
+	entry := replicaEntry{revision: value.ModRevision, coldUntil: s.coldUntil(replica)}
+	replica.ColdFor = 0 // it changes with each entry
+	entry.replica = replica
+	s.replicas[value.Key] = entry
+	now := s.options.Now()
+	if found && known.goneAt.IsZero() && known.replica == replica && s.stateOf(now, &known) == s.stateOf(now, &entry) {
 		return
 	}
-	s.replicas[value.Key] = replicaEntry{replica: replica, revision: value.ModRevision}
 	s.replicasChanged = true
 	if replica.State == topology.ReplicaLeaving {
 		s.leaving = append(s.leaving, replica)
@@ -170,7 +182,7 @@
 		s.gone = append(s.gone, known.replica)
 	}
 	if hasPrefix(key, s.options.Keys.Evacuations) {
-		s.readmit(key[len(s.options.Keys.Evacuations):])
+		s.readmit(now, key[len(s.options.Keys.Evacuations):])
 	}
 	if known, found := s.nodes[key]; found {
 		delete(s.nodes, key)
@@ -191,6 +203,7 @@
 // publish writes what has changed to the blackboard.
 func (s *state) publish(now time.Time) {
 	s.forget(now)
+	s.replicasChanged = s.warmed(now) || s.replicasChanged
 	if s.adoption.adopt(now, s.hasReplica) {
 		table := s.adoption.inForce
 		s.options.Board.Routes.Publish(table)
@@ -198,7 +211,7 @@
 		s.replicasChanged = true // the limits of connections are the services'
 	}
 	if s.replicasChanged {
-		s.options.Board.Replicas.Publish(&topology.Replicas{Groups: s.groups()})
+		s.options.Board.Replicas.Publish(&topology.Replicas{Groups: s.groups(now)})
 	}
 	s.nodesChanged = s.suspects.lapse(now) || s.nodesChanged
 	if s.nodesChanged || s.options.Board.Nodes.Load() == nil {
@@ -248,7 +261,7 @@
 // dueAt returns when the next vanished replica is forgotten or a configuration is
 // put in force at the latest; zero when there is neither.
 func (s *state) dueAt() time.Time {
-	next := earliest(s.adoption.dueAt(), s.suspects.dueAt())
+	next := earliest(s.adoption.dueAt(), s.suspects.dueAt(), s.warmAt)
 	for _, entry := range s.replicas {
 		if entry.goneAt.IsZero() {
 			continue
@@ -260,8 +273,9 @@
 	return next
 }
 
-// stateOf is what is believed of a replica: its entry does not tell of an evacuation.
-func (s *state) stateOf(entry *replicaEntry) topology.ReplicaState {
+// stateOf is what is believed of a replica: its entry tells neither of an evacuation nor
+// that its time to be cold is over.
+func (s *state) stateOf(now time.Time, entry *replicaEntry) topology.ReplicaState {
 	switch {
 	case entry.replica.State == topology.ReplicaLeaving:
 		return topology.ReplicaLeaving
@@ -269,18 +283,27 @@
 		return topology.ReplicaEvacuated
 	case !entry.goneAt.IsZero():
 		return topology.ReplicaVanished
+	case now.Before(s.coldEnd(entry)):
+		return topology.ReplicaCold
+	case !entry.coldUntil.IsZero():
+		return topology.ReplicaServing
 	default:
 		return entry.replica.State
 	}
 }
 
-func (s *state) groups() map[string][]topology.Replica {
+func (s *state) groups(now time.Time) map[string][]topology.Replica {
 	groups := make(map[string][]topology.Replica)
+	s.warmAt = time.Time{}
 	for _, entry := range s.replicas {
 		replica := entry.replica
-		replica.State = s.stateOf(&entry)
-		if table := s.adoption.inForce; table != nil {
-			replica.ConnectionLimit = table.Services[replica.Group].ConnectionLimit
+		replica.State = s.stateOf(now, &entry)
+		replica.ConnectionLimit = s.service(replica.Group).ConnectionLimit
+		if replica.State == topology.ReplicaCold {
+			replica.ColdRate = s.options.ColdBound.Rate(s.service(replica.Group).ColdRate)
+		}
+		if replica.ColdRate > 0 {
+			s.warmAt = earliest(s.warmAt, s.coldEnd(&entry))
 		}
 		groups[replica.Group] = append(groups[replica.Group], replica)
 	}
@@ -307,7 +330,9 @@
 	nodes.Entries = directory.EntryNodes(nodes.Nodes, s.options.EntryNodes)
 	s.noteEntries(now, nodes.Entries)
 	nodes.Shared = max(1, len(s.entryUntil))
-	members := &topology.Members{Self: member(s.options.Self), Standby: !nodes.SelfIsEntry()}
+	members := &topology.Members{
+		Self: member(s.options.Self), Standby: !nodes.SelfIsEntry(), Sharing: slices.Sorted(maps.Keys(s.entryUntil)),
+	}
 	for _, node := range nodes.Entries {
 		members.Members = append(members.Members, member(node))
 	}
--- a/internal/inspect/inspect.go
+++ b/internal/inspect/inspect.go
@@ -79,6 +79,8 @@
 	// Replicas counts those that serve, Leaving are the others.
 	Replicas int                `json:"replicas"`
 	Leaving  []topology.Replica `json:"leaving"`
+	// Cold counts the replicas that take no more than their rate.
+	Cold int `json:"cold"`
 	// Evacuated counts the replicas of each evacuated zone that has any.
 	Evacuated map[string]int `json:"evacuated"`
 }
@@ -166,6 +168,9 @@
 				known.Evacuated[replica.Place.Zone]++
 			default:
 				known.Replicas++
+				if replica.ColdRate > 0 {
+					known.Cold++
+				}
 			}
 		}
 	}
--- a/internal/operator/system.go
+++ b/internal/operator/system.go
@@ -40,6 +40,9 @@
 		fmt.Fprintln(to)
 		printLeaving(to, system.Leaving)
 	}
+	if system.Cold > 0 {
+		fmt.Fprintf(to, "cold: %d of the replicas that serve take no more than their rate\n", system.Cold)
+	}
 	for _, zone := range slices.Sorted(maps.Keys(system.Evacuated)) {
 		fmt.Fprintf(to, "evacuated: %s, %d replicas\n", oneLine(zone), system.Evacuated[zone])
 	}
--- a/internal/operator/system_test.go
+++ b/internal/operator/system_test.go
@@ -26,7 +26,7 @@
 			{Name: "plain", Host: "h", Shares: []routing.Share{{Group: "a", Weight: 1}}},
 		},
 		Leaving:   []topology.Replica{{Group: "a", Address: "10.0.0.9:1", State: topology.ReplicaVanished}},
-		Evacuated: map[string]int{"adum": 4},
+		Evacuated: map[string]int{"adum": 4}, Cold: 3,
 	}
 	var out strings.Builder
 	printSystem(&out, system)
@@ -40,6 +40,7 @@
 		"plain h 0 false 0 0 ms 0 ms all a",
 		"vanished a 10.0.0.9:1",
 		"lags: n2",
+		"cold: 3 of the replicas that serve take no more than their rate",
 		"evacuated: adum, 4 replicas",
 		"does not answer: n3 no answer",
 	} {
--- /dev/null
+++ b/internal/replica/cold_test.go
@@ -0,0 +1,92 @@
+package replica
+
+import (
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/doorpond/doorpond/internal/blackboard"
+	"github.com/doorpond/doorpond/internal/topology"
+)
+
+// coldPool is a pool of one cold and one warm replica, on a clock of its own, in a node
+// that alone shares what the cold one takes.
+func coldPool(t *testing.T, rate int, now *time.Time) (*Pool, *blackboard.Board) {
+	t.Helper()
+	board := &blackboard.Board{}
+	board.Members.Publish(&topology.Members{Self: topology.Member{ID: "self"}, Sharing: []string{"self"}})
+	listReplicas(board,
+		topology.Replica{Address: "cold:1", Place: nearPlace, State: topology.ReplicaCold, ColdRate: rate},
+		topology.Replica{Address: "warm:1", Place: farPlace})
+	return messagePool(t, board, func(options *PoolOptions) {
+		options.Self = nearPlace
+		options.Now = func() time.Time { return *now }
+	}), board
+}
+
+// TestAColdReplicaTakesNoMoreThanItsRate: in any one second, also when it is the only one
+// that a message may go to; what is over is neither sent nor waits.
+func TestAColdReplicaTakesNoMoreThanItsRate(t *testing.T) {
+	const rate = 3
+	now := time.Unix(1000, 0)
+	pool, board := coldPool(t, rate, &now)
+	terms := allTerms()
+	terms.Regions = []string{nearPlace.Region}
+	var sent []time.Time
+	for range 100 {
+		if acquired := pool.AcquireFor(testGroup, terms, nil); acquired.Handle != nil {
+			sent = append(sent, now)
+			acquired.Handle.End()
+		} else if acquired.Busy || pool.Servable([]string{testGroup}, terms) != 0 {
+			t.Fatal("a message waits, or is let in, for a cold replica that has its share")
+		}
+		now = now.Add(70 * time.Millisecond)
+	}
+	if len(sent) < rate*6 {
+		t.Errorf("%d messages in seven seconds", len(sent))
+	}
+	for i := rate; i < len(sent); i++ {
+		if sent[i].Sub(sent[i-rate]) < coldWindow {
+			t.Errorf("%d messages within %v", rate+1, sent[i].Sub(sent[i-rate]))
+		}
+	}
+	terms.Regions = nil
+	for range 2 * rate {
+		acquired := pool.AcquireFor(testGroup, terms, nil)
+		if acquired.Handle == nil {
+			t.Fatal("the warm replica is not asked in its place")
+		}
+		acquired.Handle.End()
+	}
+	listReplicas(board, topology.Replica{Address: "cold:1", Place: nearPlace}, topology.Replica{Address: "warm:1", Place: farPlace})
+	terms.Regions = []string{nearPlace.Region}
+	for range 2 * rate {
+		acquired := pool.AcquireFor(testGroup, terms, nil)
+		if acquired.Handle == nil {
+			t.Fatal("it is bounded though it is warm")
+		}
+		acquired.Handle.End()
+	}
+}
+
+// TestTheColdGateIsExactUnderRaces: requests that choose at the same moment.
+func TestTheColdGateIsExactUnderRaces(t *testing.T) {
+	const share = 5
+	var gate coldGate
+	gate.set(share)
+	var passed atomic.Int64
+	var running sync.WaitGroup
+	now := time.Unix(1000, 0)
+	for range 50 {
+		running.Go(func() {
+			if gate.open(now) && gate.pass(now) {
+				passed.Add(1)
+			}
+		})
+	}
+	running.Wait()
+	if passed.Load() != share {
+		t.Errorf("%d passed", passed.Load())
+	}
+}
--- a/internal/replica/forward_message.go
+++ b/internal/replica/forward_message.go
@@ -83,12 +83,14 @@
 	return Acquired{Handle: chosen, LateAfter: terms.lateAfter(chosen)}
 }
 
-// Servable counts those of some groups that have a replica which may take a message.
+// Servable counts those of some groups that have a replica which may take a message
+// now, though it may have to wait for a connection.
 func (p *Pool) Servable(groups []string, terms *Terms) int {
-	seen := p.current()
+	seen, now := p.current(), p.options.Now()
+	mayTake := func(handle *Handle) bool { return terms.allows(handle) && handle.cold.open(now) }
 	servable := 0
 	for _, name := range groups {
-		if found := seen.groups[name]; found != nil && slices.ContainsFunc(found.handles, terms.allows) {
+		if found := seen.groups[name]; found != nil && slices.ContainsFunc(found.handles, mayTake) {
 			servable++
 		}
 	}
@@ -103,7 +105,7 @@
 	usual := terms.Usual.At(h.distance)
 	candidate.LatencyEWMA = time.Duration(h.speed.slowness(age) * float64(usual))
 	candidate.ConnectionAvailable = candidate.ConnectionAvailable && candidate.InFlight < candidate.Limit
-	candidate.Barred = !terms.allows(h)
+	candidate.Barred = !terms.allows(h) || !h.cold.open(now)
 	candidate.Warmth = 1 // the replica's own speed tells whether it is slow
 	candidate.Ejected = candidate.Ejected || h.vanished.Load()
 	candidate.Silent = h.silence.lasts(age, h.inFlight.Load()) > terms.lateAfter(h)
--- a/internal/replica/pool.go
+++ b/internal/replica/pool.go
@@ -221,6 +221,7 @@
 		handle.setBudget(budget)
 		handle.setRest(next.standby())
 		handle.vanished.Store(replica.State == topology.ReplicaVanished)
+		handle.cold.set(next.coldShare(replica))
 		next.handles[key] = handle
 		built.handles = append(built.handles, handle)
 		if shares.Probes(i) {
@@ -378,13 +379,18 @@
 			handle.Relent(now)
 		}
 	}
-	chosen := choose(candidates, weights, p.options.Random())
-	if chosen == decision.NoCandidate {
-		return nil
+	for {
+		chosen := choose(candidates, weights, p.options.Random())
+		if chosen == decision.NoCandidate {
+			return nil
+		}
+		handle := handles[chosen]
+		if handle.cold.pass(now) {
+			handle.Begin()
+			return handle
+		}
+		candidates[chosen].Barred = true // another request has taken its place meanwhile
 	}
-	handle := handles[chosen]
-	handle.Begin()
-	return handle
 }
 
 // Close ends all idle connections.
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -61,6 +61,10 @@
 	// all nodes together; 0 means that it is not stated.
 	ConnectionLimit int
 	HealthPath      string
+	// ColdTime is how long a replica is cold after a start, ColdRate the requests a
+	// second that it bears meanwhile; 0 means that it is not stated.
+	ColdTime time.Duration
+	ColdRate float64
 }
 
 // Limits bound what a caller may send.
--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -2,6 +2,8 @@
 // data: the daemons of the system (members) and the replicas of the back ends.
 package topology
 
+import "time"
+
 // Place is where a process runs.
 type Place struct {
 	Region string `json:"region" msgpack:"r" yaml:"region"`
@@ -67,6 +69,9 @@
 	// Standby is true while this daemon holds connections only for the few
 	// requests that come to it all the same.
 	Standby bool `json:"standby,omitempty"`
+	// Sharing are the IDs of the daemons that divide among themselves what a cold
+	// replica takes: those that callers are led to, present or of late.
+	Sharing []string `json:"sharing,omitempty"`
 }
 
 // ReplicaState is what is believed of a back-end replica.
@@ -106,6 +111,12 @@
 	// ConnectionLimit is the number of connections it accepts from all
 	// daemons together.
 	ConnectionLimit int `json:"connection_limit" msgpack:"c"`
+	// ColdFor is how much longer the replica is cold, as of its entry; 0 when it does
+	// not say.
+	ColdFor time.Duration `json:"cold_for,omitempty" msgpack:"f,omitempty"`
+	// ColdRate is the number of requests that all nodes together send it in any one
+	// second while it is cold; 0 means that they are not bounded.
+	ColdRate int `json:"cold_rate,omitempty" msgpack:"r,omitempty"`
 }
 
 // Replicas is every replica known, by group; each group is sorted by address.
