A replica that turns a part of its requests away is remembered for it

Cause: one answer forgave all rejections. A share told between nodes was weighed on paper: each node sends ten requests a second to a shard and knows after two rejections, so there is little to tell.

--- a/internal/replica/health.go
+++ b/internal/replica/health.go
@@ -64,8 +64,9 @@
 	sheds        atomic.Int64 // in a row
 	shedUntil    atomic.Int64 // nanoseconds after created
 
-	speed   speed
-	silence silence
+	speed      speed
+	silence    silence
+	rejections rejections
 }
 
 // NewHealth returns the health of a process that was first listed now, as a
@@ -157,8 +158,10 @@
 	h.observePlace(now, ended)
 	switch {
 	case ended.Outcome == decision.Success:
+		h.rejections.took(now.Sub(h.created))
 		h.succeeded(now, ended.Elapsed)
 	case ended.Outcome == decision.Shed:
+		h.rejections.rejected(now.Sub(h.created))
 		h.refused(now, ended.RetryAfter)
 	case ended.Outcome == decision.Invalid:
 		return h.failed(now)
@@ -231,11 +234,13 @@
 // refused leaves the replica alone for a while; it is no failure.
 func (h *Health) refused(now time.Time, retryAfter time.Duration) {
 	h.cutLimit()
+	age := now.Sub(h.created)
+	doublings := min(h.sheds.Add(1)-1, shedDoublings)
 	if retryAfter <= 0 {
-		retryAfter = shedBackoff
+		h.shedUntil.Store(int64(age + max(shedBackoff<<doublings, h.rejections.pause(age))))
+		return
 	}
-	doublings := min(h.sheds.Add(1)-1, shedDoublings)
-	h.shedUntil.Store(int64(now.Sub(h.created) + retryAfter<<doublings))
+	h.shedUntil.Store(int64(age + retryAfter<<doublings))
 }
 
 func (h *Health) cutLimit() {
--- a/internal/replica/speed.go
+++ b/internal/replica/speed.go
@@ -64,8 +64,11 @@
 	}
 }
 
-func fading(since time.Duration) float64 {
-	return math.Exp2(-max(0, float64(since)/float64(speedHalfLife)))
+func fading(since time.Duration) float64 { return fadingBy(since, speedHalfLife) }
+
+// fadingBy is what is left of a value that fades by half in a time.
+func fadingBy(since, halfLife time.Duration) float64 {
+	return math.Exp2(-max(0, float64(since)/float64(halfLife)))
 }
 
 // leastExcess is the excess from which on a replica counts as slow. Requests
