Failures and spoilt answers count in the share of what a replica loses

Weighed and not kept: addresses of the region's other zone in the directory's answers, for deployments that must bear the loss of a zone. Callers pick by chance among what is named. Tests: TestAReplicaThatLosesAPartIsAskedLess, failed for failures and spoilt answers.

--- a/internal/replica/forward_message.go
+++ b/internal/replica/forward_message.go
@@ -103,7 +103,7 @@
 	candidate := h.candidate(now)
 	age := now.Sub(h.created)
 	usual := terms.Usual.At(h.distance)
-	candidate.LatencyEWMA = time.Duration(h.speed.slowness(age) / h.rejections.taken(age) * float64(usual))
+	candidate.LatencyEWMA = time.Duration(h.speed.slowness(age) / h.losses.kept(age) * float64(usual))
 	candidate.ConnectionAvailable = candidate.ConnectionAvailable && candidate.InFlight < candidate.Limit
 	candidate.Barred = !terms.allows(h) || !h.cold.open(now)
 	candidate.Warmth = 1 // the replica's own speed tells whether it is slow
--- a/internal/replica/health.go
+++ b/internal/replica/health.go
@@ -64,9 +64,9 @@
 	sheds        atomic.Int64 // in a row
 	shedUntil    atomic.Int64 // nanoseconds after created
 
-	speed      speed
-	silence    silence
-	rejections rejections
+	speed   speed
+	silence silence
+	losses  losses
 }
 
 // NewHealth returns the health of a process that was first listed now, as a
@@ -158,17 +158,19 @@
 	h.observePlace(now, ended)
 	switch {
 	case ended.Outcome == decision.Success:
-		h.rejections.took(now.Sub(h.created))
+		h.losses.answered(now.Sub(h.created))
 		h.succeeded(now, ended.Elapsed)
 	case ended.Outcome == decision.Shed:
-		h.rejections.rejected(now.Sub(h.created))
+		h.losses.lost(now.Sub(h.created))
 		h.refused(now, ended.RetryAfter)
 	case ended.Outcome == decision.Invalid:
+		h.losses.lost(now.Sub(h.created))
 		return h.failed(now)
 	case ended.Outcome == decision.Failed && ended.GivenUp:
 		h.givenUp(now, ended.Elapsed)
 		return ended.Late && h.failed(now)
 	case ended.Outcome == decision.Failed:
+		h.losses.lost(now.Sub(h.created))
 		return h.failed(now)
 	}
 	return false
@@ -237,7 +239,7 @@
 	age := now.Sub(h.created)
 	doublings := min(h.sheds.Add(1)-1, shedDoublings)
 	if retryAfter <= 0 {
-		h.shedUntil.Store(int64(age + max(shedBackoff<<doublings, h.rejections.pause(age))))
+		h.shedUntil.Store(int64(age + max(shedBackoff<<doublings, h.losses.pause(age))))
 		return
 	}
 	h.shedUntil.Store(int64(age + retryAfter<<doublings))
--- /dev/null
+++ b/internal/replica/losses_test.go
@@ -0,0 +1,94 @@
+package replica
+
+import (
+	"testing"
+	"time"
+
+	"github.com/doorpond/doorpond/internal/blackboard"
+	"github.com/doorpond/doorpond/internal/decision"
+	"github.com/doorpond/doorpond/internal/topology"
+)
+
+// TestAReplicaThatTurnsAPartAwayIsLeftAlone: an answer in between does not make it well,
+// a single rejection does not make it ill, and it is tried again in time.
+func TestAReplicaThatTurnsAPartAwayIsLeftAlone(t *testing.T) {
+	unnamed := Ended{Outcome: decision.Shed}
+	cases := []struct {
+		name  string
+		ended []Ended // 10 ms apart
+		after time.Duration
+		want  bool
+	}{
+		{"one rejection is a short pause", []Ended{unnamed}, shedBackoff, false},
+		{"two of three are a long one", []Ended{unnamed, endedWell, unnamed}, lossPause - time.Millisecond, true},
+		{"which ends", []Ended{unnamed, endedWell, unnamed}, lossPause, false},
+		{"a named time counts as it is", []Ended{endedShed, endedWell, endedShed}, endedShed.RetryAfter, false},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			health := NewHealth(topology.Replica{Slots: 4}, topology.Place{}, now)
+			for _, ended := range test.ended {
+				now = now.Add(10 * time.Millisecond)
+				health.Observe(now, ended)
+			}
+			if got := health.Candidate(now.Add(test.after)).BackingOff; got != test.want {
+				t.Errorf("backing off %v", got)
+			}
+		})
+	}
+}
+
+func TestTheShareOfLossesFades(t *testing.T) {
+	var share losses
+	for range 20 {
+		share.lost(time.Second)
+	}
+	if got := share.kept(time.Second); got != leastKept {
+		t.Errorf("expected to answer %.2f though it loses everything", got)
+	}
+	half := 1 - share.current(time.Second+lossHalfLife)
+	if half < 0.5 || half > 0.52 {
+		t.Errorf("expected to answer %.2f after the half-life", half)
+	}
+	for range 100 {
+		share.answered(time.Second + lossHalfLife)
+	}
+	if got := share.kept(time.Second + lossHalfLife); got < 0.99 {
+		t.Errorf("expected to answer %.2f though it answers everything", got)
+	}
+}
+
+// TestAReplicaThatLosesAPartIsAskedLess: after its pause too, a farther one that answers
+// everything is preferred to it, whichever way it loses requests.
+func TestAReplicaThatLosesAPartIsAskedLess(t *testing.T) {
+	for _, way := range []decision.Outcome{decision.Shed, decision.Failed, decision.Invalid} {
+		t.Run(way.String(), func(t *testing.T) {
+			board := &blackboard.Board{}
+			listReplicas(board, topology.Replica{Address: "far:1", Place: farPlace}, topology.Replica{Address: "near:1", Place: nearPlace})
+			now := time.Unix(1000, 0)
+			pool := messagePool(t, board, func(options *PoolOptions) {
+				options.Self = nearPlace
+				options.Now = func() time.Time { return now }
+			})
+			terms := allTerms()
+			for range 2 * leastSamples {
+				terms.Usual.record(topology.SameZone, 20*time.Millisecond)
+				terms.Usual.record(topology.OtherRegion, 28*time.Millisecond)
+			}
+			near := pool.AcquireFor(testGroup, terms, nil).Handle
+			near.End()
+			if near.replica.Place != nearPlace {
+				t.Fatal("the farther one is preferred from the start")
+			}
+			for range 4 {
+				near.Observe(now, Ended{Outcome: way})
+				near.Observe(now, Ended{Outcome: decision.Success, Elapsed: 20 * time.Millisecond})
+			}
+			now = now.Add(3 * time.Second)
+			if got := pool.AcquireFor(testGroup, terms, nil).Handle; got == near {
+				t.Error("it is asked first again, after a pause")
+			}
+		})
+	}
+}
