A node that watches another hears of a change in time though all watches are deaf

Cause, traced by steps: with the store's watch deaf, a node that watches another one in its place heard of a change by datagram (0.4 of the time for news after it at the latest), gave the other node up after 0.3, then watched the store, which is deaf too, for 0.3 more, and only then read it: 1.0 of the time in all. TestAConfigurationIsInForceThoughTheWatchIsDeaf looks after exactly that time and failed once beside load. Change: a watch of another node has 0.05 longer than the store's, as that node gives up at the same moment and its reading comes a little later (this was the usual order: the node left just before); after a node that told nothing, the store's watch has 0.15. Conclusion: the time for news is kept with a part to spare; no call more.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -105,9 +105,13 @@
 	// other.
 	rankShare = 0.2
 	// graceShare is what a watch may take to tell what others know already; it
-	// is over gatherShare.
+	// is over gatherShare. A watch of another node has relayShare longer: that node gives
+	// its own watch up at the same time, and what it then reads comes a moment later.
 	graceShare = 0.3
-	// askShare bounds one question, and the first attempt to read everything.
+	relayShare = 0.05
+	// askShare bounds one question, and the first attempt to read everything. It is also
+	// what the store's watch may take after another node's has told nothing: the two
+	// graces would add up to the whole time for news.
 	askShare = 0.15
 	// gatherShare is how long after a change the next one is waited for, so
 	// that changes that come together cost one call.
@@ -128,6 +132,9 @@
 	// mustRead is true while everything has to be read before it is watched: at the
 	// start, and when the store's history or a watch has let changes pass.
 	mustRead bool
+	// relayBehind is true from when a node that was watched did not tell what others know
+	// until the store has spoken.
+	relayBehind bool
 	// answers counts the answers of the store.
 	answers int
 	// refused is true while the store is left alone for a pause.
@@ -342,6 +349,7 @@
 // heard notes that the store has spoken.
 func (f *Follower) heard(now time.Time) {
 	f.answers++
+	f.relayBehind = false
 	if f.reached && f.options.Board.Store.Load() != nil {
 		return
 	}
--- a/internal/follower/watch.go
+++ b/internal/follower/watch.go
@@ -39,6 +39,7 @@
 		return false
 	case errors.Is(err, errBehind):
 		f.noteFailed(relayTries) // whoever watches the store is behind as well
+		f.relayBehind = true
 		f.staleness.waitAnew(f.options.Now())
 	case errors.Is(err, relay.ErrForgotten):
 		f.needsStore = true
@@ -71,6 +72,7 @@
 		})
 	}()
 	defer cancel()
+	f.staleness.grace = f.graceOf(from)
 	timer := time.NewTimer(nothingDue)
 	defer timer.Stop()
 	for {
@@ -98,6 +100,18 @@
 	}
 }
 
+// graceOf is what a watch may take to tell what others know already.
+func (f *Follower) graceOf(from source) time.Duration {
+	switch {
+	case from.node.IsValid():
+		return f.options.share(graceShare + relayShare)
+	case f.relayBehind:
+		return f.options.share(askShare)
+	default:
+		return f.options.share(graceShare)
+	}
+}
+
 // nothingDue is how long is waited when nothing is due.
 const nothingDue = time.Hour
 
