The soak evacuates zones and sends requests that are bound to a region

Change: a fault that keeps all work from a zone, whose replicas are looked at as those of a leaving one are; callers' requests on the bound route, judged as scattered ones, and none may reach a replica of another region. Tests: two cases of the judge.

--- a/internal/soak/apply.go
+++ b/internal/soak/apply.go
@@ -38,6 +38,8 @@
 		return w.deployment.Store.SetFaults(kv.Faults{})
 	case fault.Kind == Configure:
 		return w.configure(fault.Target)
+	case fault.Kind == Evacuate:
+		return w.evacuate(zones[fault.Target%len(zones)])
 	default:
 		return w.leave(fault, w.replica(fault.Target))
 	}
@@ -194,6 +196,24 @@
 	return nil
 }
 
+// evacuate keeps all work from a zone until its replicas have been looked at.
+func (w *world) evacuate(zone string) error {
+	defer w.noted(Evacuate, nil)()
+	w.evacuating.Lock()
+	defer w.evacuating.Unlock()
+	if err := w.deployment.Evacuate(zone); err != nil {
+		return err
+	}
+	at := time.Now()
+	for _, replica := range w.replicas() {
+		if replica.Zone() == zone {
+			w.markNews(news{at: at, replica: replica})
+		}
+	}
+	time.Sleep(drainTime + newsWindow) // the time to evacuate is that to drain
+	return w.deployment.Readmit(zone)
+}
+
 // configure writes a configuration with a number of shards.
 func (w *world) configure(target int) error {
 	defer w.noted(Configure, nil)()
--- a/internal/soak/budget.go
+++ b/internal/soak/budget.go
@@ -56,7 +56,7 @@
 	at := func(when time.Time) int { return min(max(0, int(when.Sub(j.world.began).Seconds())), length-1) }
 	for i := range j.seen {
 		one := &j.seen[i]
-		if one.path != scattered {
+		if !one.path.isScattered() {
 			of(standin.PlainService)[at(one.sent)].requests++
 			continue
 		}
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -29,8 +29,13 @@
 	scattered path = standin.ScatteredPath
 	plain     path = standin.PlainPath
 	once      path = standin.OncePath
+	// bound is scattered too, over the replicas of one region.
+	bound path = standin.BoundPath
 )
 
+// isScattered is true for what is answered from many shards.
+func (p path) isScattered() bool { return p == scattered || p == bound }
+
 // observation is one request as its caller saw it.
 type observation struct {
 	id          string
@@ -83,11 +88,13 @@
 }
 
 func choosePath() path {
-	switch rand.IntN(4) {
+	switch rand.IntN(5) {
 	case 0:
 		return plain
 	case 1:
 		return once
+	case 2:
+		return bound
 	default:
 		return scattered
 	}
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -63,7 +63,7 @@
 
 // checkAnswer checks that a success is the whole answer to its own request.
 func (j *judge) checkAnswer(one *observation) {
-	if one.path != scattered {
+	if !one.path.isScattered() {
 		if err := standin.CheckPlain(one.id, one.response); err != nil {
 			j.found("%s: %v", one.id, err)
 		}
@@ -94,6 +94,7 @@
 		j.checkEnd(&j.seen[i], ran[j.seen[i].id])
 		j.checkCalm(&j.seen[i])
 	}
+	j.checkRegions()
 	for _, one := range j.world.news {
 		j.checkNews(one)
 	}
@@ -120,6 +121,24 @@
 	return ran
 }
 
+// checkRegions: a request that is bound to a region reaches no replica elsewhere.
+func (j *judge) checkRegions() {
+	isBound := make(map[string]bool)
+	for i := range j.seen {
+		isBound[j.seen[i].id] = j.seen[i].path == bound
+	}
+	for _, replica := range j.world.replicas() {
+		if replica.Region() == j.world.deployment.BoundRegion() {
+			continue
+		}
+		for _, arrival := range replica.Log() {
+			if isBound[arrival.ID] {
+				j.found("%s is bound to %s and reached a replica in %s", arrival.ID, j.world.deployment.BoundRegion(), replica.Region())
+			}
+		}
+	}
+}
+
 // checkRuns: a request that may not be repeated runs at most once, and not at
 // all when it was refused.
 func (j *judge) checkRuns(one *observation, ran int) {
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -103,6 +103,14 @@
 			arrive(t, w, plainReplica+1, "r")
 			j.saw(answered("r", once, http.StatusBadGateway))
 		}, "ran 2 times"},
+		{"a bound request reaches a replica of its region", func(w *world, j *judge) {
+			arrive(t, w, 0, "r")
+			j.saw(answered("r", bound, http.StatusBadGateway))
+		}, ""},
+		{"a bound request reaches a replica elsewhere", func(w *world, j *judge) {
+			arrive(t, w, 1, "r")
+			j.saw(answered("r", bound, http.StatusBadGateway))
+		}, "is bound to region-a"},
 		{"a request was refused and ran", func(w *world, j *judge) {
 			arrive(t, w, plainReplica, "r")
 			j.saw(answered("r", once, http.StatusServiceUnavailable))
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -42,10 +42,11 @@
 	StoreLostAnswers
 	StoreDeaf
 	// Configure writes the next configuration; Drain and Vanish let a replica
-	// leave, with and without saying so.
+	// leave, with and without saying so; Evacuate keeps all work from a zone.
 	Configure
 	Drain
 	Vanish
+	Evacuate
 	kinds
 )
 
@@ -55,7 +56,7 @@
 	"replica_link_delay", "replica_link_reset", "replica_link_hold_replies", "replica_link_silence",
 	"replica_pause", "replica_spoil", "replica_refuse", "replica_crash",
 	"store_outage", "store_throttle", "store_slow", "store_lost_answers", "store_deaf",
-	"configure", "drain", "vanish",
+	"configure", "drain", "vanish", "evacuate",
 }
 
 // String returns the name of a kind.
@@ -117,7 +118,7 @@
 			})
 		}
 		if calm {
-			news := []Kind{Configure, Drain, Vanish}[random.IntN(3)]
+			news := []Kind{Configure, Drain, Vanish, Evacuate}[random.IntN(4)]
 			plan = append(plan, Fault{At: begin + faultsWithin, Kind: news, Target: random.IntN(1 << 16)})
 		}
 	}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -55,8 +55,9 @@
 	nodes      []*node
 	began      time.Time
 
-	// fleet guards the deployment's replicas, configuring its configuration.
-	fleet, configuring sync.Mutex
+	// fleet guards the deployment's replicas, configuring its configuration, evacuating
+	// its evacuated zone.
+	fleet, configuring, evacuating sync.Mutex
 
 	mu sync.Mutex
 	// links are the proxies before the replicas, in the replicas' order.
@@ -70,7 +71,7 @@
 }
 
 // news is a change of the store that all nodes must act on in time: another
-// number of shards, or a replica that leaves.
+// number of shards, or a replica that leaves or stands in an evacuated zone.
 type news struct {
 	at      time.Time
 	shards  int
