Cold replicas: a vanished one is bounded too, and a new entry node has a share at once

Cause of the second, found on reading: the pool keeps its view where only the members change and the holders of connections do not, and did not look at who shares. Change: the rate is published while a replica is cold, whatever its state; the view is built anew when those who share change. Tests: TestAColdReplicaWhoseEntryIsGoneIsStillCold, TestAVanishedReplicaIsBoundedWhileItIsCold, TestANodeThatBecomesAnEntryNodeHasAShare; each failed before.

--- a/internal/follower/cold.go
+++ b/internal/follower/cold.go
@@ -38,5 +38,15 @@
 	return end
 }
 
+// isCold tells whether a replica is cold, also one whose entry is gone: it is asked while
+// no other is left, and falls over as before.
+func (s *state) isCold(now time.Time, entry *replicaEntry) bool {
+	end := s.coldEnd(entry)
+	if end.IsZero() {
+		return entry.replica.State == topology.ReplicaCold
+	}
+	return now.Before(end)
+}
+
 // warmed tells whether a replica that was published as cold is warm by its time.
 func (s *state) warmed(now time.Time) bool { return !s.warmAt.IsZero() && !now.Before(s.warmAt) }
--- a/internal/follower/cold_test.go
+++ b/internal/follower/cold_test.go
@@ -64,6 +64,20 @@
 	expect("as it says", topology.ReplicaServing, 0)
 }
 
+// TestAColdReplicaWhoseEntryIsGoneIsStillCold: it may be asked for a while, as the store
+// may be at fault, and bears no more than before.
+func TestAColdReplicaWhoseEntryIsGoneIsStillCold(t *testing.T) {
+	now := start
+	state, board := newColdState(t, &now)
+	cold := coldReplica(t, 2, 3*time.Second)
+	state.put(cold)
+	state.remove(now, cold.Key)
+	state.publish(now)
+	if got := board.Replicas.Load().Groups["g"][0]; got.State != topology.ReplicaVanished || got.ColdRate != testColdRate {
+		t.Errorf("state %v, %d a second", got.State, got.ColdRate)
+	}
+}
+
 // TestAReadmittedZoneIsCold: its entries may say that nothing has changed.
 func TestAReadmittedZoneIsCold(t *testing.T) {
 	now := start
--- a/internal/follower/state.go
+++ b/internal/follower/state.go
@@ -283,12 +283,10 @@
 		return topology.ReplicaEvacuated
 	case !entry.goneAt.IsZero():
 		return topology.ReplicaVanished
-	case now.Before(s.coldEnd(entry)):
+	case s.isCold(now, entry):
 		return topology.ReplicaCold
-	case !entry.coldUntil.IsZero():
-		return topology.ReplicaServing
 	default:
-		return entry.replica.State
+		return topology.ReplicaServing
 	}
 }
 
@@ -299,7 +297,7 @@
 		replica := entry.replica
 		replica.State = s.stateOf(now, &entry)
 		replica.ConnectionLimit = s.service(replica.Group).ConnectionLimit
-		if replica.State == topology.ReplicaCold {
+		if s.isCold(now, &entry) {
 			replica.ColdRate = s.options.ColdBound.Rate(s.service(replica.Group).ColdRate)
 		}
 		if replica.ColdRate > 0 {
--- a/internal/replica/cold.go
+++ b/internal/replica/cold.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,13 +20,23 @@
 // Cold replicas that are sent more than they bear fall over, and with them the zone that
 // has just come back.
 func (v *view) coldShare(replica topology.Replica) int {
-	if replica.State != topology.ReplicaCold || replica.ColdRate == 0 {
+	if replica.ColdRate == 0 {
 		return unbounded
 	}
 	if v.members == nil {
 		return 0
 	}
-	return decision.ColdShare(replica.ColdRate, v.members.Self.ID, v.members.Sharing, replica.Place.Zone)
+	return decision.ColdShare(replica.ColdRate, v.members.Self.ID, v.sharing(), replica.Place.Zone)
+}
+
+// sameSharing tells whether the same nodes divide what cold replicas take.
+func (v *view) sameSharing(other *view) bool { return slices.Equal(v.sharing(), other.sharing()) }
+
+func (v *view) sharing() []string {
+	if v.members == nil {
+		return nil
+	}
+	return v.members.Sharing
 }
 
 // coldGate lets so many requests pass in any one second. Its zero value lets all pass. It
--- a/internal/replica/cold_test.go
+++ b/internal/replica/cold_test.go
@@ -70,6 +70,23 @@
 	}
 }
 
+// TestAVanishedReplicaIsBoundedWhileItIsCold: as the last resort too.
+func TestAVanishedReplicaIsBoundedWhileItIsCold(t *testing.T) {
+	now := time.Unix(1000, 0)
+	pool, board := coldPool(t, 2, &now)
+	listReplicas(board, topology.Replica{Address: "cold:1", Place: nearPlace, State: topology.ReplicaVanished, ColdRate: 2})
+	sent := 0
+	for range 10 {
+		if acquired := pool.AcquireFor(testGroup, allTerms(), nil); acquired.Handle != nil {
+			sent++
+			acquired.Handle.End()
+		}
+	}
+	if sent != 2 {
+		t.Errorf("%d messages in a moment", sent)
+	}
+}
+
 // TestTheColdGateIsExactUnderRaces: requests that choose at the same moment.
 func TestTheColdGateIsExactUnderRaces(t *testing.T) {
 	const share = 5
@@ -90,3 +107,20 @@
 		t.Errorf("%d passed", passed.Load())
 	}
 }
+
+// TestANodeThatBecomesAnEntryNodeHasAShare: of what is cold already, though neither the
+// replicas nor those who hold connections have changed.
+func TestANodeThatBecomesAnEntryNodeHasAShare(t *testing.T) {
+	now := time.Unix(1000, 0)
+	pool, board := coldPool(t, 3, &now)
+	terms := allTerms()
+	terms.Regions = []string{nearPlace.Region}
+	board.Members.Publish(&topology.Members{Self: topology.Member{ID: "self"}, Sharing: []string{"other"}})
+	if got := pool.Servable([]string{testGroup}, terms); got != 0 {
+		t.Error("a node that does not share asks a cold replica")
+	}
+	board.Members.Publish(&topology.Members{Self: topology.Member{ID: "self"}, Sharing: []string{"other", "self"}})
+	if got := pool.Servable([]string{testGroup}, terms); got != 1 {
+		t.Error("a node that shares does not ask it")
+	}
+}
--- a/internal/replica/pool.go
+++ b/internal/replica/pool.go
@@ -171,7 +171,7 @@
 	if seen.members != members || seen.plan == nil {
 		next.plan = planOf(members)
 	}
-	if seen.replicas == replicas && seen.plan != nil && next.plan.sameHolders(seen.plan) {
+	if seen.replicas == replicas && seen.plan != nil && next.plan.sameHolders(seen.plan) && next.sameSharing(seen) {
 		next.groups, next.handles, next.routes, next.probed = seen.groups, seen.handles, seen.routes, seen.probed
 		p.view.Store(next)
 		return next
