--- a/internal/edge/evacuation_test.go
+++ b/internal/edge/evacuation_test.go
@@ -20,6 +20,23 @@
 	return count
 }
 
+// sendTo sends a scattered request to one node, whatever the directory says, and returns
+// the status of the answer, 0 when there is none.
+func (s *system) sendTo(node *standin.Node, id string) int {
+	request, err := http.NewRequest(http.MethodGet, "http://"+node.Addresses().Callers+standin.ScatteredPath+"x", nil)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	request.Host = standin.Host
+	request.Header.Set("Request-Id", id)
+	response, err := s.caller.HTTP.Do(request)
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
 // TestNothingReachesAnEvacuatedZone: on no node, also on one that starts meanwhile, by
 // no hedge, until it is withdrawn. With both zones evacuated, requests are refused at
 // once and have not run.
@@ -48,9 +65,9 @@
 	s.eventually("the node is ready", func() bool {
 		return s.get(node.Addresses().Readiness, standin.ReadyPath) == http.StatusOK
 	})
-	for range 5 {
-		if status := s.get(node.Addresses().Callers, standin.ScatteredPath); status == 0 {
-			t.Error("the node does not answer")
+	for i := range 5 {
+		if status := s.sendTo(node, fmt.Sprint("direct-", i)); status != http.StatusOK {
+			t.Errorf("the node that has just started answers %d", status)
 		}
 	}
 	if got := s.arrivalsAt("a"); got != before {
