Sub-requests are counted by why they were sent, and a displaced replica is told

Cause: logs and metrics told outcomes, not which sub-requests were repeats, nor that a replica's address had been given to another process. Change: a cause for each sub-request in traces and a counter, one log line for a displaced replica.

--- a/internal/decision/attempts.go
+++ b/internal/decision/attempts.go
@@ -103,12 +103,13 @@
 	state.refusals++
 	state.status.Reason = reasonAfter(state.status.Reason, event.Outcome)
 	if wait == 0 && state.inFlight == 0 {
-		q.send(now, event.Shard, false)
+		q.send(now, event.Shard, event.Outcome.repeatCause())
 		return true
 	}
 	state.nextAt = now + wait
 	state.nextDelay = wait
 	state.postponed = state.inFlight == 0
+	state.cause = event.Outcome.repeatCause()
 	q.wakeBy(state.nextAt)
 	return true
 }
@@ -190,14 +191,14 @@
 		state.nextAt = never
 		if state.postponed {
 			state.postponed = false
-			q.send(now, i, false)
+			q.send(now, i, state.cause)
 			continue
 		}
 		switch {
 		case !q.mayAttempt(now, i):
 			state.diagnosis.NoHedge = DeniedTime
 		case q.withdrawHedge(i):
-			q.send(now, i, true)
+			q.send(now, i, CauseHedge)
 		default:
 			state.diagnosis.NoHedge = DeniedBudget
 			state.nextAt = now + state.nextDelay // the budget may be better off then
--- a/internal/decision/event.go
+++ b/internal/decision/event.go
@@ -107,6 +107,56 @@
 	RetryAfter time.Duration
 }
 
+// Cause is why a sub-request is sent. Those but CauseFirst and CauseUnreached are
+// arrivals at the group beyond the first of their query.
+type Cause uint8
+
+// The causes of a sub-request.
+const (
+	// CauseFirst: the first one to a shard.
+	CauseFirst Cause = iota
+	// CauseHedge: beside one that is late.
+	CauseHedge
+	// CauseFailure: the one before failed, or its reply was spoilt.
+	CauseFailure
+	// CauseRejection: a process rejected the one before without running it.
+	CauseRejection
+	// CauseReset: the new connection of the one before was reset.
+	CauseReset
+	// CauseUnreached: the one before was not sent.
+	CauseUnreached
+)
+
+// causeNames are the names of the causes in logs and metrics.
+var causeNames = [...]string{
+	CauseFirst:     "first",
+	CauseHedge:     "hedge",
+	CauseFailure:   "failure",
+	CauseRejection: "rejection",
+	CauseReset:     "reset",
+	CauseUnreached: "unreached",
+}
+
+// String returns the name of a cause.
+func (c Cause) String() string { return causeNames[c] }
+
+// Causes is the number of causes.
+const Causes = len(causeNames)
+
+// repeatCause is the cause of the sub-request that follows an outcome.
+func (o Outcome) repeatCause() Cause {
+	switch o {
+	case Shed, Draining, SnapshotNotHeld, Elsewhere:
+		return CauseRejection
+	case Reset:
+		return CauseReset
+	case Unreached:
+		return CauseUnreached
+	default:
+		return CauseFailure
+	}
+}
+
 // ActionKind tells the actions apart.
 type ActionKind uint8
 
@@ -127,8 +177,8 @@
 	Kind    ActionKind
 	Shard   int
 	Attempt int
-	// Hedge is true for a Send beside an attempt still in flight.
-	Hedge bool
+	// Cause is why a Send is sent.
+	Cause Cause
 	// Timeout is the time left for a Send.
 	Timeout time.Duration
 	// At is the moment of a SetTimer, from the query's start.
--- a/internal/decision/query.go
+++ b/internal/decision/query.go
@@ -30,6 +30,8 @@
 	// postponed is true while no attempt is in flight and the next one is due at
 	// nextAt.
 	postponed bool
+	// cause is that of the latest attempt, or of the next one while it is postponed.
+	cause Cause
 	// refusals counts the attempts that came to no replica.
 	refusals  int
 	settled   bool
@@ -111,15 +113,16 @@
 		if budget := q.plan.Shards[i].Budget; budget != nil {
 			budget.Deposit()
 		}
-		q.send(now, i, false)
+		q.send(now, i, CauseFirst)
 	}
 }
 
-func (q *Query) send(now time.Duration, shard int, hedge bool) {
+func (q *Query) send(now time.Duration, shard int, cause Cause) {
 	state, plan := &q.shards[shard], &q.plan.Shards[shard]
 	attempt := state.sent
 	state.sent++
 	state.attempts++
+	state.cause = cause
 	state.inFlight |= 1 << attempt
 	state.nextAt = never
 	if plan.HedgeDelay > 0 && q.mayHedge(state) {
@@ -127,7 +130,7 @@
 		state.nextDelay = plan.HedgeDelay
 	}
 	q.actions = append(q.actions, Action{
-		Kind: Send, Shard: shard, Attempt: attempt, Hedge: hedge, Timeout: q.plan.Deadline - now,
+		Kind: Send, Shard: shard, Attempt: attempt, Cause: cause, Timeout: q.plan.Deadline - now,
 	})
 }
 
@@ -162,7 +165,7 @@
 		return
 	}
 	if event.Outcome != NoReplica && q.mayRetry(now, event.Shard, event.Outcome) {
-		q.send(now, event.Shard, false)
+		q.send(now, event.Shard, event.Outcome.repeatCause())
 		return
 	}
 	q.settleShard(event.Shard)
--- a/internal/decision/query_test.go
+++ b/internal/decision/query_test.go
@@ -60,7 +60,7 @@
 	switch action.Kind {
 	case Send:
 		kind := "send"
-		if action.Hedge {
+		if action.Cause == CauseHedge {
 			kind = "hedge"
 		}
 		return fmt.Sprintf("%v %s %d/%d in %v", at, kind, action.Shard, action.Attempt, action.Timeout)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -175,6 +175,7 @@
 	budgets := newBudgets(n.board, func() BoundsSettings { return n.current.Load().Bounds })
 	n.pool = replica.NewPool(replica.PoolOptions{
 		Board: n.board, Self: place, Codec: n.platform.Codec, GroupBudget: budgets.of, Registerer: registerer,
+		OnElsewhere: n.tellDisplaced,
 	})
 	n.queries = query.NewService(query.Options{
 		Board: n.board, Pool: n.pool, Registerer: registerer, Logger: n.logger,
@@ -207,6 +208,12 @@
 	n.addServers()
 }
 
+// tellDisplaced logs that a replica's address is another process's by now.
+func (n *Node) tellDisplaced(replica topology.Replica) {
+	n.logger.Info("another process answers at a replica's address",
+		"group", replica.Group, "address", replica.Address, "incarnation", replica.Incarnation)
+}
+
 // relayClient is for watching another node: one question waits after the other.
 func relayClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{DialContext: upstream.DialContext, MaxIdleConnsPerHost: 1}}
--- a/internal/query/forward.go
+++ b/internal/query/forward.go
@@ -81,8 +81,10 @@
 type AttemptTrace struct {
 	Replica string `json:"replica,omitempty"`
 	// SentMilliseconds counts from the request's start.
-	SentMilliseconds int64  `json:"sent_ms"`
-	Outcome          string `json:"outcome"`
+	SentMilliseconds int64 `json:"sent_ms"`
+	// Cause is why it was sent, empty for the first to its shard.
+	Cause   string `json:"cause,omitempty"`
+	Outcome string `json:"outcome"`
 }
 
 // forwardRun is a run of a forwarded request.
@@ -303,6 +305,9 @@
 
 func (a *attempt) describe() AttemptTrace {
 	described := AttemptTrace{SentMilliseconds: a.sent.Milliseconds(), Outcome: a.ended}
+	if a.cause != decision.CauseFirst {
+		described.Cause = a.cause.String()
+	}
 	if a.handle != nil {
 		described.Replica = a.handle.Address()
 	}
--- a/internal/query/metrics.go
+++ b/internal/query/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/doorpond/doorpond/internal/decision"
 	"github.com/doorpond/doorpond/internal/failure"
 )
 
@@ -15,6 +16,8 @@
 	queries  *prometheus.CounterVec
 	latency  prometheus.Histogram
 	restarts prometheus.Counter
+	// sent counts sub-requests by their cause.
+	sent [decision.Causes]prometheus.Counter
 }
 
 func newServiceMetrics(registerer prometheus.Registerer) serviceMetrics {
@@ -30,8 +33,14 @@
 			Name: "doorpondd_query_restarts_total", Help: "Queries started anew because their snapshot was retired.",
 		}),
 	}
+	sent := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "doorpondd_subrequests_sent_total", Help: "Sub-requests by why they were sent; all but first and unreached are repeats.",
+	}, []string{"cause"})
+	for cause := range metrics.sent {
+		metrics.sent[cause] = sent.WithLabelValues(decision.Cause(cause).String())
+	}
 	if registerer != nil {
-		registerer.MustRegister(metrics.queries, metrics.latency, metrics.restarts)
+		registerer.MustRegister(metrics.queries, metrics.latency, metrics.restarts, sent)
 	}
 	return metrics
 }
--- a/internal/query/run.go
+++ b/internal/query/run.go
@@ -85,6 +85,7 @@
 	// handle is nil when no replica was left to send it to.
 	handle *replica.Handle
 	cancel context.CancelFunc
+	cause  decision.Cause
 	sent   time.Duration
 	ended  string
 	// refused is true when it most likely came to no replica.
@@ -228,11 +229,12 @@
 	}
 	sub, cancel := r.service.options.Driver.WithCancel(r.context)
 	shard.tried = append(shard.tried, handle)
-	shard.attempts = append(shard.attempts, attempt{handle: handle, cancel: cancel, sent: r.inbox.Elapsed(), ended: inFlight})
+	shard.attempts = append(shard.attempts, attempt{handle: handle, cancel: cancel, cause: action.Cause, sent: r.inbox.Elapsed(), ended: inFlight})
 	r.counts.dispatched++
-	if action.Hedge {
+	if action.Cause == decision.CauseHedge {
 		r.counts.hedges++
 	}
+	r.service.metrics.sent[action.Cause].Inc()
 	r.service.options.Driver.Start(func() {
 		result := r.protocol.exchange(sub, handle, plan, action)
 		r.inbox.Deliver(AttemptResult{Shard: action.Shard, Attempt: action.Attempt, Result: result})
--- a/internal/replica/forward_message.go
+++ b/internal/replica/forward_message.go
@@ -121,14 +121,21 @@
 	started := p.options.Now()
 	reply, err := handle.upstream.Exchange(ctx, p.options.Codec, message, handle.replica.Incarnation, timeout)
 	result := classifyReply(reply, err, scattered)
-	if result.Outcome == decision.Elsewhere && p.options.OnElsewhere != nil {
-		p.options.OnElsewhere(handle.replica)
+	if result.Outcome == decision.Elsewhere {
+		p.displace(handle)
 	}
 	p.learnReply(ctx, handle, result, started, terms)
 	p.metrics.outcomes[result.Outcome].Inc()
 	return result
 }
 
+// displace notes that another process answers at a replica's address.
+func (p *Pool) displace(handle *Handle) {
+	if !handle.displaced.Swap(true) && p.options.OnElsewhere != nil {
+		p.options.OnElsewhere(handle.replica)
+	}
+}
+
 // classifyReply tells what an exchange means for the query.
 func classifyReply(reply *upstream.Reply, err error, scattered bool) SearchResult {
 	switch {
--- a/internal/replica/handle.go
+++ b/internal/replica/handle.go
@@ -38,6 +38,8 @@
 	retired     atomic.Bool
 	// vanished is true while the replica is not listed any more.
 	vanished atomic.Bool
+	// displaced is true once another process has answered at the address.
+	displaced atomic.Bool
 	// cold bounds what this node sends while the replica is cold.
 	cold coldGate
 }
--- a/internal/replica/pool.go
+++ b/internal/replica/pool.go
@@ -51,7 +51,7 @@
 	// GroupBudget returns the retry budget of a group; nil means that all groups
 	// share one for each set of terms.
 	GroupBudget func(group string) decision.Budget
-	// OnElsewhere is told of a replica at whose address another process answers.
+	// OnElsewhere is told, once, of a replica at whose address another process answers.
 	OnElsewhere func(topology.Replica)
 	Now         func() time.Time
 	Random      func() uint64
