A replica whose address another process has got is not asked again

Cause: with all replicas of a shard gone and the store away, each request's first attempt for it went to the process that had got the address of one of them, and was rejected there: an arrival that no budget accounts for. Ruled out: a bound by the budget of the dead shard, as the arrivals count at another one; ejection, since the last replica of a group is asked though it is ejected. Change: after the answer of another process the handle takes no messages any more; a shard that has no other settles at once, and requests that need it are refused before anything is sent.

--- a/internal/replica/forward_message.go
+++ b/internal/replica/forward_message.go
@@ -87,7 +87,7 @@
 // now, though it may have to wait for a connection.
 func (p *Pool) Servable(groups []string, terms *Terms) int {
 	seen, now := p.current(), p.options.Now()
-	mayTake := func(handle *Handle) bool { return terms.allows(handle) && handle.cold.open(now) }
+	mayTake := func(handle *Handle) bool { return handle.mayTake(terms, now) }
 	servable := 0
 	for _, name := range groups {
 		if found := seen.groups[name]; found != nil && slices.ContainsFunc(found.handles, mayTake) {
@@ -105,13 +105,20 @@
 	usual := terms.Usual.At(h.distance)
 	candidate.LatencyEWMA = time.Duration(h.speed.slowness(age) / h.losses.kept(age) * float64(usual))
 	candidate.ConnectionAvailable = candidate.ConnectionAvailable && candidate.InFlight < candidate.Limit
-	candidate.Barred = !terms.allows(h) || !h.cold.open(now)
+	candidate.Barred = !h.mayTake(terms, now)
 	candidate.Warmth = 1 // the replica's own speed tells whether it is slow
 	candidate.Ejected = candidate.Ejected || h.vanished.Load()
 	candidate.Silent = h.silence.lasts(age, h.inFlight.Load()) > terms.lateAfter(h)
 	return candidate
 }
 
+// mayTake tells whether a message may be sent there at all. One that is displaced is out
+// for good, though it is the last of its group that is listed: each message for it would
+// be an arrival at another group, which the retry budget of that one does not account for.
+func (h *Handle) mayTake(terms *Terms, now time.Time) bool {
+	return terms.allows(h) && h.cold.open(now) && !h.displaced.Load()
+}
+
 func (h *Handle) sentAt(now time.Time) { h.silence.began(now.Sub(h.created), h.inFlight.Load()) }
 
 // Forward sends a message to an acquired replica, once, and releases it. A part
@@ -129,7 +136,8 @@
 	return result
 }
 
-// displace notes that another process answers at a replica's address.
+// displace notes that another process answers at a replica's address. As each process
+// has an incarnation of its own, the one of the handle has ended.
 func (p *Pool) displace(handle *Handle) {
 	if !handle.displaced.Swap(true) && p.options.OnElsewhere != nil {
 		p.options.OnElsewhere(handle.replica)
