--- a/cmd/doorpond-lab/soak.go
+++ b/cmd/doorpond-lab/soak.go
@@ -17,6 +17,7 @@
 	flagLength  = "length"
 	flagRuns    = "runs"
 	flagVerbose = "verbose"
+	flagNodes   = "nodes"
 )
 
 func soakCommand() *cli.Command {
@@ -31,6 +32,7 @@
 			&cli.Uint64Flag{Name: flagSeed, Usage: "`SEED` of the first run's faults; 0 draws one; each further run takes the next"},
 			&cli.IntFlag{Name: flagRuns, Value: 1, Usage: "`NUMBER` of runs, one after the other"},
 			&cli.DurationFlag{Name: flagLength, Value: time.Minute, Usage: "time in which faults come, without the calm at the end"},
+			&cli.IntFlag{Name: flagNodes, Value: 9, Usage: "`NUMBER` of nodes, divided among three zones"},
 			&cli.StringFlag{Name: flagProgram, Usage: "run the doorpond-edge at `PATH`"},
 			&cli.BoolFlag{Name: flagVerbose, Usage: "print each fault"},
 		},
@@ -60,7 +62,7 @@
 	}
 	broken := false
 	for range command.Int(flagRuns) {
-		report, err := soak.Run(ctx, soak.Config{Seed: seed, Length: command.Duration(flagLength), Program: program, Out: out})
+		report, err := soak.Run(ctx, soak.Config{Seed: seed, Length: command.Duration(flagLength), Nodes: command.Int(flagNodes), Program: program, Out: out})
 		if err != nil {
 			return err
 		}
--- a/internal/soak/apply.go
+++ b/internal/soak/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"slices"
 	"syscall"
 	"time"
@@ -17,7 +18,14 @@
 func (w *world) apply(ctx context.Context, fault Fault) error {
 	switch {
 	case fault.Kind == KillHalf:
-		return w.killHalf(ctx, fault.Target)
+		return w.kill(ctx, w.everySecond(fault.Target))
+	case fault.Kind == KillAllTwice:
+		if err := w.kill(ctx, w.nodes); err != nil {
+			return err
+		}
+		return w.kill(ctx, w.nodes)
+	case fault.Kind == RollNodes:
+		return w.roll(ctx)
 	case fault.Kind <= HangUpNode:
 		return w.signal(ctx, fault, w.nodes[fault.Target%len(w.nodes)])
 	case fault.Kind <= StoreLinkSilence:
@@ -29,6 +37,8 @@
 		harm(w.linkOf(fault.Target), fault)
 	case fault.Kind <= ReplicaCrash:
 		return w.harmReplica(fault, w.replica(fault.Target))
+	case fault.Kind <= ServiceLost:
+		return w.harmService(fault)
 	case fault.Kind <= StoreDeaf:
 		defer w.noted(fault.Kind, nil)()
 		if err := w.deployment.Store.SetFaults(storeFaults[fault.Kind]); err != nil {
@@ -38,6 +48,8 @@
 		return w.deployment.Store.SetFaults(kv.Faults{})
 	case fault.Kind == Configure:
 		return w.configure(fault.Target)
+	case fault.Kind == ConfigureSeries:
+		return w.configureSeries(fault.Target)
 	case fault.Kind == Evacuate:
 		return w.evacuate(zones[fault.Target%len(zones)])
 	default:
@@ -92,11 +104,18 @@
 	}
 }
 
-// killHalf kills every second node at the same moment.
-func (w *world) killHalf(ctx context.Context, first int) error {
-	var group errgroup.Group
+func (w *world) everySecond(first int) []*node {
+	var chosen []*node
 	for i := first % 2; i < len(w.nodes); i += 2 {
-		target := w.nodes[i]
+		chosen = append(chosen, w.nodes[i])
+	}
+	return chosen
+}
+
+// kill kills some nodes at the same moment.
+func (w *world) kill(ctx context.Context, targets []*node) error {
+	var group errgroup.Group
+	for _, target := range targets {
 		group.Go(func() error {
 			defer w.noted(KillNode, target)()
 			return w.restartAfter(ctx, target, syscall.SIGKILL)
@@ -105,6 +124,30 @@
 	return group.Wait()
 }
 
+// rollGap is the time between the stops of two nodes of a roll: shorter than a stop
+// takes, so that some nodes stop while others start.
+const rollGap = 700 * time.Millisecond
+
+// mostRolled bounds the nodes that a roll stops, as a round has its length.
+const mostRolled = 12
+
+// roll stops nodes one soon after the other, and starts them again.
+func (w *world) roll(ctx context.Context) error {
+	var group errgroup.Group
+	for i, target := range w.nodes[:min(len(w.nodes), mostRolled)] {
+		group.Go(func() error {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-time.After(time.Duration(i) * rollGap):
+			}
+			defer w.noted(StopNode, target)()
+			return w.restartAfter(ctx, target, syscall.SIGTERM)
+		})
+	}
+	return group.Wait()
+}
+
 // restartAfter ends a process and starts it again. Of two faults that end the
 // same process, one restarts it.
 func (w *world) restartAfter(ctx context.Context, target *node, number syscall.Signal) error {
@@ -138,6 +181,10 @@
 		target.Refuse(true)
 		time.Sleep(fault.For)
 		target.Refuse(false)
+	case ReplicaReset:
+		target.Reset(lostShare)
+		time.Sleep(fault.For)
+		target.Reset(0)
 	default:
 		w.markLeaving(target)
 		target.Close()
@@ -150,6 +197,92 @@
 	return nil
 }
 
+// lostShare is the share of requests that a replica resets or rejects: more than the retry
+// budget could make good.
+const lostShare = 0.6
+
+// serviceLengths is how many times longer the faults of a whole service are than others:
+// long enough for repeats outside the budget to exceed it at the callers' rate.
+const serviceLengths = 2
+
+// harmService lets a fault befall all replicas of a service.
+func (w *world) harmService(fault Fault) error {
+	defer w.noted(fault.Kind, nil)()
+	fault.For *= serviceLengths
+	shard := fault.Target % shards
+	if fault.Kind == ServiceLost {
+		return w.loseService(fault.For, standin.ShardService(shard), standin.ShardService((shard+1)%shards))
+	}
+	set := (*standin.Replica).Reset
+	if fault.Kind == ServiceReject {
+		set = (*standin.Replica).Reject
+	}
+	harmed := w.serving(standin.ShardService(shard))
+	for _, replica := range harmed {
+		set(replica, lostShare)
+	}
+	time.Sleep(fault.For)
+	for _, replica := range harmed {
+		set(replica, 0)
+	}
+	return nil
+}
+
+// serving returns the replicas of a service that are not leaving.
+func (w *world) serving(service string) []*standin.Replica {
+	all := w.replicas()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.DeleteFunc(all, func(replica *standin.Replica) bool {
+		_, leaving := w.leaving[replica]
+		return leaving || replica.Service() != service
+	})
+}
+
+// addressReuse is how long the address of a replica that has ended is not used.
+const addressReuse = 500 * time.Millisecond
+
+// loseService ends all replicas of a service, without a word to the store. A replica of
+// another service gets the address of one of them; successors come when the fault ends.
+func (w *world) loseService(length time.Duration, service, other string) error {
+	lost, others := w.serving(service), w.serving(other)
+	for _, replica := range lost {
+		w.markLeaving(replica)
+		replica.Close()
+	}
+	time.Sleep(addressReuse)
+	if len(lost) > 0 && len(others) > 0 {
+		if err := w.reuseAddress(lost[0], others[0]); err != nil {
+			return err
+		}
+	}
+	time.Sleep(length)
+	for _, replica := range lost {
+		if err := replica.Vanish(); err != nil {
+			return err
+		}
+		if err := w.succeed(replica); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// reuseAddress starts a replica like another one at the address of one that has ended.
+func (w *world) reuseAddress(gone, like *standin.Replica) error {
+	w.fleet.Lock()
+	defer w.fleet.Unlock()
+	_, err := w.deployment.SucceedAt(like, func(listening netip.AddrPort) (netip.AddrPort, error) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		link := w.links[slices.Index(w.deployment.Replicas, gone)]
+		link.SetTarget(listening)
+		w.links = append(w.links, link) // in the replicas' order
+		return link.Addr(), nil
+	})
+	return err
+}
+
 // replicas returns all that there are and have been.
 func (w *world) replicas() []*standin.Replica {
 	w.fleet.Lock()
@@ -214,6 +347,23 @@
 	return w.deployment.Readmit(zone)
 }
 
+// The configurations of a series, one each seriesGap.
+const (
+	seriesLength = 5
+	seriesGap    = 400 * time.Millisecond
+)
+
+// configureSeries writes some configurations, one soon after the other.
+func (w *world) configureSeries(target int) error {
+	for i := range seriesLength {
+		if err := w.configure(target + i); err != nil {
+			return err
+		}
+		time.Sleep(seriesGap)
+	}
+	return nil
+}
+
 // configure writes a configuration with a number of shards.
 func (w *world) configure(target int) error {
 	defer w.noted(Configure, nil)()
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -13,7 +13,7 @@
 
 // The callers.
 const (
-	callerCount = 12
+	callerCount = 24
 	// thinkTime is the mean pause of a caller between two requests.
 	thinkTime = 80 * time.Millisecond
 	// callerWait is how long a caller waits for an answer.
@@ -65,11 +65,16 @@
 	c.running.Wait()
 }
 
-// newClient makes a caller of a zone; every second one keeps its connections.
+// freshEvery is one caller in so many that opens a connection for each request. The others
+// use theirs for as long as it lasts, though the directory names other nodes by then.
+const freshEvery = 4
+
+// newClient makes a caller of a zone.
 func newClient(w *world, number int) *standin.Client {
-	transport := &http.Transport{DisableKeepAlives: number%2 == 0, MaxIdleConnsPerHost: 1}
+	fresh := number%freshEvery == 0
+	transport := &http.Transport{DisableKeepAlives: fresh, MaxIdleConnsPerHost: 1}
 	client := &standin.Client{
-		Zone: zones[number%len(zones)], HTTP: &http.Client{Transport: transport}, Method: http.MethodPost,
+		Zone: zones[number%len(zones)], HTTP: &http.Client{Transport: transport}, Method: http.MethodPost, Stays: !fresh,
 	}
 	client.Region = w.nodes[number%len(w.nodes)].settings.Region
 	for i := range w.nodes {
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -132,7 +132,7 @@
 			continue
 		}
 		for _, arrival := range replica.Log() {
-			if isBound[arrival.ID] {
+			if isBound[arrival.ID] && !arrival.Misdirected {
 				j.found("%s is bound to %s and reached a replica in %s", arrival.ID, j.world.deployment.BoundRegion(), replica.Region())
 			}
 		}
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/doorpond/doorpond/internal/edge"
 	"github.com/doorpond/doorpond/internal/soak/process"
 	"github.com/doorpond/doorpond/platform/standin"
 )
@@ -24,7 +24,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	w.nodes = []*node{{process: process.New(process.Config{}), settings: edge.Settings{Node: "n0", Callers: nodeAddress}}}
+	settings := w.deployment.NodeSettings("n0", zones[0])
+	settings.Callers = nodeAddress
+	w.nodes = []*node{{process: process.New(process.Config{}), settings: settings}}
 	w.began = time.Now()
 	t.Cleanup(func() {
 		w.deployment.Close()
@@ -37,12 +39,26 @@
 
 // arrive lets a request arrive at a replica, through its proxy.
 func arrive(t *testing.T, w *world, replica int, id string) {
+	t.Helper()
+	sendTo(t, w, replica, id, "")
+}
+
+// misdirect lets a request arrive that is meant for another process.
+func misdirect(t *testing.T, w *world, replica int, id string) {
+	t.Helper()
+	sendTo(t, w, replica, id, "another")
+}
+
+func sendTo(t *testing.T, w *world, replica int, id, process string) {
 	t.Helper()
 	request, err := http.NewRequest(http.MethodPost, "http://"+w.links[replica].Addr().String()+"/x", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
 	request.Header.Set("Request-Id", id)
+	if process != "" {
+		request.Header.Set("Target-Instance", process)
+	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		t.Fatal(err)
@@ -154,10 +170,26 @@
 			j.saw(seen)
 		}, "after a configuration of 2 was due"},
 		{"more retries than the budget has", func(w *world, j *judge) {
-			for range budgetSlack + 2 {
+			for range int(w.nodes[0].settings.Bounds.RetrySlack) + 2 {
 				arrive(t, w, plainReplica, "r")
 			}
 		}, "arrivals past the first"},
+		{"as many retries as the budget has", func(w *world, j *judge) {
+			for range int(w.nodes[0].settings.Bounds.RetrySlack) + 1 {
+				arrive(t, w, plainReplica, "r")
+			}
+		}, ""},
+		{"requests for another process beyond the budget", func(w *world, j *judge) {
+			for i := range int(w.nodes[0].settings.Bounds.RetrySlack) + 1 {
+				id := fmt.Sprint("r", i)
+				arrive(t, w, plainReplica, id)
+				misdirect(t, w, plainReplica+1, id)
+			}
+		}, "arrivals past the first"},
+		{"a request for another process at a leaving replica", func(w *world, j *judge) {
+			w.markNews(news{at: time.Now().Add(-drainTime), replica: w.deployment.Replicas[plainReplica]})
+			misdirect(t, w, plainReplica, "r")
+		}, ""},
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -15,8 +15,11 @@
 	KillNode Kind = iota
 	PauseNode
 	StopNode
-	// KillHalf kills every second node at the same moment.
+	// KillHalf kills every second node at the same moment, KillAllTwice all of them, and
+	// once more as soon as they are back. RollNodes stops all, one soon after the other.
 	KillHalf
+	KillAllTwice
+	RollNodes
 	HangUpNode
 	// StoreLink kinds harm the connections of one node to the store.
 	StoreLinkDelay
@@ -30,20 +33,28 @@
 	ReplicaLinkHoldReplies
 	ReplicaLinkSilence
 	// Replica kinds are a replica's own: it holds everything, breaks off its
-	// answers, refuses everything, or ends.
+	// answers, refuses everything, resets a share of what it has run, or ends.
 	ReplicaPause
 	ReplicaSpoil
 	ReplicaRefuse
+	ReplicaReset
 	ReplicaCrash
+	// Service kinds are those of all replicas of a service: they reset or reject a share
+	// of what comes, or end, and a replica of another service gets one of their addresses.
+	ServiceReset
+	ServiceReject
+	ServiceLost
 	// Store kinds are the store's own, for all nodes.
 	StoreOutage
 	StoreThrottle
 	StoreSlow
 	StoreLostAnswers
 	StoreDeaf
-	// Configure writes the next configuration; Drain and Vanish let a replica
-	// leave, with and without saying so; Evacuate keeps all work from a zone.
+	// Configure writes the next configuration, ConfigureSeries some, one soon after the
+	// other; Drain and Vanish let a replica leave, with and without saying so; Evacuate
+	// keeps all work from a zone.
 	Configure
+	ConfigureSeries
 	Drain
 	Vanish
 	Evacuate
@@ -51,12 +62,13 @@
 )
 
 var kindNames = [kinds]string{
-	"kill_node", "pause_node", "stop_node", "kill_half", "hang_up_node",
+	"kill_node", "pause_node", "stop_node", "kill_half", "kill_all_twice", "roll_nodes", "hang_up_node",
 	"store_link_delay", "store_link_reset", "store_link_hold_requests", "store_link_hold_replies", "store_link_silence",
 	"replica_link_delay", "replica_link_reset", "replica_link_hold_replies", "replica_link_silence",
-	"replica_pause", "replica_spoil", "replica_refuse", "replica_crash",
+	"replica_pause", "replica_spoil", "replica_refuse", "replica_reset", "replica_crash",
+	"service_reset", "service_reject", "service_lost",
 	"store_outage", "store_throttle", "store_slow", "store_lost_answers", "store_deaf",
-	"configure", "drain", "vanish", "evacuate",
+	"configure", "configure_series", "drain", "vanish", "evacuate",
 }
 
 // String returns the name of a kind.
@@ -90,7 +102,7 @@
 	roundLength  = 12 * time.Second
 	faultsWithin = 3 * time.Second
 	longestFault = 3 * time.Second
-	mostFaults   = 5
+	mostFaults   = 8
 	// calmEvery is one round in so many in which nothing hides news, so that the
 	// times for news are checked.
 	calmEvery = 3
--- a/internal/soak/proxy/proxy.go
+++ b/internal/soak/proxy/proxy.go
@@ -88,6 +88,20 @@
 	}
 }
 
+// SetTarget changes where new connections are passed on to, as when an address is given to
+// another process.
+func (p *Proxy) SetTarget(target netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.config.Target = target
+}
+
+func (p *Proxy) target() netip.AddrPort {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.config.Target
+}
+
 // Close ends the proxy and its connections.
 func (p *Proxy) Close() {
 	_ = p.listener.Close() // nothing can be done about a failure
@@ -123,7 +137,7 @@
 }
 
 func (p *Proxy) serve(down *net.TCPConn) {
-	up, err := net.DialTCP("tcp", nil, net.TCPAddrFromAddrPort(p.config.Target))
+	up, err := net.DialTCP("tcp", nil, net.TCPAddrFromAddrPort(p.target()))
 	if err != nil {
 		reset(down)
 		return
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -22,6 +22,8 @@
 type Config struct {
 	Seed   uint64
 	Length time.Duration
+	// Nodes is the number of nodes; 0 means nine.
+	Nodes int
 	// Program is the node's program; empty means to build it.
 	Program string
 	// Directory keeps settings and logs; empty means a temporary one that is
@@ -53,6 +55,9 @@
 
 // Run plays one run.
 func Run(ctx context.Context, config Config) (Report, error) {
+	if config.Nodes == 0 {
+		config.Nodes = defaultNodes
+	}
 	temporary := config.Directory == ""
 	if temporary {
 		directory, err := os.MkdirTemp("", "doorpond-soak")
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -27,12 +27,13 @@
 // The shape of the world. Of the three nodes of each zone, callers are led to
 // two; the third watches one of them in place of the store.
 const (
-	shards       = 4
-	work         = 5 * time.Millisecond
-	grace        = 3 * time.Second
-	restart      = 500 * time.Millisecond
-	linkLag      = 60 * time.Millisecond
-	nodes        = 9
+	shards  = 4
+	work    = 5 * time.Millisecond
+	grace   = 3 * time.Second
+	restart = 500 * time.Millisecond
+	linkLag = 60 * time.Millisecond
+	// defaultNodes are three in each zone.
+	defaultNodes = 9
 	settingsMode = 0o600
 )
 
@@ -53,6 +54,7 @@
 type world struct {
 	deployment *standin.Deployment
 	nodes      []*node
+	ports      *ports
 	began      time.Time
 
 	// fleet guards the deployment's replicas, configuring its configuration, evacuating
@@ -106,13 +108,13 @@
 }
 
 func newWorld(config Config) (*world, error) {
-	w := &world{leaving: make(map[*standin.Replica]time.Time), allowed: map[int]bool{shards: true}}
+	w := &world{ports: newPorts(), leaving: make(map[*standin.Replica]time.Time), allowed: map[int]bool{shards: true}}
 	var err error
 	w.deployment, err = standin.Start(standin.Shape{Zones: zones, Shards: shards, Work: work, Through: w.link})
 	if err != nil {
 		return nil, eris.Wrap(err, "start the stand-ins")
 	}
-	for i := range nodes {
+	for i := range config.Nodes {
 		started, err := w.startNode(config, i)
 		if err != nil {
 			w.close()
@@ -151,7 +153,7 @@
 		&started.settings.Callers, &started.settings.Readiness, &started.settings.Directory,
 		&started.settings.Metrics, &started.settings.Peers, &started.settings.State,
 	} {
-		if *address, err = freeAddress(); err != nil {
+		if *address, err = w.ports.freeAddress(); err != nil {
 			return nil, err
 		}
 	}
@@ -182,15 +184,23 @@
 const (
 	firstPort = 16_000
 	lastPort  = 32_000
-	portTries = 1000
 )
 
+// ports hands out free ports, each once: those of a node that is away are free too.
+type ports struct{ next int }
+
+// newPorts begins anywhere, so that two worlds on one machine hardly meet.
+func newPorts() *ports { return &ports{next: firstPort + rand.IntN(lastPort-firstPort)} }
+
 // freeAddress returns an address that was free a moment ago. It must stay the
 // same over restarts, as callers know it.
-func freeAddress() (string, error) {
+func (p *ports) freeAddress() (string, error) {
 	var err error
-	for range portTries {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+	for range lastPort - firstPort {
+		address := fmt.Sprintf("127.0.0.1:%d", p.next)
+		if p.next++; p.next == lastPort {
+			p.next = firstPort
+		}
 		var listener net.Listener
 		if listener, err = net.Listen("tcp", address); err == nil {
 			return address, listener.Close()
