--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -15,7 +15,7 @@
 const (
 	callerCount = 24
 	// thinkTime is the mean pause of a caller between two requests.
-	thinkTime = 80 * time.Millisecond
+	thinkTime = 120 * time.Millisecond
 	// callerWait is how long a caller waits for an answer.
 	callerWait = 2 * time.Second
 	// patience is how much longer it takes notice of what comes.
--- /dev/null
+++ b/internal/soak/ports_test.go
@@ -0,0 +1,23 @@
+package soak
+
+import "testing"
+
+// TestWorldsShareNoPort: a port is handed out once, also while nobody listens there, and
+// also beside another world.
+func TestWorldsShareNoPort(t *testing.T) {
+	seen := make(map[string]bool)
+	var worlds [3]ports
+	for i := range worlds {
+		defer worlds[i].close()
+		for range 2 * blockSize {
+			address, err := worlds[i].freeAddress()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if seen[address] {
+				t.Fatalf("%s was handed out twice", address)
+			}
+			seen[address] = true
+		}
+	}
+}
