A planned stop answers what it cannot wait for

Ruled out: a shorter deadline for requests that come during the stop, which would not reach those before it. Change: at 0.89 of the grace time the contexts of all requests end with a cause; the core ends as at a deadline, and callers get what is in, if it is enough, or 504; what comes later is refused as not run.

--- a/internal/decision/event.go
+++ b/internal/decision/event.go
@@ -88,6 +88,8 @@
 	TimerFired
 	// GaveUp reports that the caller no longer waits.
 	GaveUp
+	// TimeOver reports that the query must end now, though its deadline has not come.
+	TimeOver
 	// Dispatched reports to which replica a Send went, by its HedgeDelay.
 	Dispatched
 )
--- a/internal/decision/forward_test.go
+++ b/internal/decision/forward_test.go
@@ -153,6 +153,15 @@
 			},
 			status: []ShardStatus{{Answered: true}, {Answered: true}, {Answered: true}},
 		},
+		{
+			name: "ends when its time is over before the deadline", shards: 3, change: answerBy,
+			events: []timedEvent{reply(10*ms, 0, 0, Success), {20 * ms, Event{Kind: TimeOver}}},
+			want: []string{
+				"0s send 0/0 in 100ms", "0s send 1/0 in 100ms", "0s send 2/0 in 100ms", "0s timer 100ms",
+				"20ms cancel 1/0", "20ms cancel 2/0", "20ms finish 2",
+			},
+			status: []ShardStatus{{Answered: true}, {Reason: client.MissingTimeout}, {Reason: client.MissingTimeout}},
+		},
 		{
 			name: "an answer does not wait for a shard whose replicas are gone", shards: 3, change: answerBy,
 			events: []timedEvent{
--- a/internal/decision/query.go
+++ b/internal/decision/query.go
@@ -94,6 +94,8 @@
 		}
 	case GaveUp:
 		q.finish(CallerGaveUp, client.MissingTimeout)
+	case TimeOver:
+		q.finish(DeadlineReached, client.MissingTimeout)
 	case Dispatched:
 		q.dispatched(now, event)
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -118,10 +118,12 @@
 	processor *processor.Meter
 	liveness  *liveness.Checker
 	// self is this node as it records itself, but for its readiness and load.
-	self      topology.Node
-	callers   *drain.Listener
-	open      drain.Connections
-	server    *http.Server
+	self    topology.Node
+	callers *drain.Listener
+	open    drain.Connections
+	server  *http.Server
+	// answerNow ends the contexts of all callers' requests with a cause.
+	answerNow context.CancelCauseFunc
 	auxiliary map[string]*auxiliary // by name
 }
 
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"errors"
 	"log/slog"
 	"net"
@@ -52,6 +53,9 @@
 		Board: n.board, Codec: n.platform.Codec, Forwarder: n.queries, Fresh: n.monitor.Fresh, Logger: n.logger,
 	}))
 	n.open.Follow(n.server)
+	requests, answerNow := context.WithCancelCause(context.Background())
+	n.server.BaseContext = func(net.Listener) context.Context { return requests }
+	n.answerNow = answerNow
 	n.auxiliary["readiness"].server = n.newServer(n.platform.Ready(n.ready))
 	n.auxiliary["state"].server = n.newServer(n.stateHandler())
 	n.auxiliary["directory"].server = n.newServer(n.platform.Directory(n.resolve))
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/doorpond/doorpond/internal/blackboard"
+	"github.com/doorpond/doorpond/internal/query"
 )
 
 // The parts of the grace time of a planned stop.
@@ -12,6 +13,10 @@
 	// acceptShare is for how long new connections are still taken, for callers
 	// that keep this node's address.
 	acceptShare = 0.55
+	// answerShare is when what is still in flight is answered as it stands: what replicas
+	// hold for longer would end with its connection, and its caller could not tell a stop
+	// from a lost request. The rest is for the answers to be written.
+	answerShare = 0.89
 	// endShare is by when all is over.
 	endShare = 0.92
 	// quietShare is how long the connections that are left must have been idle
@@ -30,6 +35,7 @@
 	n.enter(blackboard.PhaseDraining)
 	n.logger.Info("stopping", "node", n.settings.Node, "grace", grace.String(), "connections", n.open.Count())
 	stopRecording()
+	time.AfterFunc(shareOf(answerShare, grace), func() { n.answerNow(query.ErrStopping) })
 	leaving, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	if err := n.registry.Leave(leaving); err != nil {
 		n.logger.Warn("this node's entry stays until its lease ends", "error", err.Error())
--- a/internal/query/forward.go
+++ b/internal/query/forward.go
@@ -99,6 +99,11 @@
 // any part of it.
 func (s *Service) Forward(ctx context.Context, forwarding *Forwarding) (Forwarded, error) {
 	started := s.options.Now()
+	if errors.Is(context.Cause(ctx), ErrStopping) {
+		err := failure.New(failure.Draining, "the node stops")
+		s.metrics.observe(0, err)
+		return Forwarded{}, err
+	}
 	row := forwarding.Route.Policy
 	deadline := time.Duration(row.Wait.Timeout)
 	if forwarding.Wait > 0 {
--- a/internal/query/run.go
+++ b/internal/query/run.go
@@ -124,12 +124,24 @@
 		case WokenByTimer:
 			finished = r.step(decision.Event{Kind: decision.TimerFired})
 		case WokenByCaller:
-			r.abandoned = true
-			finished = r.step(decision.Event{Kind: decision.GaveUp})
+			finished = r.step(r.leave(ctx))
 		}
 	}
 }
 
+// ErrStopping is the cause for which the context of a request ends that has to be answered
+// now, as its node stops. Other causes mean that the caller no longer waits.
+var ErrStopping = errors.New("the node stops")
+
+// leave describes the end of a request's context.
+func (r *run) leave(ctx context.Context) decision.Event {
+	if errors.Is(context.Cause(ctx), ErrStopping) {
+		return decision.Event{Kind: decision.TimeOver}
+	}
+	r.abandoned = true
+	return decision.Event{Kind: decision.GaveUp}
+}
+
 // noteHalf notes when half of the shards have answered.
 func (r *run) noteHalf() {
 	if r.halfAt == 0 && 2*r.core.Answered() >= len(r.shards) {
