The soak judges times only where the machine ran what was ready

Change: a probe each 10 ms notes stalls over 50 ms; ends, calm and news are not judged from a stall to 2 s after it, and the report says how many requests that were; beyond half of the run there is no verdict, which is an error. What does not hang on time (answers, runs, regions, budget) is judged as before.

--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -89,8 +89,13 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	ran := j.ranByID()
+	j.report.Stalled = j.world.stalls.reach()
 	for i := range j.seen {
 		j.checkRuns(&j.seen[i], ran[j.seen[i].id])
+		if j.world.stalls.touches(j.seen[i].sent, j.seen[i].ended) {
+			j.report.Unjudged++
+			continue
+		}
 		j.checkEnd(&j.seen[i], ran[j.seen[i].id])
 		j.checkCalm(&j.seen[i])
 	}
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -169,6 +169,17 @@
 			seen.response.Missing = shards
 			j.saw(seen)
 		}, "after a configuration of 2 was due"},
+		{"the same beside a stall of the machine", func(w *world, j *judge) {
+			w.stalls.probed(time.Now().Add(-time.Second), time.Now())
+			j.expectCalm(time.Now().Add(-time.Second))
+			j.saw(answered("r", plain, http.StatusBadGateway))
+		}, ""},
+		{"a request that may not be repeated runs twice beside a stall", func(w *world, j *judge) {
+			w.stalls.probed(time.Now().Add(-time.Second), time.Now())
+			arrive(t, w, plainReplica, "r")
+			arrive(t, w, plainReplica+1, "r")
+			j.saw(answered("r", once, http.StatusBadGateway))
+		}, "ran 2 times"},
 		{"more retries than the budget has", func(w *world, j *judge) {
 			for range int(w.nodes[0].settings.Bounds.RetrySlack) + 2 {
 				arrive(t, w, plainReplica, "r")
--- a/internal/soak/news.go
+++ b/internal/soak/news.go
@@ -27,7 +27,7 @@
 	}
 	until := due.Add(newsWindow)
 	hidden := j.world.met(one.at.Add(-contactTime), until, func(e event) bool { return e.kind.hidesNews() })
-	if hidden || j.replaced(one, until) {
+	if hidden || j.replaced(one, until) || j.world.stalls.touches(one.at, until) {
 		return
 	}
 	j.report.NewsChecked++
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -47,6 +47,10 @@
 	// NewsChecked counts the changes of the store after which the time for news
 	// was checked.
 	NewsChecked int
+	// Stalled is for how long the machine was too busy to judge times, and Unjudged are the
+	// requests whose end was not judged for that.
+	Stalled  time.Duration
+	Unjudged int
 	// Findings are the promises that were broken.
 	Findings []string
 	// Directory is where the logs are, if they were kept.
@@ -92,6 +96,9 @@
 	}
 	plan := NewPlan(config.Seed, config.Length)
 	judge := newJudge(w)
+	watching, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go w.stalls.watch(watching)
 	callers := startCallers(w, judge)
 	w.begin()
 	if err := w.befall(ctx, plan, config.Out); err != nil {
@@ -102,13 +109,17 @@
 	callers.stop()
 	report := judge.conclude()
 	report.Seed, report.Faults = config.Seed, len(plan)
+	if report.Stalled > time.Duration(mostStalled*float64(time.Since(w.began))) {
+		return report, eris.Errorf("the machine was too busy for %v of the run: no verdict", report.Stalled.Round(time.Second))
+	}
 	return report, nil
 }
 
 // Write prints a report.
 func (r *Report) Write(out io.Writer) error {
-	_, err := fmt.Fprintf(out, "seed %d: %d faults; %d requests: %d served (%d partial), %d refused, %d failed, %d without an answer; news checked %d times; %d findings\n",
-		r.Seed, r.Faults, r.Requests, r.Served, r.Partial, r.Refused, r.Failed, r.Broken, r.NewsChecked, len(r.Findings))
+	_, err := fmt.Fprintf(out, "seed %d: %d faults; %d requests: %d served (%d partial), %d refused, %d failed, %d without an answer; news checked %d times; stalled for %v, %d requests not judged; %d findings\n",
+		r.Seed, r.Faults, r.Requests, r.Served, r.Partial, r.Refused, r.Failed, r.Broken, r.NewsChecked,
+		r.Stalled.Round(time.Millisecond), r.Unjudged, len(r.Findings))
 	for _, finding := range r.Findings {
 		if err == nil {
 			_, err = fmt.Fprintln(out, "  finding:", finding)
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -53,6 +53,7 @@
 	deployment *standin.Deployment
 	nodes      []*node
 	ports      ports
+	stalls     stallWatch
 	began      time.Time
 
 	// fleet guards the deployment's replicas, configuring its configuration, evacuating
