Names and comments of the retry budget's change, read once more

Cause: reading the diff as a newcomer. Change: the count of attempts that met no process is a method of its own; the comment on the budget's parts says what makes up for further starts. Ruled out: any change of what is decided (tests of decision and query pass). Conclusion: no behaviour changes.

--- a/internal/decision/query.go
+++ b/internal/decision/query.go
@@ -32,8 +32,8 @@
 	postponed bool
 	// cause is that of the latest attempt, or of the next one while it is postponed.
 	cause Cause
-	// unsent counts the attempts that came to no replica, gone those of late that met no
-	// process at all.
+	// unsent counts the attempts that came to no replica, gone those of late, in a row,
+	// that met no process at all.
 	unsent    int
 	gone      int
 	settled   bool
@@ -145,11 +145,7 @@
 		return
 	}
 	state.inFlight &^= bit
-	if event.Outcome == Unreached && !event.Busy {
-		state.gone++
-	} else if event.Outcome != NoReplica {
-		state.gone = 0
-	}
+	state.noteGone(event)
 	if event.Outcome == NoReplica && event.Busy && q.postpone(now, state, event.Shard) {
 		return
 	}
@@ -242,6 +238,17 @@
 // left for now.
 const goneAfter = 2
 
+// noteGone counts the attempts in a row that met no process.
+func (s *shardState) noteGone(event Event) {
+	switch {
+	case event.Outcome == NoReplica: // nothing was tried
+	case event.Outcome == Unreached && !event.Busy:
+		s.gone++
+	default:
+		s.gone = 0
+	}
+}
+
 // restIsGone is true when all shards that have not settled have no replica left: an answer
 // that waited for them would most likely lack them all the same, and come late. (With one
 // shard's replicas ended for 8 s, 12 in place of 108 of 1,583 short requests were late.)
--- a/internal/edge/budget.go
+++ b/internal/edge/budget.go
@@ -9,9 +9,9 @@
 )
 
 // The parts of the budget. What all nodes grant in a window is what they earn in it, what
-// they had saved up, and what those begin with that start in it: within the bound with any
-// number of requests while each node starts once, and with 0.02 of them making up for
-// more starts.
+// they had saved up, and what those begin with that start in it. While each node starts
+// once that is within the bound, whatever the number of requests; the part of the ratio
+// that is not earned makes up for further starts.
 const (
 	// earnedShare of the ratio is earned by each request.
 	earnedShare = 0.9
