--- a/internal/soak/apply.go
+++ b/internal/soak/apply.go
@@ -89,7 +89,8 @@
 	defer w.noted(fault.Kind, target)()
 	switch fault.Kind {
 	case HangUpNode:
-		return target.process.Signal(syscall.SIGHUP)
+		_ = target.process.Signal(syscall.SIGHUP) // another fault may have just ended it
+		return nil
 	case PauseNode:
 		if err := target.process.Signal(syscall.SIGSTOP); err != nil {
 			return nil // another fault has just ended it
