The comment on a stall's length says where its figure comes from

Cause: read as a newcomer, the comment gave a reason that the code does not have. Change: the comment. Conclusion: the soak's tests pass.

--- a/internal/soak/stall.go
+++ b/internal/soak/stall.go
@@ -12,8 +12,8 @@
 // routes are being confirmed after a pause" in such times.
 const (
 	stallProbe = 10 * time.Millisecond
-	// stallLength is how much too late a probe is in a stall: half of the time for which a
-	// part of an answer is waited for after it is late.
+	// stallLength is how much too late a probe is in a stall: a fifth of the objective of the
+	// routes (250 ms), within which an answer must be whole in the calm.
 	stallLength = 50 * time.Millisecond
 	// stallReach is how long after a stall its effects last: requests that waited come at
 	// once, and replicas that were slow are asked again after a second.
