The follower's test store tells a new watch what it has missed

The test's store ignored the revision from which it was watched, so that a change between the first reading and the watch was never told; the node then found it by its own check of the store (0.4 of the 10 s for news, and 0.3 of grace, and 0.2 s for the vanished entry: 7.2 s). The store's protocol tells such changes. A machine that runs the test between the two is enough.

Ruled out: the node's timers (a watch that begins 100 ms late gives the same 7.200 s, both cases, each run) and a lost wake-up.

Change: the test's store keeps its history and tells it from the revision asked for; the test's watch now always begins 100 ms late, so that the order that failed is played each time. The bound of the test is as it was.

Conclusion: the node was right, its test's store was not.

--- a/internal/follower/fakes_test.go
+++ b/internal/follower/fakes_test.go
@@ -97,14 +97,29 @@
 	mutex    sync.Mutex
 	values   []store.KeyValue
 	revision int64
-	deaf     bool
-	silent   bool
-	lists    int
-	stales   int
+	// watchAfter is how long a watch takes to begin.
+	watchAfter time.Duration
+	deaf       bool
+	silent     bool
+	lists      int
+	stales     int
 	// compacted is the number of watches that ask for what is no longer kept.
 	compacted int
 	gets      int
 	watching  []chan store.WatchBatch
+	// history is told to a watch that begins after it was made.
+	history []store.WatchBatch
+}
+
+// tell adds a change to the history and brings it to the watches that hear.
+func (s *fakeSource) tell(batch store.WatchBatch, deaf bool) {
+	s.history = append(s.history, batch)
+	if deaf {
+		return
+	}
+	for _, watch := range s.watching {
+		watch <- batch
+	}
 }
 
 func (s *fakeSource) put(value store.KeyValue) {
@@ -113,11 +128,7 @@
 	s.revision = value.ModRevision
 	s.values = slices.DeleteFunc(s.values, func(one store.KeyValue) bool { return one.Key == value.Key })
 	s.values = append(s.values, value)
-	for _, watch := range s.watching {
-		if !s.deaf {
-			watch <- store.WatchBatch{Revision: s.revision, Events: []store.Event{{KeyValue: value}}}
-		}
-	}
+	s.tell(store.WatchBatch{Revision: s.revision, Events: []store.Event{{KeyValue: value}}}, s.deaf)
 }
 
 func (s *fakeSource) remove(key string) {
@@ -125,9 +136,8 @@
 	defer s.mutex.Unlock()
 	s.revision++
 	s.values = slices.DeleteFunc(s.values, func(one store.KeyValue) bool { return one.Key == key })
-	for _, watch := range s.watching {
-		watch <- store.WatchBatch{Revision: s.revision, Events: []store.Event{{KeyValue: store.KeyValue{Key: key}, Deleted: true}}}
-	}
+	removed := store.Event{KeyValue: store.KeyValue{Key: key}, Deleted: true}
+	s.tell(store.WatchBatch{Revision: s.revision, Events: []store.Event{removed}}, false)
 }
 
 // breakWatches ends all watches.
@@ -196,8 +206,8 @@
 	return values, s.revision, nil
 }
 
-func (s *fakeSource) Watch(ctx context.Context, _ string, _ int64, deliver func(store.WatchBatch) error) error {
-	events := make(chan store.WatchBatch, 16)
+func (s *fakeSource) Watch(ctx context.Context, _ string, fromRevision int64, deliver func(store.WatchBatch) error) error {
+	time.Sleep(s.watchAfter)
 	s.mutex.Lock()
 	if s.silent { // the connection is refused, where calls on open ones hang
 		s.mutex.Unlock()
@@ -208,6 +218,12 @@
 		s.mutex.Unlock()
 		return store.ErrCompacted
 	}
+	events := make(chan store.WatchBatch, 16+len(s.history))
+	for _, batch := range s.history {
+		if !s.deaf && batch.Revision >= fromRevision {
+			events <- batch
+		}
+	}
 	s.watching = append(s.watching, events)
 	s.mutex.Unlock()
 	for {
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -78,7 +78,7 @@
 func TestAVanishedReplicaIsForgottenInTime(t *testing.T) {
 	for _, away := range []bool{false, true} {
 		t.Run(fmt.Sprint("store away ", away), func(t *testing.T) {
-			source := &fakeSource{}
+			source := &fakeSource{watchAfter: 100 * time.Millisecond}
 			source.put(replicaAt(t, 1, "a", topology.ReplicaServing))
 			board, peers := &blackboard.Board{}, &fakePeers{received: make(chan announce.Announcement)}
 			const news = 10 * time.Second
