Operators see what is left of the retry budgets, and who used them

Cause: after the incident the budget could be read only from the sum of repeats by cause; which group's was spent, and on which of hedges and retries, was nowhere.

Ruled out: a metric for each group (thousands of groups on thousands of nodes).

Change: a budget counts first attempts, retries and hedges granted and denied; metrics doorpondd_retry_budget_withdrawals_total and doorpondd_retry_budget_spent_groups add them up for a node; `doorpond system` lists the ten groups most denied, summed over all nodes. Nothing decides by the counts.

Figures: five atomic counters a budget; one more addition a first attempt. Conclusion: explain named the cause of each repeat already.

--- a/internal/decision/budget.go
+++ b/internal/decision/budget.go
@@ -29,8 +29,45 @@
 	burst   atomic.Int64
 	// reserve is the share of the burst that hedges leave to retries.
 	reserve float64
+
+	// What has been asked of the budget since it was made.
+	firstAttempts, retries, hedges, deniedRetries, deniedHedges atomic.Int64
+}
+
+// BudgetUsage is what a budget has left, and what has been asked of it since it was made.
+type BudgetUsage struct {
+	// Tokens are saved up, of Burst at most; one is a retry or a hedge.
+	Tokens float64 `json:"tokens"`
+	Burst  float64 `json:"burst"`
+	// FirstAttempts have earned the budget, Retries and Hedges were granted.
+	FirstAttempts int64 `json:"first_attempts"`
+	Retries       int64 `json:"retries"`
+	Hedges        int64 `json:"hedges"`
+	// DeniedRetries and DeniedHedges found too few tokens. A hedge that is denied asks
+	// again, so that one may be counted several times.
+	DeniedRetries int64 `json:"denied_retries"`
+	DeniedHedges  int64 `json:"denied_hedges"`
+}
+
+// Plus adds up what two budgets say.
+func (u BudgetUsage) Plus(other BudgetUsage) BudgetUsage {
+	return BudgetUsage{
+		Tokens: u.Tokens + other.Tokens, Burst: u.Burst + other.Burst,
+		FirstAttempts: u.FirstAttempts + other.FirstAttempts,
+		Retries:       u.Retries + other.Retries, Hedges: u.Hedges + other.Hedges,
+		DeniedRetries: u.DeniedRetries + other.DeniedRetries, DeniedHedges: u.DeniedHedges + other.DeniedHedges,
+	}
 }
 
+// Granted counts the retries and hedges that were granted.
+func (u BudgetUsage) Granted() int64 { return u.Retries + u.Hedges }
+
+// Denied counts the demands that were denied.
+func (u BudgetUsage) Denied() int64 { return u.DeniedRetries + u.DeniedHedges }
+
+// Spent tells whether not even a retry would be granted now.
+func (u BudgetUsage) Spent() bool { return u.Tokens < 1 }
+
 // NewTokenBudget makes a full bucket: ratio tokens are earned by each first
 // attempt, and at most burst are saved up.
 func NewTokenBudget(ratio, burst float64) *TokenBudget {
@@ -59,8 +96,19 @@
 	b.burst.Store(int64(math.Round(max(burst, leastBurst) * tokenScale)))
 }
 
+// Usage returns what is left and what has been asked so far.
+func (b *TokenBudget) Usage() BudgetUsage {
+	return BudgetUsage{
+		Tokens: float64(b.units.Load()) / tokenScale, Burst: float64(b.burst.Load()) / tokenScale,
+		FirstAttempts: b.firstAttempts.Load(),
+		Retries:       b.retries.Load(), Hedges: b.hedges.Load(),
+		DeniedRetries: b.deniedRetries.Load(), DeniedHedges: b.deniedHedges.Load(),
+	}
+}
+
 // Deposit adds what one first attempt earns.
 func (b *TokenBudget) Deposit() {
+	b.firstAttempts.Add(1)
 	deposit, burst := b.deposit.Load(), b.burst.Load()
 	for {
 		units := b.units.Load()
@@ -76,11 +124,24 @@
 const hedgeReserve = 0.5
 
 // Withdraw takes one token if there is one.
-func (b *TokenBudget) Withdraw() bool { return b.withdraw(0) }
+func (b *TokenBudget) Withdraw() bool {
+	return counted(b.withdraw(0), &b.retries, &b.deniedRetries)
+}
 
 // WithdrawHedge takes one token if there are more than retries may need.
 func (b *TokenBudget) WithdrawHedge() bool {
-	return b.withdraw(int64(b.reserve * float64(b.burst.Load())))
+	granted := b.withdraw(int64(b.reserve * float64(b.burst.Load())))
+	return counted(granted, &b.hedges, &b.deniedHedges)
+}
+
+// counted counts a demand and returns whether it was granted.
+func counted(granted bool, grants, denials *atomic.Int64) bool {
+	if granted {
+		grants.Add(1)
+	} else {
+		denials.Add(1)
+	}
+	return granted
 }
 
 func (b *TokenBudget) withdraw(reserve int64) bool {
--- a/internal/decision/budget_test.go
+++ b/internal/decision/budget_test.go
@@ -22,3 +22,26 @@
 		t.Error("not just one token was saved up")
 	}
 }
+
+// TestABudgetTellsWhatWasAsked of it, and what it has left.
+func TestABudgetTellsWhatWasAsked(t *testing.T) {
+	budget := NewFilledBudget(0.5, 10, 4, 0.2)
+	budget.Deposit()
+	budget.Deposit() // 5 tokens; hedges leave 2
+	for budget.WithdrawHedge() {
+	}
+	for budget.Withdraw() {
+	}
+	got := budget.Usage()
+	want := BudgetUsage{Tokens: 0, Burst: 10, FirstAttempts: 2, Retries: 2, Hedges: 3, DeniedRetries: 1, DeniedHedges: 1}
+	if got != want {
+		t.Errorf("usage %+v, want %+v", got, want)
+	}
+	if !got.Spent() || got.Granted() != 5 || got.Denied() != 2 {
+		t.Errorf("spent %t, %d granted, %d denied", got.Spent(), got.Granted(), got.Denied())
+	}
+	doubled := BudgetUsage{Tokens: 0, Burst: 20, FirstAttempts: 4, Retries: 4, Hedges: 6, DeniedRetries: 2, DeniedHedges: 2}
+	if sum := got.Plus(got); sum != doubled {
+		t.Errorf("sum %+v, want %+v", sum, doubled)
+	}
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -109,6 +109,7 @@
 	logger    *slog.Logger
 	board     *blackboard.Board
 	metrics   *prometheus.Registry
+	budgets   *budgets
 	pool      *replica.Pool
 	queries   *query.Service
 	announcer *announce.Announcer
@@ -174,9 +175,12 @@
 	source := countCalls(n.platform.Store, registerer)
 	n.liveness = liveness.New(liveness.Config{Logger: n.logger})
 	n.processor = processor.New(processor.Options{Processors: n.settings.Limits.Processors(), Logger: n.logger})
-	budgets := newBudgets(n.board, func() BoundsSettings { return n.current.Load().Bounds }, time.Now)
+	n.budgets = newBudgets(n.board, func() BoundsSettings { return n.current.Load().Bounds }, time.Now)
+	if registerer != nil {
+		registerer.MustRegister(newBudgetCollector(n.budgets))
+	}
 	n.pool = replica.NewPool(replica.PoolOptions{
-		Board: n.board, Self: place, Codec: n.platform.Codec, GroupBudget: budgets.of, Registerer: registerer,
+		Board: n.board, Self: place, Codec: n.platform.Codec, GroupBudget: n.budgets.of, Registerer: registerer,
 		OnElsewhere: n.tellDisplaced,
 	})
 	n.queries = query.NewService(query.Options{
--- a/internal/inspect/inspect.go
+++ b/internal/inspect/inspect.go
@@ -31,7 +31,10 @@
 	Measured func(last time.Duration) []statistics.PolicyStatistics
 	// Loaded tells whether this node is loaded.
 	Loaded func() bool
-	Client *http.Client
+	// Budgets returns the retry budgets of this node that are used most, in the order of
+	// CompareBudgets.
+	Budgets func() []Budget
+	Client  *http.Client
 }
 
 // Node is what one node says of itself.
@@ -44,6 +47,8 @@
 	// StoreReachable is false since StoreSince while the store does not answer.
 	StoreReachable bool      `json:"store_reachable"`
 	StoreSince     time.Time `json:"store_since"`
+	// Budgets are the node's retry budgets that are used most.
+	Budgets []Budget `json:"budgets"`
 }
 
 // Route is a route as an assignment of callers to a policy row.
@@ -83,6 +88,8 @@
 	Cold int `json:"cold"`
 	// Evacuated counts the replicas of each evacuated zone that has any.
 	Evacuated map[string]int `json:"evacuated"`
+	// Budgets adds up those that the nodes list, group by group.
+	Budgets []Budget `json:"budgets"`
 }
 
 // The paths of the calls.
@@ -120,7 +127,7 @@
 }
 
 func (h *handler) node() Node {
-	described := Node{Node: h.config.Node}
+	described := Node{Node: h.config.Node, Budgets: h.config.Budgets()}
 	described.Node.Loaded = h.config.Loaded()
 	if nodes := h.config.Board.Nodes.Load(); nodes != nil {
 		described.Entry = nodes.SelfIsEntry()
@@ -151,6 +158,7 @@
 		}
 	}
 	h.countReplicas(&known)
+	known.Budgets = addBudgets(known.Nodes)
 	return known
 }
 
--- a/internal/inspect/inspect_test.go
+++ b/internal/inspect/inspect_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/doorpond/doorpond/internal/blackboard"
 	"github.com/doorpond/doorpond/internal/comparison"
+	"github.com/doorpond/doorpond/internal/decision"
 	"github.com/doorpond/doorpond/internal/routing"
 	"github.com/doorpond/doorpond/internal/statistics"
 	"github.com/doorpond/doorpond/internal/topology"
@@ -23,6 +24,7 @@
 	board    *blackboard.Board
 	recorder *statistics.Recorder
 	self     topology.Node
+	budgets  []Budget
 }
 
 func newNode(t *testing.T, id string, version uint64) *node {
@@ -34,7 +36,8 @@
 	made.self.StateAddress = strings.TrimPrefix(made.server.URL, "http://")
 	mux.Handle("/", New(Config{
 		Board: made.board, Node: made.self, Measured: made.recorder.Snapshot, Client: made.server.Client(),
-		Loaded: func() bool { return id == "n2" },
+		Loaded:  func() bool { return id == "n2" },
+		Budgets: func() []Budget { return made.budgets },
 	}))
 	routes := []routing.Route{{
 		Name: "fetch", Host: "h", PathPrefix: "/f/", Objective: time.Second, Rank: 2,
@@ -104,6 +107,23 @@
 	}
 }
 
+// TestSystemAddsUpTheBudgets of all nodes, those first of which most was denied.
+func TestSystemAddsUpTheBudgets(t *testing.T) {
+	first, second := newNode(t, "n1", 1), newNode(t, "n2", 1)
+	know(first, second)
+	used := decision.BudgetUsage{Tokens: 2, Burst: 5, FirstAttempts: 100, Retries: 3, Hedges: 4}
+	denied := decision.BudgetUsage{Burst: 5, FirstAttempts: 10, Retries: 2, DeniedRetries: 1}
+	first.budgets = []Budget{{"much used", used}}
+	second.budgets = []Budget{{"denied", denied}, {"much used", used}}
+	var got System
+	if status := first.get(t, pathSystem, &got); status != http.StatusOK {
+		t.Fatalf("status %d", status)
+	}
+	if diff := cmp.Diff([]Budget{{"denied", denied}, {"much used", used.Plus(used)}}, got.Budgets); diff != "" {
+		t.Errorf("budgets (-want +got):\n%s", diff)
+	}
+}
+
 func TestCompareAddsUpAllNodes(t *testing.T) {
 	first, second := newNode(t, "n1", 1), newNode(t, "n2", 1)
 	know(first, second)
--- a/internal/operator/system.go
+++ b/internal/operator/system.go
@@ -40,6 +40,10 @@
 		fmt.Fprintln(to)
 		printLeaving(to, system.Leaving)
 	}
+	if len(system.Budgets) > 0 {
+		fmt.Fprintln(to)
+		printBudgets(to, system.Budgets)
+	}
 	if system.Cold > 0 {
 		fmt.Fprintf(to, "cold: %d of the replicas that serve take no more than their rate\n", system.Cold)
 	}
@@ -113,6 +117,21 @@
 	return fmt.Sprintf("%s=%g", share.Group, share.Weight)
 }
 
+// mostBudgetLines bounds the budgets that are printed; the JSON output has all that the
+// nodes list.
+const mostBudgetLines = 10
+
+// printBudgets shows how far the retry budgets are used, those first of which most was
+// denied. The counts run from each node's start.
+func printBudgets(to io.Writer, budgets []inspect.Budget) {
+	lines := newGrid(to, "RETRY BUDGET", "LEFT", "OF", "FIRST ATTEMPTS", "RETRIES", "HEDGES", "DENIED RETRIES", "DENIED HEDGES")
+	for _, one := range budgets[:min(len(budgets), mostBudgetLines)] {
+		lines.row(one.Group, fmt.Sprintf("%.1f", one.Tokens), fmt.Sprintf("%.1f", one.Burst), one.FirstAttempts,
+			one.Retries, one.Hedges, one.DeniedRetries, one.DeniedHedges)
+	}
+	lines.end()
+}
+
 func printLeaving(to io.Writer, replicas []topology.Replica) {
 	lines := newGrid(to, "LEAVING", "GROUP", "ZONE", "ADDRESS")
 	for _, one := range replicas {
--- a/internal/operator/system_test.go
+++ b/internal/operator/system_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/doorpond/doorpond/internal/comparison"
+	"github.com/doorpond/doorpond/internal/decision"
 	"github.com/doorpond/doorpond/internal/inspect"
 	"github.com/doorpond/doorpond/internal/routing"
 	"github.com/doorpond/doorpond/internal/topology"
@@ -27,6 +28,9 @@
 		},
 		Leaving:   []topology.Replica{{Group: "a", Address: "10.0.0.9:1", State: topology.ReplicaVanished}},
 		Evacuated: map[string]int{"adum": 4}, Cold: 3,
+		Budgets: []inspect.Budget{{Group: "shard-1", BudgetUsage: decision.BudgetUsage{
+			Tokens: 1.25, Burst: 9, FirstAttempts: 800, Retries: 30, Hedges: 40, DeniedRetries: 5, DeniedHedges: 6,
+		}}},
 	}
 	var out strings.Builder
 	printSystem(&out, system)
@@ -39,6 +43,7 @@
 		"fetch h 0 false 0 0 ms 0 ms all a=3, b=1",
 		"plain h 0 false 0 0 ms 0 ms all a",
 		"vanished a 10.0.0.9:1",
+		"shard-1 1.2 9.0 800 30 40 5 6",
 		"lags: n2",
 		"cold: 3 of the replicas that serve take no more than their rate",
 		"evacuated: adum, 4 replicas",
