Soak: connections that fall silent for good, services that hang, starts without the store

Change: three kinds, two faults of them in each round from the second on that may hide news. The proxy can let open connections fall silent, a stand-in replica can hold a share.

Conclusion: cold replicas are left out still; a replica's own entry says so, and FAILBACK has tests without the soak.

--- a/internal/soak/apply.go
+++ b/internal/soak/apply.go
@@ -52,6 +52,13 @@
 		return w.configureSeries(fault.Target)
 	case fault.Kind == Evacuate:
 		return w.evacuate(zones[fault.Target%len(zones)])
+	case fault.Kind == ReplicaLinkDeaden:
+		defer w.noted(fault.Kind, nil)()
+		w.linkOf(fault.Target).Deaden()
+	case fault.Kind == ServiceHang:
+		return w.harmService(fault)
+	case fault.Kind == StartWithoutStore:
+		return w.startWithoutStore(ctx, fault)
 	default:
 		return w.leave(fault, w.replica(fault.Target))
 	}
@@ -125,6 +132,20 @@
 	return group.Wait()
 }
 
+// startWithoutStore kills every second node while the store is out, which comes back once
+// they have run for the length of the fault.
+func (w *world) startWithoutStore(ctx context.Context, fault Fault) error {
+	defer w.noted(fault.Kind, nil)()
+	if err := w.deployment.Store.SetFaults(kv.Faults{Outage: true}); err != nil {
+		return err
+	}
+	if err := w.kill(ctx, w.everySecond(fault.Target)); err != nil {
+		return err
+	}
+	time.Sleep(fault.For)
+	return w.deployment.Store.SetFaults(kv.Faults{})
+}
+
 // rollGap is the time between the stops of two nodes of a roll: shorter than a stop
 // takes, so that some nodes stop while others start.
 const rollGap = 700 * time.Millisecond
@@ -202,6 +223,10 @@
 // budget could make good.
 const lostShare = 0.6
 
+// hungShare is the share of requests that a replica holds: the slots of the others are left
+// to those that it serves.
+const hungShare = 0.3
+
 // serviceLengths is how many times longer the faults of a whole service are than others:
 // long enough for repeats outside the budget to exceed it at the callers' rate.
 const serviceLengths = 2
@@ -214,13 +239,16 @@
 	if fault.Kind == ServiceLost {
 		return w.loseService(fault.For, standin.ShardService(shard), standin.ShardService((shard+1)%shards))
 	}
-	set := (*standin.Replica).Reset
-	if fault.Kind == ServiceReject {
+	set, share := (*standin.Replica).Reset, lostShare
+	switch fault.Kind {
+	case ServiceReject:
 		set = (*standin.Replica).Reject
+	case ServiceHang:
+		set, share = (*standin.Replica).Hang, hungShare
 	}
 	harmed := w.serving(standin.ShardService(shard))
 	for _, replica := range harmed {
-		set(replica, lostShare)
+		set(replica, share)
 	}
 	time.Sleep(fault.For)
 	for _, replica := range harmed {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -58,9 +58,21 @@
 	Drain
 	Vanish
 	Evacuate
+	// The kinds from here on are drawn apart from those before (see NewPlan).
+	// ReplicaLinkDeaden lets the connections to a replica that are open fall silent for
+	// good; new ones work.
+	ReplicaLinkDeaden
+	// ServiceHang lets all replicas of a service hold a share of what comes for good.
+	ServiceHang
+	// StartWithoutStore kills every second node while the store is out, so that they start
+	// before it is back.
+	StartWithoutStore
 	kinds
 )
 
+// firstKindApart is the first of the kinds that are drawn apart.
+const firstKindApart = ReplicaLinkDeaden
+
 var kindNames = [kinds]string{
 	"kill_node", "pause_node", "stop_node", "kill_half", "kill_all_twice", "roll_nodes", "hang_up_node",
 	"store_link_delay", "store_link_reset", "store_link_hold_requests", "store_link_hold_replies", "store_link_silence",
@@ -69,6 +81,7 @@
 	"service_reset", "service_reject", "service_lost",
 	"store_outage", "store_throttle", "store_slow", "store_lost_answers", "store_deaf",
 	"configure", "configure_series", "drain", "vanish", "evacuate",
+	"replica_link_deaden", "service_hang", "start_without_store",
 }
 
 // String returns the name of a kind.
@@ -80,6 +93,8 @@
 	switch {
 	case k == HangUpNode:
 		return false
+	case k == StartWithoutStore:
+		return true
 	case k <= StoreLinkSilence:
 		return true
 	default:
@@ -108,8 +123,45 @@
 	calmEvery = 3
 )
 
-// NewPlan draws the faults of a run. The same seed gives the same plan.
+// NewPlan draws the faults of a run. The same seed gives the same plan. Kinds that were
+// added later are drawn apart and come besides, so that the seeds that failed once keep
+// the faults that they failed by.
 func NewPlan(seed uint64, length time.Duration) []Fault {
+	return append(newPlan(seed, length), newPlanApart(seed, length)...)
+}
+
+// faultsApart is the number of faults of the kinds that are drawn apart, in each round that
+// has any.
+const faultsApart = 2
+
+// newPlanApart draws faults of the kinds that are drawn apart. The first round has none, as
+// seeds that failed in it do not when a replica hangs beside; those in which news are
+// checked have none either.
+func newPlanApart(seed uint64, length time.Duration) []Fault {
+	random := rand.New(rand.NewPCG(seed, ^seed))
+	var plan []Fault
+	for round := 1; time.Duration(round+1)*roundLength <= length; round++ {
+		if round%calmEvery == calmEvery-1 {
+			continue
+		}
+		for range faultsApart {
+			kind := firstKindApart + Kind(random.IntN(int(kinds-firstKindApart)))
+			plan = append(plan, newFault(random, time.Duration(round)*roundLength, kind))
+		}
+	}
+	return plan
+}
+
+// newFault draws the times and the target of a fault in the round that begins then.
+func newFault(random *rand.Rand, begin time.Duration, kind Kind) Fault {
+	return Fault{
+		At:   begin + time.Duration(random.Int64N(int64(faultsWithin))),
+		For:  longestFault/3 + time.Duration(random.Int64N(int64(longestFault*2/3))),
+		Kind: kind, Target: random.IntN(1 << 16),
+	}
+}
+
+func newPlan(seed uint64, length time.Duration) []Fault {
 	random := rand.New(rand.NewPCG(seed, seed))
 	var plan []Fault
 	for round := 0; ; round++ {
@@ -119,15 +171,11 @@
 		}
 		calm := round%calmEvery == calmEvery-1
 		for range 1 + random.IntN(mostFaults) {
-			kind := Kind(random.IntN(int(kinds)))
+			kind := Kind(random.IntN(int(firstKindApart)))
 			for calm && kind.hidesNews() {
-				kind = Kind(random.IntN(int(kinds)))
+				kind = Kind(random.IntN(int(firstKindApart)))
 			}
-			plan = append(plan, Fault{
-				At:   begin + time.Duration(random.Int64N(int64(faultsWithin))),
-				For:  longestFault/3 + time.Duration(random.Int64N(int64(longestFault*2/3))),
-				Kind: kind, Target: random.IntN(1 << 16),
-			})
+			plan = append(plan, newFault(random, begin, kind))
 		}
 		if calm {
 			news := []Kind{Configure, Drain, Vanish, Evacuate}[random.IntN(4)]
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -38,3 +39,25 @@
 		}
 	}
 }
+
+// TestKindsDrawnApartChangeNoOther: the faults of a seed stay as they were when it failed.
+func TestKindsDrawnApartChangeNoOther(t *testing.T) {
+	const length = 3 * roundLength
+	apart := 0
+	for _, fault := range NewPlan(25, length) {
+		if fault.Kind >= firstKindApart {
+			apart++
+		}
+	}
+	if apart != faultsApart {
+		t.Errorf("%d faults are drawn apart in the one round that may have them", apart)
+	}
+	before := []string{}
+	for _, fault := range newPlan(7103, roundLength) {
+		before = append(before, fmt.Sprint(fault.Kind, " at ", fault.At.Milliseconds()))
+	}
+	want := []string{"service_lost at 1979", "configure at 100"}
+	if diff := cmp.Diff(want, before); diff != "" {
+		t.Errorf("the faults of a seed that failed (-want +got):\n%s", diff)
+	}
+}
--- a/internal/soak/proxy/proxy.go
+++ b/internal/soak/proxy/proxy.go
@@ -56,7 +56,9 @@
 	mode   Mode
 	change chan struct{} // closed when the mode changes
 	open   map[*net.TCPConn]struct{}
-	closed bool
+	// deadened are those of open that pass nothing on any more.
+	deadened map[*net.TCPConn]struct{}
+	closed   bool
 }
 
 // New starts a proxy on a free port of the loopback.
@@ -67,7 +69,7 @@
 	}
 	p := &Proxy{
 		config: config, listener: listener,
-		change: make(chan struct{}), open: make(map[*net.TCPConn]struct{}),
+		change: make(chan struct{}), open: make(map[*net.TCPConn]struct{}), deadened: make(map[*net.TCPConn]struct{}),
 	}
 	go p.accept()
 	return p, nil
@@ -88,6 +90,16 @@
 	}
 }
 
+// Deaden lets the connections that are open fall silent until they end; new ones are as
+// the mode says.
+func (p *Proxy) Deaden() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for conn := range p.open {
+		p.deadened[conn] = struct{}{}
+	}
+}
+
 // SetTarget changes where new connections are passed on to, as when an address is given to
 // another process.
 func (p *Proxy) SetTarget(target netip.AddrPort) {
@@ -119,6 +131,7 @@
 		reset(conn)
 	}
 	clear(p.open)
+	clear(p.deadened)
 }
 
 func reset(conn *net.TCPConn) {
@@ -174,6 +187,7 @@
 	defer p.mu.Unlock()
 	for _, conn := range conns {
 		delete(p.open, conn)
+		delete(p.deadened, conn)
 	}
 }
 
@@ -186,6 +200,9 @@
 	piece := make([]byte, pieceBytes)
 	for {
 		n, err := from.Read(piece)
+		if err == nil && p.isDeadened(from) {
+			continue
+		}
 		if !p.await(up) {
 			reset(to)
 			return
@@ -207,6 +224,13 @@
 	}
 }
 
+func (p *Proxy) isDeadened(conn *net.TCPConn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, found := p.deadened[conn]
+	return found
+}
+
 // await waits until a piece may be passed on; it returns false once the proxy
 // is closed.
 func (p *Proxy) await(up bool) bool {
--- a/internal/soak/proxy/proxy_test.go
+++ b/internal/soak/proxy/proxy_test.go
@@ -138,3 +138,22 @@
 		})
 	}
 }
+
+// TestDeadenedConnectionsStaySilent, while new ones work.
+func TestDeadenedConnectionsStaySilent(t *testing.T) {
+	p := echo(t, 0)
+	old := dial(t, p)
+	if err := exchange(old, ample); err != nil {
+		t.Fatal(err)
+	}
+	p.Deaden()
+	if err := exchange(old, brief); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("on a silent connection: %v", err)
+	}
+	if err := exchange(dial(t, p), ample); err != nil {
+		t.Errorf("on a new connection: %v", err)
+	}
+	if err := exchange(old, brief); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("later: %v", err)
+	}
+}
