The budget's runs read their counts under their lock

Virtual time passing is no order between two goroutines. The older tests of the file had the same read.

Ruled out: the node; all three reports have the test's own map and slices on both sides.

Change: the lock.

Conclusion: a fault of the test.

--- a/internal/query/budget_virtual_test.go
+++ b/internal/query/budget_virtual_test.go
@@ -212,6 +212,8 @@
 // mostOver returns by how much the repeats at hitShard exceed what is allowed in the
 // worst window, and how many there are in it.
 func (n *budgetNetwork) mostOver(terms budgetTerms) (over float64, repeats int) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
 	within := func(times []time.Time, from time.Time) int {
 		count := 0
 		for _, at := range times {
