--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -53,6 +53,7 @@
 	return startShape(t, standin.Shape{Zones: zones, Shards: shards, Work: work}, started, change)
 }
 
+// startShape starts a deployment of a shape, and three nodes in two zones.
 func startShape(t *testing.T, shape standin.Shape, started func(*standin.Deployment), change func(*edge.Settings)) *system {
 	t.Helper()
 	deployment, err := standin.Start(shape)
