--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -39,9 +39,10 @@
 	node := s.nodes[0]
 	caller := &standin.Client{HTTP: &http.Client{}, Method: http.MethodPost}
 	caller.StayWith(node.Addresses().Callers)
-	ended := make(chan error, 1)
+	ended, answeredAt := make(chan error, 1), time.Time{}
 	go func() {
 		response, err := caller.Send(context.Background(), "r"+path, path, 4*stopGrace)
+		answeredAt = time.Now()
 		if err == nil && response.Status != http.StatusGatewayTimeout {
 			err = fmt.Errorf("status %d", response.Status)
 		}
@@ -57,8 +58,8 @@
 	if err := <-ended; err != nil {
 		t.Error(err)
 	}
-	if took := time.Since(began); took < stopGrace/2 {
-		t.Errorf("answered %v after the stop, as if there had been nothing to wait for", took)
+	if took := answeredAt.Sub(began); took < stopGrace/2 {
+		t.Errorf("answered %v after the stop began, not at its end", took)
 	}
 }
 
