The line of a request that was not answered names its caller and target

Cause: the logs cannot tell whether the requests under which replicas ended are one request that comes again (each try has an identifier of its own, at other nodes) or different ones. Change: a message carries its caller's address; lines of failure have caller and target (200 bytes at the most). No decision uses either. The test of the forwarded message compares the caller as well.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -9,6 +9,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"net/netip"
 	"runtime/debug"
 	"strconv"
 	"strings"
@@ -81,7 +82,7 @@
 	} else {
 		h.write(w, answer)
 	}
-	h.lines.tell(outcome{host: r.Host, id: id, route: route, answer: &answer, err: err, took: time.Since(started)})
+	h.lines.tell(outcome{request: r, id: id, route: route, answer: &answer, err: err, took: time.Since(started)})
 }
 
 // answerAfterPanic gives a request that met a fault of this program its final
@@ -117,12 +118,22 @@
 		return route, query.Forwarded{}, err
 	}
 	message := &upstream.Message{
-		ID: id, Method: r.Method, Target: target, Host: r.Host, Header: endToEnd(r.Header), Body: body,
+		ID: id, Caller: callerOf(r), Method: r.Method, Target: target, Host: r.Host, Header: endToEnd(r.Header), Body: body,
 	}
 	answer, err := h.options.Forwarder.Forward(r.Context(), &query.Forwarding{Message: message, Route: route, Wait: wait})
 	return route, answer, err
 }
 
+// callerOf returns the address that a request came from, the zero value when the server
+// has not said.
+func callerOf(r *http.Request) netip.Addr {
+	from, err := netip.ParseAddrPort(r.RemoteAddr)
+	if err != nil {
+		return netip.Addr{}
+	}
+	return from.Addr().Unmap()
+}
+
 func readBody(r *http.Request, limit int64) ([]byte, error) {
 	if r.ContentLength == 0 {
 		return nil, nil
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -6,11 +6,13 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"github.com/doorpond/doorpond/internal/blackboard"
 	"github.com/doorpond/doorpond/internal/failure"
@@ -83,10 +85,10 @@
 	r.Header.Set("X-End", "2")
 	got := serveOne(newTestHandler(forwarder, nil), r)
 	want := &upstream.Message{
-		ID: "q1", Method: http.MethodPost, Target: "/p//a%2fb?x=%20&y", Host: "h.example",
+		ID: "q1", Caller: netip.MustParseAddr("192.0.2.1"), Method: http.MethodPost, Target: "/p//a%2fb?x=%20&y", Host: "h.example",
 		Header: http.Header{"X-End": {"2"}}, Body: []byte("body"),
 	}
-	if diff := cmp.Diff(want, forwarder.asked.Message); diff != "" {
+	if diff := cmp.Diff(want, forwarder.asked.Message, cmpopts.EquateComparable(netip.Addr{})); diff != "" {
 		t.Errorf("message (-want +got):\n%s", diff)
 	}
 	if forwarder.asked.Wait != 2*time.Second || forwarder.asked.Route.Name != "r" {
--- a/internal/ingress/log.go
+++ b/internal/ingress/log.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"log/slog"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -29,7 +30,8 @@
 
 // outcome is what came of one request.
 type outcome struct {
-	host, id string
+	request *http.Request
+	id      string
 	// route is nil when there was none.
 	route  *routing.Route
 	answer *query.Forwarded
@@ -37,6 +39,12 @@
 	took   time.Duration
 }
 
+// mostTargetBytes of a target are logged: enough to tell requests apart, and a line stays
+// one packet.
+const mostTargetBytes = 200
+
+func shortened(target string) string { return target[:min(len(target), mostTargetBytes)] }
+
 // noteworthy is true when a caller may ask what happened.
 func (o *outcome) noteworthy() bool { return o.err != nil || o.answer.Missing > 0 || o.answer.Late }
 
@@ -96,7 +104,7 @@
 	if about.route != nil {
 		attributes = append(attributes, "route", about.route.Name, "attempts", about.answer.Attempts, "hedges", about.answer.Hedges)
 	} else {
-		attributes = append(attributes, "host", about.host)
+		attributes = append(attributes, "host", about.request.Host)
 	}
 	if about.answer.Missing > 0 {
 		attributes = append(attributes, "missing", about.answer.Missing)
@@ -109,7 +117,9 @@
 		attributes = append(attributes, "kind", string(known.Kind), "not_run", known.NotRun)
 	}
 	if about.err != nil {
-		attributes = append(attributes, "reason", about.err.Error())
+		// the same request may come again, by other identifiers and at other nodes
+		attributes = append(attributes, "reason", about.err.Error(),
+			"caller", callerOf(about.request).String(), "target", shortened(about.request.RequestURI))
 	}
 	return attributes
 }
--- a/internal/upstream/message.go
+++ b/internal/upstream/message.go
@@ -6,13 +6,17 @@
 
 import (
 	"net/http"
+	"net/netip"
 	"time"
 )
 
 // Message is one request to a replica.
 type Message struct {
 	// ID is the request's identifier as its caller chose it.
-	ID     string
+	ID string
+	// Caller is the address that the request came from; the zero value when it is not
+	// known.
+	Caller netip.Addr
 	Method string
 	// Target is the path and query, byte for byte as the caller sent them.
 	Target string
