A request that was answered of late is not what ends replicas

Ruled out: longer evidence, as each such end looks like any other. Change: each node remembers the latest 1,024 requests that replicas answered, for a minute, by a short hash; these are no suspects, and an answer ends a quarantine on all nodes.

--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -52,7 +52,8 @@
 	size atomic.Int64
 
 	// found wakes the Keeper.
-	found chan struct{}
+	found    chan struct{}
+	answered answered
 
 	mutex   sync.Mutex
 	entries map[Identity]*entry
@@ -111,7 +112,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	known := l.current(identity)
-	if known == nil {
+	if known == nil || l.answered.recently(message, l.config.Now()) {
 		return Suspicion{}
 	}
 	found := Suspicion{Evidence: known.record.Evidence()}
@@ -168,11 +169,11 @@
 	l.log("quarantine is over; the request will be tried on one replica", &known.record)
 }
 
-// Note takes in that replicas ended while they ran a request that none has survived: the
-// evidence is all there is by now. canary names the replica that ended last, if it was tried
+// Note takes in that replicas ended while they ran a request that none has survived, unless
+// one has answered it of late: the evidence is all there is by now. canary names the replica that ended last, if it was tried
 // there alone.
 func (l *List) Note(message *upstream.Message, route, canary string, evidence decision.Evidence) {
-	if l == nil {
+	if l == nil || l.answered.recently(message, l.config.Now()) {
 		return
 	}
 	record := Record{
@@ -246,17 +247,28 @@
 	return true
 }
 
-// Clear takes in that a replica has run a suspect and answered: it does no harm.
-func (l *List) Clear(message *upstream.Message) {
-	if l == nil || l.size.Load() == 0 {
+// Answered takes in that a replica has run a request and answered: it does no harm. Another
+// node that has quarantined it is told.
+func (l *List) Answered(message *upstream.Message) {
+	if l == nil {
+		return
+	}
+	l.answered.note(message, l.config.Now())
+	if l.size.Load() == 0 {
 		return
 	}
 	identity := IdentityOf(message)
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if known := l.entries[identity]; known != nil && !known.quarantined {
-		l.remove(identity)
+	known := l.entries[identity]
+	if known == nil {
+		return
 	}
+	if known.quarantined {
+		l.log("request released: a replica has answered it", &known.record)
+		l.config.Tell(Record{Identity: identity, Released: true})
+	}
+	l.remove(identity)
 }
 
 // Hear takes in what another node tells. It returns whether that was news, which should be
--- a/internal/quarantine/list_test.go
+++ b/internal/quarantine/list_test.go
@@ -114,10 +114,12 @@
 	if len(*told) != 3 || (*told)[1].RefuseMilliseconds != 0 || (*told)[2].RefuseFor() != DefaultFor {
 		t.Errorf("told: %+v", *told)
 	}
+	if got := list.Quarantined(target(1)); got {
+		t.Error("another request is quarantined")
+	}
 	if other := list.Suspicion(target(1)); other != (Suspicion{}) {
 		t.Errorf("another request: %+v", other)
 	}
-	list.Clear(message(nil)) // an attempt that began before
 	now.now = now.now.Add(DefaultFor)
 	got := list.Suspicion(message(nil))
 	if got.RefuseFor != 0 || !got.Evidence.Suspects() || got.Evidence.Convicts() {
@@ -128,7 +130,7 @@
 	if !again.Convicts() {
 		t.Error("another end does not convict it again")
 	}
-	list.Clear(message(nil))
+	list.Answered(message(nil))
 	if got := list.Suspicion(message(nil)); got != (Suspicion{}) {
 		t.Errorf("after an answer: %+v", got)
 	}
@@ -206,7 +208,7 @@
 func TestAListThatIsOff(t *testing.T) {
 	var list *List
 	convict(list, message(nil))
-	list.Clear(message(nil))
+	list.Answered(message(nil))
 	list.Adopt("x", nil)
 	list.Forgotten("x")
 	if list.Hear(Record{}) || list.Release(Identity{}) || list.Suspicion(message(nil)) != (Suspicion{}) || len(list.Records()) != 0 {
@@ -259,3 +261,40 @@
 		t.Errorf("without a verdict: %+v", got)
 	}
 }
+
+// TestARequestThatWasAnsweredIsNoSuspect: for a while, as it is not what ends replicas now.
+func TestARequestThatWasAnsweredIsNoSuspect(t *testing.T) {
+	list, now, told := newTestList(nil)
+	list.Answered(message(nil))
+	now.now = now.now.Add(answeredFor)
+	convict(list, message(nil))
+	if list.Quarantined(message(nil)) || list.size.Load() != 0 {
+		t.Error("it is suspected though it was answered")
+	}
+	convict(list, target(1))
+	if !list.Quarantined(target(1)) {
+		t.Error("another request is not")
+	}
+	list.Hear(Record{Identity: IdentityOf(message(nil)), Ended: 12, Rounds: 3, Blame: 3, RefuseMilliseconds: 600_000})
+	if got := list.Suspicion(message(nil)); got != (Suspicion{}) {
+		t.Errorf("it is refused as another node says: %+v", got)
+	}
+	list.Answered(message(nil))
+	if last := (*told)[len(*told)-1]; !last.Released || last.Identity != IdentityOf(message(nil)) {
+		t.Errorf("the other nodes are not told of the answer: %+v", last)
+	}
+	now.now = now.now.Add(answeredFor)
+	now.now = now.now.Add(2 * time.Second)
+	convict(list, message(nil))
+	if !list.Quarantined(message(nil)) {
+		t.Error("an answer counts for longer than it should")
+	}
+}
+
+func BenchmarkAnswered(b *testing.B) {
+	asked := message(func(m *upstream.Message) { m.Body = make([]byte, 1024) })
+	list := New(Config{})
+	for b.Loop() {
+		list.Answered(asked)
+	}
+}
--- a/internal/query/crashing_request_virtual_test.go
+++ b/internal/query/crashing_request_virtual_test.go
@@ -249,6 +249,10 @@
 	})
 }
 
+func ownTarget(number int) string { return fmt.Sprint("/", number) }
+
+func sharedTarget(int) string { return "/popular" }
+
 // crashingCaller is the address of a try's caller.
 type crashingCaller func(number, try int) netip.Addr
 
@@ -265,7 +269,7 @@
 	inCrashNetwork(t, seed, nodes, func(network *crashNetwork, services []*query.Service, route *routing.Route) {
 		var sending sync.WaitGroup
 		sending.Go(func() { result.firstTry = network.sendCrashing(services, route, caller) })
-		network.sendOthers(services, route, &result)
+		network.sendOthers(services, route, &result, ownTarget)
 		sending.Wait()
 		time.Sleep(restartAfter) // what lingers ends
 		network.mutex.Lock()
@@ -300,7 +304,7 @@
 }
 
 // sendOthers sends requests that harm nobody, and notes what came of them.
-func (n *crashNetwork) sendOthers(services []*query.Service, route *routing.Route, result *crashRun) {
+func (n *crashNetwork) sendOthers(services []*query.Service, route *routing.Route, result *crashRun, target func(number int) string) {
 	var answered, refused atomic.Int64
 	var sending sync.WaitGroup
 	for number := range int(budgetRate * budgetRunTime.Seconds()) {
@@ -308,7 +312,7 @@
 		sending.Go(func() {
 			message := &upstream.Message{
 				ID: fmt.Sprint("q", number), Caller: netip.AddrFrom4([4]byte{198, 51, 100, byte(number)}),
-				Method: http.MethodGet, Target: fmt.Sprint("/", number), Host: "h",
+				Method: http.MethodGet, Target: target(number), Host: "h",
 			}
 			_, err := services[number%len(services)].Forward(context.Background(), &query.Forwarding{Message: message, Route: route})
 			switch {
@@ -383,7 +387,7 @@
 					network.endZone(zone)
 				}
 			})
-			network.sendOthers(services, route, &got)
+			network.sendOthers(services, route, &got, ownTarget)
 			ending.Wait()
 			time.Sleep(restartAfter)
 			network.mutex.Lock()
@@ -399,3 +403,36 @@
 		}
 	}
 }
+
+// TestAPopularRequestIsNotRefused: all replicas end, and do so again as soon as they are back,
+// while all callers send the same request. It was answered before, so that it is not what
+// ends them.
+func TestAPopularRequestIsNotRefused(t *testing.T) {
+	const (
+		times = 3
+		// runsFor is how long a replica runs before it ends again: too short to answer.
+		runsFor = virtualWork / 2
+	)
+	for seed := range uint64(3) {
+		var got crashRun
+		inCrashNetwork(t, seed, budgetNodes, func(network *crashNetwork, services []*query.Service, route *routing.Route) {
+			var ending sync.WaitGroup
+			ending.Go(func() {
+				time.Sleep(crashingFrom)
+				for range times {
+					for _, zone := range virtualZones {
+						network.endZone(zone)
+					}
+					time.Sleep(restartAfter + runsFor)
+				}
+			})
+			network.sendOthers(services, route, &got, sharedTarget)
+			ending.Wait()
+			time.Sleep(restartAfter)
+		})
+		t.Logf("seed %d: %d of %d requests answered, %d refused for it", seed, got.answered, got.others, got.refused)
+		if got.refused > 0 {
+			t.Errorf("seed %d: %d requests taken for what ended replicas", seed, got.refused)
+		}
+	}
+}
--- a/internal/query/ended.go
+++ b/internal/query/ended.go
@@ -30,21 +30,16 @@
 // it: its caller may try it at another node as soon as it is answered. canary names the
 // replica if it was a canary's.
 func (r *forwardRun) noteEnded(canary string) {
-	r.suspected = true
 	if evidence, survived := r.core.Evidence(); !survived {
 		r.service.options.Quarantine.Note(r.forwarding.Message, r.forwarding.Route.Name, canary, evidence)
 	}
 }
 
-// concludeEnds convicts a request that replicas have ended under till the end, and forgets
-// what spoke against one that a replica has survived.
+// concludeEnds tells the quarantine what has come of the request.
 func (r *forwardRun) concludeEnds() {
-	if !r.suspected {
-		return
-	}
 	list := r.service.options.Quarantine
 	if _, survived := r.core.Evidence(); survived {
-		list.Clear(r.forwarding.Message)
+		list.Answered(r.forwarding.Message)
 	} else if r.reason == decision.ReplicasEnded {
 		list.Convict(r.forwarding.Message)
 	}
--- a/internal/query/forward.go
+++ b/internal/query/forward.go
@@ -92,8 +92,6 @@
 	*run
 	forwarding *Forwarding
 	terms      replica.Terms
-	// suspected is true when replicas have ended under the request, now or before.
-	suspected bool
 }
 
 // Forward passes a request on to one replica of a service, or to one of each
@@ -196,7 +194,6 @@
 	forward := &forwardRun{forwarding: forwarding, terms: terms}
 	forward.run = s.newRun(plan, forward)
 	forward.linger = lingerTime
-	forward.suspected = known.Suspects()
 	forward.quarantined, forward.contested, forward.onEnded = forward.isQuarantined, forward.isContested, forward.noteEnded
 	return forward
 }
