Soak: a request that ends replicas, again and again at nodes by chance

It comes in each round that may have kinds drawn apart, beside the other faults; a replica that it ends is replaced after 2 s. Checked: at most three of its tries reach replicas later than 5 s after the third end, and no node refuses another request. The test of the plan counts the kinds drawn apart as before.

--- a/internal/edge/quarantine_test.go
+++ b/internal/edge/quarantine_test.go
@@ -18,7 +18,7 @@
 func (s *system) endedReplicas() int {
 	count := 0
 	for _, replica := range s.Replicas {
-		if replica.HasEnded() {
+		if by, _ := replica.EndedBy(); by != "" {
 			count++
 		}
 	}
--- a/internal/soak/apply.go
+++ b/internal/soak/apply.go
@@ -54,6 +54,8 @@
 		w.linkOf(fault.Target).Deaden()
 	case fault.Kind == ServiceHang:
 		return w.harmService(fault)
+	case fault.Kind == EndingRequest:
+		w.sendEnding(ctx, fault)
 	case fault.Kind == StartWithoutStore:
 		return w.startWithoutStore(ctx, fault)
 	default:
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -104,6 +104,7 @@
 		j.checkNews(one)
 	}
 	j.checkBudgets()
+	j.checkEnding()
 	for _, one := range j.world.nodes {
 		for _, failure := range one.process.Failures() {
 			j.found("node %s: %v", one.settings.Node, failure)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -67,6 +67,9 @@
 	// StartWithoutStore kills every second node while the store is out, so that they start
 	// before it is back.
 	StartWithoutStore
+	// EndingRequest sends a request that ends each replica that runs it, again and again,
+	// to nodes by chance. It comes once in each round that may have kinds drawn apart.
+	EndingRequest
 	kinds
 )
 
@@ -82,6 +85,7 @@
 	"store_outage", "store_throttle", "store_slow", "store_lost_answers", "store_deaf",
 	"configure", "configure_series", "drain", "vanish", "evacuate",
 	"replica_link_deaden", "service_hang", "start_without_store",
+	"ending_request",
 }
 
 // String returns the name of a kind.
@@ -145,9 +149,11 @@
 			continue
 		}
 		for range faultsApart {
-			kind := firstKindApart + Kind(random.IntN(int(kinds-firstKindApart)))
+			kind := firstKindApart + Kind(random.IntN(int(EndingRequest-firstKindApart)))
 			plan = append(plan, newFault(random, time.Duration(round)*roundLength, kind))
 		}
+		ending := Fault{At: time.Duration(round) * roundLength, Kind: EndingRequest, Target: round}
+		plan = append(plan, ending)
 	}
 	return plan
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -51,6 +51,8 @@
 	// requests whose end was not judged for that.
 	Stalled  time.Duration
 	Unjudged int
+	// Ended is the number of replicas that requests have ended.
+	Ended int
 	// Findings are the promises that were broken.
 	Findings []string
 	// Directory is where the logs are, if they were kept.
@@ -117,8 +119,8 @@
 
 // Write prints a report.
 func (r *Report) Write(out io.Writer) error {
-	_, err := fmt.Fprintf(out, "seed %d: %d faults; %d requests: %d served (%d partial), %d refused, %d failed, %d without an answer; news checked %d times; stalled for %v, %d requests not judged; %d findings\n",
-		r.Seed, r.Faults, r.Requests, r.Served, r.Partial, r.Refused, r.Failed, r.Broken, r.NewsChecked,
+	_, err := fmt.Fprintf(out, "seed %d: %d faults; %d requests: %d served (%d partial), %d refused, %d failed, %d without an answer; news checked %d times; %d replicas ended by requests; stalled for %v, %d requests not judged; %d findings\n",
+		r.Seed, r.Faults, r.Requests, r.Served, r.Partial, r.Refused, r.Failed, r.Broken, r.NewsChecked, r.Ended,
 		r.Stalled.Round(time.Millisecond), r.Unjudged, len(r.Findings))
 	for _, finding := range r.Findings {
 		if err == nil {
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -56,6 +56,9 @@
 	stalls     stallWatch
 	began      time.Time
 
+	// returning counts the replicas that have ended by a request and are not replaced yet.
+	returning sync.WaitGroup
+
 	// fleet guards the deployment's replicas, configuring its configuration, evacuating
 	// its evacuated zone.
 	fleet, configuring, evacuating sync.Mutex
@@ -109,7 +112,7 @@
 func newWorld(config Config) (*world, error) {
 	w := &world{leaving: make(map[*standin.Replica]time.Time), allowed: map[int]bool{shards: true}}
 	var err error
-	w.deployment, err = standin.Start(standin.Shape{Zones: zones, Shards: shards, Work: work, Through: w.link})
+	w.deployment, err = standin.Start(standin.Shape{Zones: zones, Shards: shards, Work: work, Through: w.link, Ending: w.replaceEnding})
 	if err != nil {
 		return nil, eris.Wrap(err, "start the stand-ins")
 	}
