--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -21,6 +21,7 @@
 	"github.com/doorpond/doorpond/internal/admin"
 	"github.com/doorpond/doorpond/internal/comparison"
 	"github.com/doorpond/doorpond/internal/failure"
+	"github.com/doorpond/doorpond/internal/inspect"
 	"github.com/doorpond/doorpond/internal/policy"
 	"github.com/doorpond/doorpond/internal/policytable"
 	"github.com/doorpond/doorpond/internal/topology"
@@ -69,6 +70,13 @@
 	})
 	routes.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) { answer(w, admin.Status{Revision: 7}) })
 	routes.HandleFunc("GET /v1/compare", func(w http.ResponseWriter, r *http.Request) { answer(w, testComparison(r.URL.Query())) })
+	routes.HandleFunc("POST /v1/release", func(w http.ResponseWriter, r *http.Request) {
+		if identity := r.URL.Query().Get("identity"); identity != "5f1c" {
+			failure.WriteProblem(w, failure.New(failure.NotFound, "no node suspects this request"))
+			return
+		}
+		answer(w, inspect.Released{Identity: "5f1c"})
+	})
 	routes.HandleFunc("POST /v1/edits", d.edit)
 	routes.HandleFunc("POST /v1/restore", func(w http.ResponseWriter, _ *http.Request) {
 		answer(w, admin.EditResult{Change: &policy.Change{Revision: 9}})
@@ -153,6 +161,9 @@
 		{name: "history", line: "policy history", contains: "ama [2J"},
 		{name: "status", line: "status", contains: "table revision 7"},
 		{name: "restore", line: "restore", contains: "revision 9"},
+		{name: "release", line: "release 5f1c", contains: "released: 5f1c"},
+		{name: "release unknown", line: "release 5f1d", code: ExitFailure, contains: "no node suspects"},
+		{name: "release nothing", line: "release", code: ExitUsage, contains: "IDENTITY"},
 		{name: "set", line: "policy set fast wait.timeout=50ms", contains: "revision 8"},
 		{name: "dry run", line: "policy set fast wait.timeout=50ms --dry-run", contains: "a line"},
 		{name: "set without a field", line: "policy set fast", code: ExitUsage, contains: "FIELD=VALUE"},
--- a/internal/soak/ending.go
+++ b/internal/soak/ending.go
@@ -159,9 +159,13 @@
 // checkEnding: a request that ends replicas is not sent to them for long.
 func (j *judge) checkEnding() {
 	for number, run := range j.endingRuns() {
-		j.report.Ended += len(run.ends)
-		if late := run.late(); late > lateTries {
-			j.found("%s ended %d replicas, and %d of its tries reached some later than %v after the third", number, len(run.ends), late, knownWithin)
-		}
+		j.judgeEnding(number, run)
+	}
+}
+
+func (j *judge) judgeEnding(number string, run *endingRun) {
+	j.report.Ended += len(run.ends)
+	if late := run.late(); late > lateTries {
+		j.found("%s ended %d replicas, and %d of its tries reached some later than %v after the third", number, len(run.ends), late, knownWithin)
 	}
 }
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -237,3 +237,43 @@
 	}
 	return n.process.Wait(t.Context())
 }
+
+// TestLateTriesOfAnEndingRequestAreFound: those that reach a replica later than nodes know
+// of the third end, and only when there are too many.
+func TestLateTriesOfAnEndingRequestAreFound(t *testing.T) {
+	for _, test := range []struct{ late, want int }{{lateTries, 0}, {lateTries + 1, 1}} {
+		w := newTestWorld(t)
+		j := newJudge(w)
+		for replica := range 3 {
+			sendPath(t, w, replica, fmt.Sprintf("%s1-%d", endingPrefix, replica), "/x"+standin.EndingTarget)
+		}
+		third := w.replicas()[2]
+		if by, _ := third.EndedBy(); by == "" {
+			t.Fatal("no replica has ended")
+		}
+		run := j.endingRuns()[endingPrefix+"1"]
+		if run == nil || len(run.ends) != 3 || run.late() != 0 {
+			t.Fatalf("the run: %+v", run)
+		}
+		for try := range test.late {
+			run.reached[fmt.Sprint("late", try)] = run.ends[2].Add(knownWithin + time.Second)
+		}
+		j.judgeEnding("e1", run)
+		if len(j.report.Findings) != test.want || j.report.Ended != 3 {
+			t.Errorf("%d late tries: findings %v, %d ended", test.late, j.report.Findings, j.report.Ended)
+		}
+	}
+}
+
+// sendPath sends a request to a replica, which may end by it.
+func sendPath(t *testing.T, w *world, replica int, id, path string) {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodPost, "http://"+w.links[replica].Addr().String()+path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Request-Id", id)
+	if response, err := http.DefaultClient.Do(request); err == nil {
+		_ = response.Body.Close()
+	}
+}
