--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"github.com/doorpond/doorpond/internal/failure"
 	"github.com/doorpond/doorpond/internal/quarantine"
+	"github.com/doorpond/doorpond/internal/store"
 	"github.com/doorpond/doorpond/internal/topology"
 )
 
@@ -85,7 +87,7 @@
 		return failure.New(failure.NotFound, "the quarantine is off")
 	}
 	if err := n.keeper.Release(ctx, identity); err != nil {
-		return failure.Wrap(err, failure.StoreUnavailable, "release a request")
+		return failure.Wrap(err, failure.StoreUnavailable, "release a request").WithNotRun(errors.Is(err, store.ErrNotApplied))
 	}
 	return nil
 }
--- a/internal/operator/quarantine.go
+++ b/internal/operator/quarantine.go
@@ -27,7 +27,7 @@
 			}
 			released, err := api(command).Release(ctx, command.Args().First())
 			if err != nil {
-				return err
+				return coded(err, true)
 			}
 			return show(command, released, func(to io.Writer) { fmt.Fprintln(to, "released:", oneLine(released.Identity)) })
 		},
