--- /dev/null
+++ b/internal/edge/notice_test.go
@@ -0,0 +1,52 @@
+package edge
+
+import (
+	"fmt"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/doorpond/doorpond/internal/announce"
+	"github.com/doorpond/doorpond/internal/decision"
+	"github.com/doorpond/doorpond/internal/quarantine"
+	"github.com/doorpond/doorpond/internal/topology"
+	"github.com/doorpond/doorpond/internal/upstream"
+)
+
+// TestTheLongestRecordFitsIntoANotice: however long the names of a request and of the replicas
+// that it has ended.
+func TestTheLongestRecordFitsIntoANotice(t *testing.T) {
+	announcer, err := announce.New(announce.Options{Address: "127.0.0.1:0", Nodes: func() *topology.Nodes { return nil }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(announcer.Close)
+	long := strings.Repeat("x", 1000)
+	message := &upstream.Message{
+		Method: http.MethodGet, Host: long, Target: "/" + long,
+		Caller: netip.MustParseAddr("2001:db8:1111:2222:3333:4444:5555:6666"),
+	}
+	told := 0
+	list := quarantine.New(quarantine.Config{Tell: func(record quarantine.Record) {
+		told++
+		notice, err := msgpack.Marshal(&record)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := announcer.Spread(notice); err != nil {
+			t.Error(err)
+		}
+	}})
+	evidence := decision.Evidence{Ended: 1 << 20, Rounds: 1 << 20, Blame: 1 << 20}
+	for replica := range 8 {
+		evidence.Rounds++
+		list.Note(message, quarantine.Route{Name: long, Shards: 1}, fmt.Sprint(replica, long), evidence)
+	}
+	list.Convict(message)
+	if told < 2 {
+		t.Errorf("%d records were told", told)
+	}
+}
