--- a/internal/edge/quarantine_test.go
+++ b/internal/edge/quarantine_test.go
@@ -81,7 +81,10 @@
 	}
 	s.eventually("all nodes refuse it", refused)
 	s.refusedByAll()
-	s.eventually("the store holds it", func() bool { return s.Store.Calls("/-/kv-txn") > len(s.nodes) })
+	s.eventually("the store holds it", func() bool {
+		held, err := s.Quarantined()
+		return err == nil && held == 1
+	})
 
 	s.restart()
 	s.eventually("all nodes that have started anew refuse it", refused)
--- a/internal/query/crashing_request_virtual_test.go
+++ b/internal/query/crashing_request_virtual_test.go
@@ -17,30 +17,23 @@
 // sent ten times and repeated once each, ends 128 to 148 replicas here; 119 to 129 were seen.
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/doorpond/doorpond/internal/blackboard"
-	"github.com/doorpond/doorpond/internal/decision"
 	"github.com/doorpond/doorpond/internal/failure"
-	"github.com/doorpond/doorpond/internal/quarantine"
 	"github.com/doorpond/doorpond/internal/query"
-	"github.com/doorpond/doorpond/internal/replica"
 	"github.com/doorpond/doorpond/internal/routing"
 	"github.com/doorpond/doorpond/internal/topology"
 	"github.com/doorpond/doorpond/internal/upstream"
@@ -73,152 +66,6 @@
 	othersAnswered = 0.95
 )
 
-// crashNetwork has replicas that end when they run crashingTarget, and all of whose
-// connections end with them.
-type crashNetwork struct {
-	mutex  sync.Mutex
-	random *rand.Rand
-	board  *blackboard.Board
-	delays map[string]time.Duration
-	// processes has what runs at each address, connections their open ones.
-	processes   map[string]budgetProcess
-	connections map[string]map[net.Conn]bool
-	started     int
-	ends        []time.Time
-	// rate is that of the other requests, in a second.
-	rate int
-	// arrivals are those of crashingTarget.
-	arrivals []time.Time
-}
-
-func (n *crashNetwork) dial(_ context.Context, address string) (net.Conn, error) {
-	time.Sleep(2 * n.delays[address])
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	process, running := n.processes[address]
-	if !running {
-		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
-	}
-	own, other := net.Pipe()
-	n.connections[address][other] = true
-	go n.serve(other, address, process)
-	return memoryConnection{own}, nil
-}
-
-func (n *crashNetwork) serve(conn net.Conn, address string, process budgetProcess) {
-	defer func() {
-		n.mutex.Lock()
-		defer n.mutex.Unlock()
-		delete(n.connections[address], conn)
-		_ = conn.Close()
-	}()
-	request, err := http.ReadRequest(bufio.NewReader(conn))
-	if err != nil {
-		return
-	}
-	time.Sleep(n.delays[address])
-	if request.Header.Get("Process") != process.incarnation {
-		_, _ = io.WriteString(conn, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
-		return
-	}
-	if request.URL.Path == crashingTarget {
-		n.crash(address, process)
-		return
-	}
-	time.Sleep(virtualWork + n.delays[address])
-	body := make([]byte, routing.RecordBytes)
-	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: "+request.Header.Get("Id")+"\r\nSignature: "+process.shard+
-		"\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+string(body))
-}
-
-// crash ends a process while it runs a request, and starts its successor later.
-func (n *crashNetwork) crash(address string, process budgetProcess) {
-	n.mutex.Lock()
-	n.arrivals = append(n.arrivals, time.Now())
-	n.mutex.Unlock()
-	time.Sleep(crashAfter)
-	n.end(address, process)
-}
-
-// end ends a process, unless it has ended already.
-func (n *crashNetwork) end(address string, process budgetProcess) {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	if n.processes[address] != process {
-		return
-	}
-	n.ends = append(n.ends, time.Now())
-	delete(n.processes, address)
-	for conn := range n.connections[address] {
-		_ = conn.Close()
-	}
-	time.AfterFunc(restartAfter, func() { n.restart(address, process.shard) })
-}
-
-// restart starts a successor, which records itself in place of the one that ended.
-func (n *crashNetwork) restart(address, shard string) {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	n.started++
-	successor := budgetProcess{shard, fmt.Sprint("successor-", n.started)}
-	n.processes[address] = successor
-	groups := make(map[string][]topology.Replica)
-	for name, replicas := range n.board.Replicas.Load().Groups {
-		for _, one := range replicas {
-			if one.Address == address {
-				one.Incarnation = successor.incarnation
-			}
-			groups[name] = append(groups[name], one)
-		}
-	}
-	n.board.Replicas.Publish(&topology.Replicas{Groups: groups})
-}
-
-func (n *crashNetwork) draw() uint64 {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	return n.random.Uint64()
-}
-
-// newLinkedQuarantines makes the quarantines of some nodes, which hear of each other's.
-func newLinkedQuarantines(nodes int) []*quarantine.List {
-	lists := make([]*quarantine.List, nodes)
-	for i := range lists {
-		lists[i] = quarantine.New(quarantine.Config{Tell: func(record quarantine.Record) {
-			time.AfterFunc(spreadDelay, func() {
-				for other := range lists {
-					if other != i {
-						lists[other].Hear(record)
-					}
-				}
-			})
-		}})
-	}
-	return lists
-}
-
-// newCrashNodes makes the paths below the ingress of all nodes.
-func newCrashNodes(t *testing.T, network *crashNetwork, nodes int) []*query.Service {
-	var services []*query.Service
-	quarantines := newLinkedQuarantines(nodes)
-	for i := range nodes {
-		zone := virtualZones[i%len(virtualZones)]
-		budgets := make(map[string]*decision.TokenBudget)
-		for shard := range virtualShards {
-			budgets[fmt.Sprint("shard-", shard)] = decision.NewReservingBudget(
-				budgetShare*usualTerms.ratio, budgetShare*usualTerms.slack/float64(nodes), 0.2)
-		}
-		pool := replica.NewPool(replica.PoolOptions{
-			Board: network.board, Self: topology.Place{Region: zone, Zone: zone}, Codec: misdirectedCodec{},
-			DialUpstream: network.dial, Random: network.draw,
-			GroupBudget: func(group string) decision.Budget { return budgets[group] },
-		})
-		t.Cleanup(pool.Close)
-		services = append(services, query.NewService(query.Options{Board: network.board, Pool: pool, Quarantine: quarantines[i]}))
-	}
-	return services
-}
-
 // crashRun is what came of a run.
 type crashRun struct {
 	// firstTry counts the replicas that had ended when the first try was answered, ended
@@ -362,21 +209,6 @@
 	}
 }
 
-// endZone ends all replicas of a zone at one moment.
-func (n *crashNetwork) endZone(zone string) {
-	n.mutex.Lock()
-	found := make(map[string]budgetProcess)
-	for address, process := range n.processes {
-		if strings.HasSuffix(address, "."+zone) {
-			found[address] = process
-		}
-	}
-	n.mutex.Unlock()
-	for address, process := range found {
-		n.end(address, process)
-	}
-}
-
 // TestRequestsInFlightWhenReplicasEndAreServed: the replicas of one zone after the other end
 // at one moment, again and again; what was in flight there is tried elsewhere, and no request
 // is taken for what ended them.
