--- a/internal/query/crashing_request_virtual_test.go
+++ b/internal/query/crashing_request_virtual_test.go
@@ -3,7 +3,7 @@
 // Regression of a request that ended the replicas of a whole index again and again.
 //
 // Symptom: replicas of ten shards ended all the time, 129 of them in 20 s, where there are
-// 30; one request of three was refused for load, one of seven was served in time.
+// 30; more than half of the requests were refused for load, one of seven was in time.
 //
 // Sequence: a request ended each replica that began to run it. It was sent to one replica
 // of each shard at once, then to a second one of each; its caller repeated it at another
