--- a/internal/standin/kv/lease.go
+++ b/internal/standin/kv/lease.go
@@ -11,6 +11,8 @@
 	ttl     time.Duration
 	expires time.Time
 	keys    map[string]bool
+	// granted is the store's revision when the lease was granted.
+	granted int64
 }
 
 // Grant grants a lease; an ID of 0 lets the store choose one.
@@ -30,7 +32,7 @@
 		return LeaseResponse{}, errLeaseExists
 	}
 	ttl := time.Duration(request.TTL) * time.Second
-	s.leases[id] = &lease{ttl: ttl, expires: s.now().Add(ttl), keys: make(map[string]bool)}
+	s.leases[id] = &lease{ttl: ttl, expires: s.now().Add(ttl), keys: make(map[string]bool), granted: s.history.revision}
 	return LeaseResponse{Header: s.headerLocked(), ID: id, TTL: request.TTL}, nil
 }
 
--- a/internal/standin/kv/store.go
+++ b/internal/standin/kv/store.go
@@ -178,6 +178,24 @@
 	return nil
 }
 
+// RestoreCopy is Restore, and leases that were granted after the revision are gone: their
+// numbers are given out again.
+func (s *Store) RestoreCopy(revision int64) error {
+	if err := s.Restore(revision); err != nil {
+		return err
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for id, held := range s.leases {
+		if held.granted <= revision {
+			continue
+		}
+		delete(s.leases, id)
+		s.lastLease = min(s.lastLease, id-1)
+	}
+	return nil
+}
+
 // EndWatches breaks every watch.
 func (s *Store) EndWatches() {
 	s.mutex.Lock()
