A store that has come back from a copy: its era is a part of each revision

Ruled out: a short history (150 readings ended well at the same known revision) and a write that was made again late. The follower keeps what a copy lacks until its writer has had the time to write again, never takes a leaving replica for ready again, and pauses between refused watches. Still to come: nodes' own entries, wire formats between nodes, what operators see.

--- a/internal/follower/begin.go
+++ b/internal/follower/begin.go
@@ -39,7 +39,7 @@
 	if err != nil {
 		return err
 	}
-	f.began(f.takeIn(values), revision)
+	f.began(f.takeIn(values, revision), revision)
 	f.awaitOthers(ctx)
 	return nil
 }
--- /dev/null
+++ b/internal/follower/copy.go
@@ -0,0 +1,99 @@
+package follower
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/doorpond/doorpond/internal/store"
+)
+
+// The store may come back from a copy that is some seconds old. What was written since is
+// missing in it until its writers have written it again, and what was removed since is there
+// again. Nothing that it lacks is taken for gone before its writer has had the time.
+
+const (
+	// rewriteTime is how long replicas and operators may take to write again: the users'
+	// platform says about two seconds from the store's return; a second more is for the
+	// news of it.
+	rewriteTime = 3 * time.Second
+	// nodeRewriteTime is how long nodes may take. They spread their writes over some
+	// seconds, and those that the store refuses are made again up to four seconds later
+	// (package registry). One that is gone is found out by the others meanwhile.
+	nodeRewriteTime = 15 * time.Second
+	// departedMemory is for how long the entry of a replica that has gone is remembered:
+	// a copy is some seconds old, and the store may have been away for some more.
+	departedMemory = time.Minute
+)
+
+// replaceByCopy takes in the first whole reading of a later era of the store. Entries that it
+// lacks stay for a while. Those who watch this node are told only what differs: they keep
+// the rest as it is.
+func (s *state) replaceByCopy(now time.Time, values []store.KeyValue) {
+	present := make(map[string]bool, len(values))
+	for _, value := range values {
+		present[value.Key] = true
+		s.putOfCopy(value)
+	}
+	for key := range s.values {
+		if !present[key] {
+			s.missInCopy(now, key)
+		}
+	}
+}
+
+// putOfCopy takes in an entry that may be the one that is known.
+func (s *state) putOfCopy(value store.KeyValue) {
+	known, found := s.values[value.Key]
+	told := len(s.unpublished)
+	s.put(value)
+	if found && bytes.Equal(known.Value, value.Value) {
+		s.unpublished = s.unpublished[:told]
+	}
+}
+
+// missInCopy keeps an entry that a copy lacks for as long as its writer may take. Quarantined
+// requests are written again by the nodes that know them, which go on refusing them.
+func (s *state) missInCopy(now time.Time, key string) {
+	wait := rewriteTime
+	switch {
+	case hasPrefix(key, s.options.Keys.Quarantine):
+		s.remove(now, key)
+		return
+	case hasPrefix(key, s.options.Keys.Nodes):
+		wait = nodeRewriteTime
+	}
+	s.unproved[key] = now.Add(wait)
+}
+
+// forgetUnproved takes for gone what has not been written again in time.
+func (s *state) forgetUnproved(now time.Time) {
+	for key, until := range s.unproved {
+		if !now.Before(until) {
+			s.remove(now, key)
+		}
+	}
+	for key, departed := range s.departed {
+		if !now.Before(departed.until) {
+			delete(s.departed, key)
+		}
+	}
+}
+
+// provedAt is when the next entry that a copy lacks is taken for gone; zero when there is none.
+func (s *state) provedAt() time.Time {
+	var next time.Time
+	for _, until := range s.unproved {
+		next = earliest(next, until)
+	}
+	return next
+}
+
+// isOfDeparted tells whether an entry is that of a replica that has gone, as a copy shows it
+// once more. The replica itself would have written another one.
+func (s *state) isOfDeparted(value store.KeyValue) bool {
+	departed, found := s.departed[value.Key]
+	return found &&
+		store.EraOf(value.ModRevision) > store.EraOf(departed.entry.ModRevision) &&
+		store.NumberOf(value.ModRevision) == store.NumberOf(departed.entry.ModRevision) &&
+		bytes.Equal(value.Value, departed.entry.Value)
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -14,6 +14,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/doorpond/doorpond/internal/announce"
 	"github.com/doorpond/doorpond/internal/blackboard"
 	"github.com/doorpond/doorpond/internal/decision"
@@ -263,15 +265,20 @@
 // heard is true when the store has answered, also that its history has gone: then it
 // is read at once.
 func (f *Follower) follow(ctx context.Context) (heard bool, err error) {
-	answers := f.answers
+	hasRead := f.mustRead
 	if f.mustRead {
 		if err := f.read(ctx); err != nil {
 			return false, err
 		}
 	}
+	answers := f.answers
 	err = f.watch(ctx, f.staleness.known)
 	f.mustRead = errors.Is(err, store.ErrCompacted) || errors.Is(err, errBehind)
-	return f.mustRead || f.answers > answers, err
+	told := f.answers > answers
+	if hasRead && f.mustRead && !told {
+		return false, err // another reading at once would bring no more than this one
+	}
+	return f.mustRead || told || hasRead, err
 }
 
 // read takes everything in.
@@ -283,20 +290,40 @@
 	if err != nil {
 		return err
 	}
-	now := f.takeIn(values)
+	if revision < f.staleness.known {
+		return eris.Wrapf(errOlder, "revision %d, where %d is known", revision, f.staleness.known)
+	}
+	now := f.takeIn(values, revision)
 	f.learned(now, revision)
 	return nil
 }
 
-// takeIn puts a whole reading in force, and returns when.
-func (f *Follower) takeIn(values []store.KeyValue) time.Time {
+// errOlder ends a reading that has brought an older state than the one known.
+var errOlder = eris.New("the store has told an older state than before, without a new era")
+
+// takeIn puts a whole reading of a revision in force, and returns when.
+func (f *Follower) takeIn(values []store.KeyValue, revision int64) time.Time {
 	now := f.options.Now()
 	f.heard(now)
-	f.state.replace(now, values)
+	f.replace(now, values, revision)
 	f.state.publish(now)
 	return now
 }
 
+// replace puts a whole reading in the place of what is known. The first of a later era of the
+// store is of a copy, which may lack what its writers have not written again yet.
+func (f *Follower) replace(now time.Time, values []store.KeyValue, revision int64) {
+	known := f.staleness.known
+	if known == 0 || store.EraOf(revision) == store.EraOf(known) {
+		f.state.replace(now, values)
+		return
+	}
+	f.options.Logger.Warn("the store has come back from a copy",
+		"era", store.EraOf(revision), "revision", store.NumberOf(revision),
+		"known_era", store.EraOf(known), "known_revision", store.NumberOf(known))
+	f.state.replaceByCopy(now, values)
+}
+
 // reading reads everything from the store.
 type reading func(ctx context.Context) ([]store.KeyValue, int64, error)
 
@@ -381,7 +408,7 @@
 // lost notes that the store has failed.
 func (f *Follower) lost(err error) {
 	if errors.Is(err, store.ErrCompacted) || errors.Is(err, errBehind) {
-		f.options.Logger.Info("reading the store anew", "reason", err.Error(), "known_revision", f.staleness.known)
+		f.options.Logger.Info("reading the store anew", "reason", err.Error(), "known_era", store.EraOf(f.staleness.known), "known_revision", store.NumberOf(f.staleness.known))
 		return
 	}
 	if !f.reached {
@@ -391,7 +418,7 @@
 	now := f.options.Now()
 	f.options.Board.Store.Publish(&blackboard.StoreStatus{Since: now, LastError: err.Error()})
 	f.options.Logger.Warn("store lost; going on with what is known",
-		"error", err.Error(), "known_revision", f.staleness.known, "confirmed_ago", now.Sub(f.staleness.confirmedAt).String())
+		"error", err.Error(), "known_era", store.EraOf(f.staleness.known), "known_revision", store.NumberOf(f.staleness.known), "confirmed_ago", now.Sub(f.staleness.confirmedAt).String())
 }
 
 // hasPrefix tells whether a key belongs to a part of the store that is used.
--- a/internal/follower/others.go
+++ b/internal/follower/others.go
@@ -61,7 +61,7 @@
 	now = f.options.Now()
 	if handed.Revision > f.staleness.known {
 		f.options.Logger.Info("state taken over from another node", "revision", handed.Revision, "known_revision", f.staleness.known, "age", handed.Age().String())
-		f.state.replace(now, handed.Values)
+		f.replace(now, handed.Values, handed.Revision)
 		f.state.publish(now)
 		f.staleness.learn(handed.Revision)
 		f.feedOthers()
--- a/internal/follower/staleness.go
+++ b/internal/follower/staleness.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/doorpond/doorpond/internal/store"
 )
 
 // staleness decides when what is known of the store must be confirmed, and
@@ -15,8 +17,9 @@
 	// checkAfter is how long a confirmation counts, for the node whose turn it
 	// is; each further node waits for a slot more.
 	checkAfter, slot time.Duration
-	// grace is how long the watch may take to tell what others know already.
-	grace time.Duration
+	// grace is how long the watch may take to tell what others know already, eraGrace
+	// the same where that is of a later era of the store.
+	grace, eraGrace time.Duration
 
 	known       int64
 	confirmed   int64
@@ -101,5 +104,9 @@
 	if len(s.missing) == 0 {
 		return time.Time{}
 	}
-	return s.missing[0].at.Add(s.grace)
+	grace := s.grace
+	if latest := s.missing[len(s.missing)-1]; store.EraOf(latest.revision) > store.EraOf(s.known) {
+		grace = s.eraGrace
+	}
+	return s.missing[0].at.Add(grace)
 }
--- a/internal/follower/state.go
+++ b/internal/follower/state.go
@@ -49,6 +49,17 @@
 	// warmAt is when the next replica that was published as cold is warm by its time;
 	// zero while there is none.
 	warmAt time.Time
+	// unproved says until when entries are kept that the store's copy lacks.
+	unproved map[string]time.Time
+	// departed are the replicas whose entries have gone, as they were at last.
+	departed map[string]departedReplica
+}
+
+// departedReplica is the last entry of a replica that has gone.
+type departedReplica struct {
+	entry store.KeyValue
+	// until is when it is forgotten.
+	until time.Time
 }
 
 type replicaEntry struct {
@@ -75,6 +86,8 @@
 		readmitted: make(map[string]time.Time),
 		values:     make(map[string]store.KeyValue),
 		entryUntil: make(map[string]time.Time),
+		unproved:   make(map[string]time.Time),
+		departed:   make(map[string]departedReplica),
 		suspects:   make(suspects),
 		adoption:   adoption{wait: options.share(adoptShare)},
 	}
@@ -88,7 +101,7 @@
 		s.put(value)
 	}
 	for key := range s.values {
-		if !present[key] {
+		if _, kept := s.unproved[key]; !present[key] && !kept {
 			s.remove(now, key)
 		}
 	}
@@ -104,6 +117,10 @@
 }
 
 func (s *state) put(value store.KeyValue) {
+	if s.isOfDeparted(value) {
+		return
+	}
+	delete(s.unproved, value.Key)
 	isNew := value.ModRevision > s.values[value.Key].ModRevision
 	if value.ModRevision >= s.values[value.Key].ModRevision {
 		s.values[value.Key] = value
@@ -149,6 +166,9 @@
 	replica.Place.Region = s.options.Regions[replica.Place.Zone]
 	entry := replicaEntry{revision: value.ModRevision, coldUntil: s.coldUntil(replica)}
 	replica.ColdFor = 0 // it changes with each entry
+	if found && known.replica.State == topology.ReplicaLeaving {
+		replica.State = topology.ReplicaLeaving // said once, it holds
+	}
 	entry.replica = replica
 	s.replicas[value.Key] = entry
 	now := s.options.Now()
@@ -177,6 +197,10 @@
 }
 
 func (s *state) remove(now time.Time, key string) {
+	if last, found := s.values[key]; found && hasPrefix(key, s.options.Keys.Replicas) {
+		s.departed[key] = departedReplica{entry: last, until: now.Add(departedMemory)}
+	}
+	delete(s.unproved, key)
 	delete(s.values, key)
 	s.valuesChanged = true
 	s.unpublished = append(s.unpublished, store.Event{KeyValue: store.KeyValue{Key: key}, Deleted: true})
@@ -258,6 +282,7 @@
 			s.replicasChanged = true
 		}
 	}
+	s.forgetUnproved(now)
 	for id, until := range s.entryUntil {
 		if !until.IsZero() && now.Sub(until) >= sharedMemory {
 			delete(s.entryUntil, id)
@@ -269,7 +294,7 @@
 // dueAt returns when the next vanished replica is forgotten or a configuration is
 // put in force at the latest; zero when there is neither.
 func (s *state) dueAt() time.Time {
-	next := earliest(s.adoption.dueAt(), s.suspects.dueAt(), s.warmAt)
+	next := earliest(s.adoption.dueAt(), s.suspects.dueAt(), s.warmAt, s.provedAt())
 	for _, entry := range s.replicas {
 		if entry.goneAt.IsZero() {
 			continue
--- a/internal/follower/watch.go
+++ b/internal/follower/watch.go
@@ -72,7 +72,7 @@
 		})
 	}()
 	defer cancel()
-	f.staleness.grace = f.graceOf(from)
+	f.staleness.grace, f.staleness.eraGrace = f.graceOf(from), f.eraGraceOf(from)
 	timer := time.NewTimer(nothingDue)
 	defer timer.Stop()
 	for {
@@ -112,6 +112,15 @@
 	}
 }
 
+// eraGraceOf is what a watch may take to tell what others know of a later era of the store.
+// The store's own watch cannot tell it; a node that is watched reads everything first.
+func (f *Follower) eraGraceOf(from source) time.Duration {
+	if from.node.IsValid() {
+		return f.graceOf(from)
+	}
+	return 0
+}
+
 // nothingDue is how long is waited when nothing is due.
 const nothingDue = time.Hour
 
--- /dev/null
+++ b/internal/store/revision.go
@@ -0,0 +1,21 @@
+package store
+
+// eraBits is the number of low bits of a revision that hold the store's own number: a trillion
+// changes of an era, at a thousand a second 34 years.
+const eraBits = 40
+
+// MostEra is the highest era that a revision can hold.
+const MostEra = 1<<(63-eraBits) - 1
+
+// RevisionIn returns the revision that a store's own number stands for in one of its eras. An
+// era ends when the store comes back from a copy of an earlier state: its numbers go back and
+// are given out again. A revision of a later era is higher than all of those before, so that
+// the highest revision stands for the newest state, also across eras. A store without eras is
+// in era 0 for good, and its numbers are the revisions.
+func RevisionIn(era, number int64) int64 { return era<<eraBits | number }
+
+// EraOf returns the era of a revision.
+func EraOf(revision int64) int64 { return revision >> eraBits }
+
+// NumberOf returns the store's own number of a revision.
+func NumberOf(revision int64) int64 { return revision & (1<<eraBits - 1) }
