What nodes tell each other carries the store's era; lives of replicas; entries of other writers

Era, revision and age stand in doorpond system, the era in a metric. Ruled out: refusing entries without a birth.

--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -17,6 +17,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/doorpond/doorpond/internal/store"
 	"github.com/doorpond/doorpond/internal/topology"
 )
 
@@ -32,10 +33,40 @@
 
 // Announcement says that the store was at a revision some time ago.
 type Announcement struct {
-	// Revision is the store's.
-	Revision int64 `msgpack:"r"`
+	// Revision is the store's (store.RevisionIn).
+	Revision int64
 	// Age is the time since the store said so, in milliseconds.
+	AgeMilliseconds int64
+}
+
+// datagram is an announcement as it is sent. A node of a version without eras reads the number
+// alone, as it does of the store; one that it sends is of era 0.
+type datagram struct {
+	Number          int64 `msgpack:"r"`
 	AgeMilliseconds int64 `msgpack:"a"`
+	Era             int64 `msgpack:"e,omitempty"`
+}
+
+// errUnusable refuses a datagram that no node sends.
+var errUnusable = eris.New("the announcement cannot be of a node")
+
+// encode returns an announcement as it is sent.
+func encode(news Announcement) ([]byte, error) {
+	return msgpack.Marshal(&datagram{
+		Number: store.NumberOf(news.Revision), Era: store.EraOf(news.Revision), AgeMilliseconds: news.AgeMilliseconds,
+	})
+}
+
+// decode reads an announcement as it was sent.
+func decode(content []byte) (Announcement, error) {
+	var read datagram
+	if err := msgpack.Unmarshal(content, &read); err != nil {
+		return Announcement{}, eris.Wrap(err, "decode an announcement")
+	}
+	if read.AgeMilliseconds < 0 || read.Number < 0 || read.Number > store.MostNumber || read.Era < 0 || read.Era > store.MostEra {
+		return Announcement{}, errUnusable
+	}
+	return Announcement{Revision: store.RevisionIn(read.Era, read.Number), AgeMilliseconds: read.AgeMilliseconds}, nil
 }
 
 // Age returns the time since the store said so.
@@ -100,9 +131,10 @@
 			a.notice(buffer[1:size])
 			continue
 		}
-		var heard Announcement
-		if err := msgpack.Unmarshal(buffer[:size], &heard); err != nil || heard.AgeMilliseconds < 0 {
-			continue // not from a node of this version
+		heard, err := decode(buffer[:size])
+		if err != nil {
+			a.options.Logger.Debug("an announcement was not read", "error", err.Error())
+			continue
 		}
 		select {
 		case a.received <- heard:
@@ -134,21 +166,21 @@
 
 // Send tells some other nodes, chosen by chance.
 func (a *Announcer) Send(news Announcement) {
-	datagram, err := msgpack.Marshal(news)
+	encoded, err := encode(news)
 	if err != nil {
-		return // two numbers always encode
+		return // three numbers always encode
 	}
-	a.send(datagram)
+	a.send(encoded)
 }
 
 // send sends a datagram to some other nodes, chosen by chance.
-func (a *Announcer) send(datagram []byte) {
+func (a *Announcer) send(content []byte) {
 	nodes := a.options.Nodes()
 	if nodes == nil {
 		return
 	}
 	for _, address := range a.targets(nodes) {
-		_, _ = a.socket.WriteToUDP(datagram, address) // may be lost as well on its way
+		_, _ = a.socket.WriteToUDP(content, address) // may be lost as well on its way
 	}
 }
 
--- a/internal/announce/announce_test.go
+++ b/internal/announce/announce_test.go
@@ -7,6 +7,9 @@
 	"testing"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/doorpond/doorpond/internal/store"
 	"github.com/doorpond/doorpond/internal/topology"
 )
 
@@ -53,6 +56,51 @@
 	return &copied
 }
 
+// TestAnAnnouncementNamesTheEra: a node of a version without eras reads the store's own number, and
+// what it sends is of era 0.
+func TestAnAnnouncementNamesTheEra(t *testing.T) {
+	news := Announcement{Revision: store.RevisionIn(3, 42), AgeMilliseconds: 7}
+	sent, err := encode(news)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := decode(sent); got != news || err != nil {
+		t.Errorf("%+v, error %v", got, err)
+	}
+	type withoutEra struct {
+		Revision        int64 `msgpack:"r"`
+		AgeMilliseconds int64 `msgpack:"a"`
+	}
+	var before withoutEra
+	if err := msgpack.Unmarshal(sent, &before); err != nil || before.Revision != 42 || before.AgeMilliseconds != 7 {
+		t.Errorf("read as %+v, error %v", before, err)
+	}
+	sent, err = msgpack.Marshal(&withoutEra{Revision: 90})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := decode(sent); got.Revision != 90 || err != nil {
+		t.Errorf("%+v, error %v", got, err)
+	}
+}
+
+// FuzzDecode: no datagram makes a node panic, or brings a revision that no store has.
+func FuzzDecode(f *testing.F) {
+	for _, news := range []Announcement{{}, {Revision: 42, AgeMilliseconds: 7}, {Revision: store.RevisionIn(store.MostEra, store.MostNumber)}} {
+		sent, err := encode(news)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(sent)
+	}
+	f.Add([]byte{0xdf, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, content []byte) {
+		if read, err := decode(content); err == nil && (read.Revision < 0 || read.AgeMilliseconds < 0) {
+			t.Errorf("%x is %+v", content, read)
+		}
+	})
+}
+
 func TestAnAnnouncementReachesTheOthers(t *testing.T) {
 	made := newNetwork(t, 4)
 	made.announcers[0].Send(Announcement{Revision: 42, AgeMilliseconds: 7})
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -33,6 +33,7 @@
 	"github.com/doorpond/doorpond/internal/registry"
 	"github.com/doorpond/doorpond/internal/relay"
 	"github.com/doorpond/doorpond/internal/replica"
+	"github.com/doorpond/doorpond/internal/store"
 	"github.com/doorpond/doorpond/internal/topology"
 	"github.com/doorpond/doorpond/internal/upstream"
 )
@@ -205,10 +206,15 @@
 		VanishedFor: time.Duration(vanishedShare * float64(n.settings.Bounds.Drain)),
 		ColdBound:   decision.ColdBound{Overage: n.settings.Bounds.ColdOverage, Slack: n.settings.Bounds.ColdSlack},
 	})
+	if registerer != nil {
+		registerer.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "doorpondd_store_era", Help: "The store's era as far as it is known; it rises when the store comes back from a copy.",
+		}, func() float64 { return float64(n.storeEra()) }))
+	}
 	n.monitor = freshness.New(freshness.Options{Confirm: n.follower.Confirm, Logger: n.logger, Registerer: registerer})
 	n.registry = registry.New(registry.Config{
 		Store: source, Key: n.platform.Keys.Nodes + n.settings.Node, TTL: max(entryTTL, n.settings.Store.LeastTTL),
-		Listed: n.listed,
+		Listed: n.listed, Era: n.storeEra,
 		Node: func() topology.Node {
 			recorded := n.self
 			recorded.Ready, recorded.Loaded = n.ready(), n.loaded()
@@ -259,6 +265,12 @@
 // loaded tells whether callers should be led to further nodes beside this one.
 func (n *Node) loaded() bool { return n.queries.Loaded() || n.processor.Loaded() }
 
+// storeEra is the store's era as far as this node knows.
+func (n *Node) storeEra() int64 {
+	revision, _ := n.follower.Known()
+	return store.EraOf(revision)
+}
+
 // listed tells whether this node is among those that are known.
 func (n *Node) listed() bool {
 	nodes := n.board.Nodes.Load()
--- a/internal/follower/copy.go
+++ b/internal/follower/copy.go
@@ -20,9 +20,6 @@
 	// seconds, and those that the store refuses are made again up to four seconds later
 	// (package registry). One that is gone is found out by the others meanwhile.
 	nodeRewriteTime = 15 * time.Second
-	// departedMemory is for how long the entry of a replica that has gone is remembered:
-	// a copy is some seconds old, and the store may have been away for some more.
-	departedMemory = time.Minute
 )
 
 // replaceByCopy takes in the first whole reading of a later era of the store. Entries that it
@@ -72,11 +69,6 @@
 			s.remove(now, key)
 		}
 	}
-	for key, departed := range s.departed {
-		if !now.Before(departed.until) {
-			delete(s.departed, key)
-		}
-	}
 }
 
 // provedAt is when the next entry that a copy lacks is taken for gone; zero when there is none.
@@ -87,13 +79,3 @@
 	}
 	return next
 }
-
-// isOfDeparted tells whether an entry is that of a replica that has gone, as a copy shows it
-// once more. The replica itself would have written another one.
-func (s *state) isOfDeparted(value store.KeyValue) bool {
-	departed, found := s.departed[value.Key]
-	return found &&
-		store.EraOf(value.ModRevision) > store.EraOf(departed.entry.ModRevision) &&
-		store.NumberOf(value.ModRevision) == store.NumberOf(departed.entry.ModRevision) &&
-		bytes.Equal(value.Value, departed.entry.Value)
-}
--- a/internal/follower/others.go
+++ b/internal/follower/others.go
@@ -80,6 +80,16 @@
 	return handover.Snapshot{Revision: held.revision, AgeMilliseconds: max(0, age), Values: held.values}, true
 }
 
+// Known returns the store's revision up to which all is known, and when that was confirmed;
+// zero before the first reading. It may be called from any goroutine.
+func (f *Follower) Known() (revision int64, confirmedAt time.Time) {
+	held := f.snapshot.Load()
+	if held == nil {
+		return 0, time.Time{}
+	}
+	return held.revision, held.confirmedAt
+}
+
 // keepSnapshot notes what is known now, for other nodes.
 func (f *Follower) keepSnapshot() {
 	kept := &snapshot{revision: f.staleness.known, confirmedAt: f.staleness.confirmedAt}
--- a/internal/follower/staleness.go
+++ b/internal/follower/staleness.go
@@ -50,8 +50,12 @@
 
 // confirm notes that the store was at a revision at some time. It returns true
 // when that is news which others should hear: a higher revision, or a
-// confirmation much later than the last.
+// confirmation much later than the last. What is said of an era of the store that is over
+// confirms nothing.
 func (s *staleness) confirm(now, at time.Time, revision int64) (news bool) {
+	if store.EraOf(revision) < store.EraOf(s.confirmed) {
+		return false
+	}
 	news = revision > s.confirmed || at.Sub(s.confirmedAt) > s.checkAfter/2
 	if at.After(s.confirmedAt) {
 		s.confirmedAt = at
--- a/internal/follower/state.go
+++ b/internal/follower/state.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/doorpond/doorpond/internal/directory"
 	"github.com/doorpond/doorpond/internal/store"
 	"github.com/doorpond/doorpond/internal/topology"
@@ -53,13 +55,8 @@
 	unproved map[string]time.Time
 	// departed are the replicas whose entries have gone, as they were at last.
 	departed map[string]departedReplica
-}
-
-// departedReplica is the last entry of a replica that has gone.
-type departedReplica struct {
-	entry store.KeyValue
-	// until is when it is forgotten.
-	until time.Time
+	// unusable are the keys of entries that name no replica, and were logged.
+	unusable map[string]bool
 }
 
 type replicaEntry struct {
@@ -88,6 +85,7 @@
 		entryUntil: make(map[string]time.Time),
 		unproved:   make(map[string]time.Time),
 		departed:   make(map[string]departedReplica),
+		unusable:   make(map[string]bool),
 		suspects:   make(suspects),
 		adoption:   adoption{wait: options.share(adoptShare)},
 	}
@@ -117,21 +115,14 @@
 }
 
 func (s *state) put(value store.KeyValue) {
-	if s.isOfDeparted(value) {
+	if hasPrefix(value.Key, s.options.Keys.Replicas) {
+		s.putReplica(value)
 		return
 	}
-	delete(s.unproved, value.Key)
-	isNew := value.ModRevision > s.values[value.Key].ModRevision
-	if value.ModRevision >= s.values[value.Key].ModRevision {
-		s.values[value.Key] = value
-		s.valuesChanged = true
-		s.unpublished = append(s.unpublished, store.Event{KeyValue: value})
-	}
+	isNew := s.keep(value)
 	switch {
 	case value.Key == s.options.Keys.Configuration:
 		s.putTable(value)
-	case hasPrefix(value.Key, s.options.Keys.Replicas):
-		s.putReplica(value)
 	case hasPrefix(value.Key, s.options.Keys.Evacuations):
 		s.evacuate(value.Key[len(s.options.Keys.Evacuations):])
 	case hasPrefix(value.Key, s.options.Keys.Quarantine):
@@ -143,6 +134,18 @@
 	}
 }
 
+// keep keeps an entry for other nodes, and tells whether it is newer than the one before.
+func (s *state) keep(value store.KeyValue) (isNew bool) {
+	delete(s.unproved, value.Key)
+	known := s.values[value.Key].ModRevision
+	if value.ModRevision >= known {
+		s.values[value.Key] = value
+		s.valuesChanged = true
+		s.unpublished = append(s.unpublished, store.Event{KeyValue: value})
+	}
+	return value.ModRevision > known
+}
+
 // putTable takes a configuration in.
 func (s *state) putTable(value store.KeyValue) {
 	table, err := s.options.Decoder.Routes(value.Value)
@@ -153,21 +156,32 @@
 	s.adoption.offer(table)
 }
 
+// putReplica takes a replica's entry in, unless a copy of the store shows one that is over.
 func (s *state) putReplica(value store.KeyValue) {
+	if s.isOfDeparted(value) {
+		return
+	}
 	known, found := s.replicas[value.Key]
 	if found && value.ModRevision < known.revision {
 		return
 	}
 	replica, err := s.options.Decoder.Replica(value.Key, value.Value)
-	if err != nil {
-		s.options.Logger.Error("replica's entry refused", "error", err.Error())
+	switch {
+	case err != nil:
+		s.keep(value)
+		s.refuseReplica(value.Key, err)
+		return
+	case replica.Born.Before(s.bornAt(value.Key)):
+		s.refuseReplica(value.Key, errEarlierLife)
 		return
 	}
+	s.keep(value)
+	delete(s.unusable, value.Key)
 	replica.Place.Region = s.options.Regions[replica.Place.Zone]
 	entry := replicaEntry{revision: value.ModRevision, coldUntil: s.coldUntil(replica)}
 	replica.ColdFor = 0 // it changes with each entry
-	if found && known.replica.State == topology.ReplicaLeaving {
-		replica.State = topology.ReplicaLeaving // said once, it holds
+	if found && known.replica.State == topology.ReplicaLeaving && known.replica.Born.Equal(replica.Born) {
+		replica.State = topology.ReplicaLeaving // said once, it holds for this life
 	}
 	entry.replica = replica
 	s.replicas[value.Key] = entry
@@ -181,14 +195,21 @@
 	}
 }
 
+// errForeignNode refuses an entry that no node has written of itself.
+var errForeignNode = eris.New("the entry names another node than its key")
+
 func (s *state) putNode(value store.KeyValue) {
 	known, found := s.nodes[value.Key]
 	if found && value.ModRevision < known.revision {
 		return
 	}
 	var node topology.Node
-	if err := json.Unmarshal(value.Value, &node); err != nil {
-		s.options.Logger.Error("node's entry refused", "key", value.Key, "error", err.Error())
+	err := json.Unmarshal(value.Value, &node)
+	if err == nil && s.options.Keys.Nodes+node.ID != value.Key {
+		err = errForeignNode
+	}
+	if err != nil {
+		s.options.Logger.Error("node's entry refused; keeping the one before", "key", value.Key, "error", err.Error())
 		return
 	}
 	started := s.suspects.clear(node.ID) // it has just written this
@@ -198,18 +219,14 @@
 
 func (s *state) remove(now time.Time, key string) {
 	if last, found := s.values[key]; found && hasPrefix(key, s.options.Keys.Replicas) {
-		s.departed[key] = departedReplica{entry: last, until: now.Add(departedMemory)}
+		s.departed[key] = departedReplica{entry: last, born: s.bornAt(key), until: now.Add(departedMemory)}
 	}
 	delete(s.unproved, key)
+	delete(s.unusable, key)
 	delete(s.values, key)
 	s.valuesChanged = true
 	s.unpublished = append(s.unpublished, store.Event{KeyValue: store.KeyValue{Key: key}, Deleted: true})
-	if known, found := s.replicas[key]; found && known.goneAt.IsZero() {
-		known.goneAt = now
-		s.replicas[key] = known
-		s.replicasChanged = true
-		s.gone = append(s.gone, known.replica)
-	}
+	s.replicaGone(now, key)
 	if hasPrefix(key, s.options.Keys.Quarantine) {
 		s.options.Quarantine.Forgotten(key[len(s.options.Keys.Quarantine):])
 	}
@@ -223,6 +240,18 @@
 	}
 }
 
+// replicaGone notes that a replica has no entry that names it.
+func (s *state) replicaGone(now time.Time, key string) {
+	known, found := s.replicas[key]
+	if !found || !known.goneAt.IsZero() {
+		return
+	}
+	known.goneAt = now
+	s.replicas[key] = known
+	s.replicasChanged = true
+	s.gone = append(s.gone, known.replica)
+}
+
 // list returns the store's values, in no order.
 func (s *state) list() []store.KeyValue {
 	values := make([]store.KeyValue, 0, len(s.values))
@@ -283,6 +312,7 @@
 		}
 	}
 	s.forgetUnproved(now)
+	s.forgetDeparted(now)
 	for id, until := range s.entryUntil {
 		if !until.IsZero() && now.Sub(until) >= sharedMemory {
 			delete(s.entryUntil, id)
@@ -326,8 +356,12 @@
 func (s *state) groups(now time.Time) map[string][]topology.Replica {
 	groups := make(map[string][]topology.Replica)
 	s.warmAt = time.Time{}
+	tellLives := s.tellLives()
 	for _, entry := range s.replicas {
 		replica := entry.replica
+		if tellLives && replica.Born.IsZero() {
+			continue // another writer's
+		}
 		replica.State = s.stateOf(now, &entry)
 		replica.ConnectionLimit = s.service(replica.Group).ConnectionLimit
 		if s.isCold(now, &entry) {
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -18,8 +18,9 @@
 	"github.com/doorpond/doorpond/internal/topology"
 )
 
-// Path is where a node serves what it knows.
-const Path = "/state"
+// Path is where a node serves what it knows. Its version changes with what a revision means:
+// a node of another version is not answered.
+const Path = "/v2/state"
 
 const (
 	contentType = "application/msgpack"
--- a/internal/inspect/inspect.go
+++ b/internal/inspect/inspect.go
@@ -20,6 +20,7 @@
 	"github.com/doorpond/doorpond/internal/quarantine"
 	"github.com/doorpond/doorpond/internal/routing"
 	"github.com/doorpond/doorpond/internal/statistics"
+	"github.com/doorpond/doorpond/internal/store"
 	"github.com/doorpond/doorpond/internal/topology"
 )
 
@@ -40,7 +41,10 @@
 	Quarantined func() []quarantine.Record
 	// Release ends the quarantine of a request on all nodes. Its errors are *failure.Error.
 	Release func(ctx context.Context, identity quarantine.Identity) error
-	Client  *http.Client
+	// Known returns the store's revision up to which this node knows all, and when that was
+	// confirmed; nil when the node does not follow a store.
+	Known  func() (revision int64, confirmedAt time.Time)
+	Client *http.Client
 }
 
 // Node is what one node says of itself.
@@ -53,6 +57,13 @@
 	// StoreReachable is false since StoreSince while the store does not answer.
 	StoreReachable bool      `json:"store_reachable"`
 	StoreSince     time.Time `json:"store_since"`
+	// StoreEra and StoreRevision are what of the store the node knows all of; the era
+	// rises when the store comes back from a copy, and its revisions begin lower then.
+	StoreEra      int64 `json:"store_era"`
+	StoreRevision int64 `json:"store_revision"`
+	// ConfirmedAgo is the time since that was last confirmed, in milliseconds; -1 when it
+	// never was.
+	ConfirmedAgo int64 `json:"confirmed_ago_ms"`
 	// Budgets are the node's retry budgets that are used most.
 	Budgets []Budget `json:"budgets"`
 	// Quarantined are the requests that are suspected or quarantined on the node.
@@ -150,12 +161,26 @@
 	if table := h.config.Board.Routes.Load(); table != nil {
 		described.Version = table.Version
 	}
-	if store := h.config.Board.Store.Load(); store != nil {
-		described.StoreReachable, described.StoreSince = store.Reachable, store.Since
+	if status := h.config.Board.Store.Load(); status != nil {
+		described.StoreReachable, described.StoreSince = status.Reachable, status.Since
 	}
+	h.describeKnown(&described)
 	return described
 }
 
+// describeKnown adds what the node knows of the store.
+func (h *handler) describeKnown(described *Node) {
+	described.ConfirmedAgo = -1
+	if h.config.Known == nil {
+		return
+	}
+	revision, confirmedAt := h.config.Known()
+	described.StoreEra, described.StoreRevision = store.EraOf(revision), store.NumberOf(revision)
+	if !confirmedAt.IsZero() {
+		described.ConfirmedAgo = max(0, time.Since(confirmedAt).Milliseconds())
+	}
+}
+
 func (h *handler) system(ctx context.Context) System {
 	known := System{Lagging: []string{}, Routes: []Route{}, Leaving: []topology.Replica{}, Evacuated: map[string]int{}}
 	known.Nodes, known.Unreachable = gather(ctx, h, pathNode, h.node())
--- a/internal/operator/system.go
+++ b/internal/operator/system.go
@@ -68,14 +68,14 @@
 		return cmp.Or(cmp.Compare(a.Node.Place.Region, b.Node.Place.Region), cmp.Compare(a.Node.Place.Zone, b.Node.Place.Zone),
 			cmp.Compare(a.Node.ID, b.Node.ID))
 	})
-	lines := newGrid(to, "REGION", "ZONE", "NODE", "ADDRESS", "ROLE", "LOADED", "CONFIGURATION", "STORE")
+	lines := newGrid(to, "REGION", "ZONE", "NODE", "ADDRESS", "ROLE", "LOADED", "CONFIGURATION", "STORE", "ERA", "REVISION", "CONFIRMED")
 	for _, one := range sorted {
 		role := "standby"
 		if one.Entry {
 			role = "entry"
 		}
 		lines.row(one.Node.Place.Region, one.Node.Place.Zone, one.Node.ID, one.Node.Address, role, one.Node.Loaded,
-			one.Version, reachableText(one))
+			one.Version, reachableText(one), one.StoreEra, one.StoreRevision, confirmedText(one))
 	}
 	lines.end()
 }
@@ -87,6 +87,14 @@
 	return "away since " + node.StoreSince.Format("15:04:05")
 }
 
+// confirmedText says how old what a node knows of the store may be.
+func confirmedText(node inspect.Node) string {
+	if node.ConfirmedAgo < 0 {
+		return "never"
+	}
+	return fmt.Sprintf("%d ms ago", node.ConfirmedAgo)
+}
+
 func printRoutes(to io.Writer, routes []inspect.Route) {
 	lines := newGrid(to, "ROUTE", "HOST", "PATH", "RANK", "REPEATABLE", "ATTEMPTS", "TIMEOUT", "OBJECTIVE", "REGIONS", "TO")
 	for _, one := range routes {
--- a/internal/operator/system_test.go
+++ b/internal/operator/system_test.go
@@ -18,8 +18,8 @@
 	system := &inspect.System{
 		Version: 7, Replicas: 30, Lagging: []string{"n2"},
 		Nodes: []inspect.Node{
-			{Node: topology.Node{ID: "n2", Place: place}, Version: 5, StoreSince: time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)},
-			{Node: topology.Node{ID: "n1", Address: "10.0.0.1:1", Place: place, Loaded: true}, Entry: true, Version: 7, StoreReachable: true},
+			{Node: topology.Node{ID: "n2", Place: place}, Version: 5, StoreEra: 1, StoreRevision: 87, ConfirmedAgo: -1, StoreSince: time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)},
+			{Node: topology.Node{ID: "n1", Address: "10.0.0.1:1", Place: place, Loaded: true}, Entry: true, Version: 7, StoreReachable: true, StoreEra: 2, StoreRevision: 31, ConfirmedAgo: 40},
 		},
 		Unreachable: []comparison.Unreachable{{Member: topology.Member{ID: "n3"}, Reason: "no\x1b answer"}},
 		Routes: []inspect.Route{
@@ -42,8 +42,8 @@
 	lines := strings.Split(out.String(), "\n")
 	for _, want := range []string{
 		"configuration 7; 2 nodes answer, 1 lag, 1 do not answer; 30 replicas serve, 1 leave",
-		"accra kaneshie n1 10.0.0.1:1 entry true 7 reachable",
-		"accra kaneshie n2 standby false 5 away since 03:04:05",
+		"accra kaneshie n1 10.0.0.1:1 entry true 7 reachable 2 31 40 ms ago",
+		"accra kaneshie n2 standby false 5 away since 03:04:05 1 87 never",
 		"search h 0 false 0 0 ms 0 ms accra,kumasi 10 shards, at least 0.89, top 20",
 		"fetch h 0 false 0 0 ms 0 ms all a=3, b=1",
 		"plain h 0 false 0 0 ms 0 ms all a",
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -34,6 +34,9 @@
 	// Listed tells whether the entry is among those that this node knows of; nil means
 	// that it is. The lease of one that is not may have lapsed before its time.
 	Listed func() bool
+	// Era returns the store's era as far as it is known; nil means that it never changes. A
+	// lease of an earlier era is gone, or another caller's by now, and so is the entry.
+	Era func() int64
 	// TTL is how long the entry outlives the node.
 	TTL    time.Duration
 	Logger *slog.Logger
@@ -44,6 +47,8 @@
 type Registry struct {
 	config Config
 	lease  store.Lease
+	// era is the store's when the lease was granted.
+	era int64
 	// renewedAt is when the lease was granted or renewed last.
 	renewedAt time.Time
 	// recorded is what the entry holds, if it is there.
@@ -68,6 +73,9 @@
 	if config.Listed == nil {
 		config.Listed = func() bool { return true }
 	}
+	if config.Era == nil {
+		config.Era = func() int64 { return 0 }
+	}
 	return &Registry{config: config}
 }
 
@@ -86,6 +94,10 @@
 	// listedWait is how long after it was written, or its lease was checked, an entry
 	// may be missing among those that are known: news takes a while.
 	listedWait = 3 * time.Second
+	// eraSpread is the time over which all nodes record themselves anew when the store has
+	// come back from a copy. 2,700 nodes make 5,400 writes; those of its calls that the
+	// store refuses are made again with pauses.
+	eraSpread = 4 * time.Second
 	// readyWait is for how long a node that has just started is not recorded while
 	// it is not ready: one entry that says so is enough.
 	readyWait = time.Second
@@ -110,6 +122,7 @@
 
 // attempt renews, unless a call has failed a short while ago.
 func (r *Registry) attempt(ctx context.Context) {
+	r.noteEra()
 	if r.config.Now().Before(r.retryAt) {
 		return
 	}
@@ -124,6 +137,18 @@
 	r.retryAt = r.config.Now().Add(jittered)
 }
 
+// noteEra gives up a lease of an earlier era of the store. Its number may be another caller's:
+// it is neither renewed nor ended.
+func (r *Registry) noteEra() {
+	era := r.config.Era()
+	if r.lease == 0 || era <= r.era {
+		return
+	}
+	r.lease, r.era = 0, era
+	r.retryAt = r.config.Now().Add(rand.N(eraSpread))
+	r.config.Logger.Info("this node's entry is written anew, as the store has come back from a copy", "era", era)
+}
+
 // awaitReady lets a node that has just started become ready first.
 func (r *Registry) awaitReady(ctx context.Context) {
 	bounded, cancel := context.WithTimeout(ctx, readyWait)
@@ -158,12 +183,12 @@
 		return nil
 	}
 	if r.lease == 0 {
-		asked := r.config.Now()
+		asked, era := r.config.Now(), r.config.Era()
 		granted, err := r.config.Store.Grant(ctx, r.config.TTL)
 		if err != nil {
 			return err
 		}
-		r.lease, r.renewedAt = granted, asked
+		r.lease, r.era, r.renewedAt = granted, era, asked
 	}
 	return r.record(ctx, wanted)
 }
@@ -205,7 +230,7 @@
 
 // Leave removes the entry at once. Run must have ended.
 func (r *Registry) Leave(ctx context.Context) error {
-	if r.lease == 0 {
+	if r.lease == 0 || r.config.Era() > r.era {
 		return nil
 	}
 	return eris.Wrap(r.config.Store.Revoke(ctx, r.lease), "remove this node's entry")
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -212,3 +212,43 @@
 		t.Errorf("%d calls in %d s", len(fake.calls), seconds)
 	}
 }
+
+// TestANewEraOfTheStoreIsRecordedIn: the lease of before may be another caller's, and the entry may
+// be missing. The nodes do not write it all at once.
+func TestANewEraOfTheStoreIsRecordedIn(t *testing.T) {
+	fake := &fakeStore{}
+	now, era := time.Unix(1000, 0), int64(0)
+	kept := New(Config{
+		Store: fake, Key: "k", TTL: time.Hour, Now: func() time.Time { return now }, Era: func() int64 { return era },
+		Node: func() topology.Node { return topology.Node{ID: "n"} },
+	})
+	kept.attempt(t.Context())
+	era = 2
+	kept.attempt(t.Context())
+	if spread := kept.retryAt.Sub(now); spread < 0 || spread > eraSpread {
+		t.Errorf("written after %v", spread)
+	}
+	for range 2 {
+		now = now.Add(eraSpread)
+		kept.attempt(t.Context())
+	}
+	want := []string{"grant", "put k under 1", "grant", "put k under 2"}
+	if diff := cmp.Diff(want, fake.calls); diff != "" {
+		t.Errorf("calls (-want +got):\n%s", diff)
+	}
+}
+
+// TestALeaseOfAnEarlierEraIsNotEnded: leaving would take away what may be another caller's.
+func TestALeaseOfAnEarlierEraIsNotEnded(t *testing.T) {
+	fake := &fakeStore{}
+	era := int64(0)
+	kept := New(Config{
+		Store: fake, Key: "k", TTL: time.Hour, Era: func() int64 { return era },
+		Node: func() topology.Node { return topology.Node{ID: "n"} },
+	})
+	kept.attempt(t.Context())
+	era = 1
+	if err := kept.Leave(t.Context()); err != nil || len(fake.calls) != 2 {
+		t.Errorf("calls %v, error %v", fake.calls, err)
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -23,8 +23,9 @@
 	"github.com/doorpond/doorpond/internal/store"
 )
 
-// Path is where a node serves changes.
-const Path = "/changes"
+// Path is where a node serves changes. Its version changes with what a revision means: a node
+// of another version is not answered, and watches the store.
+const Path = "/v2/changes"
 
 // ErrBroken is returned when a watch of another node ends; nothing is wrong
 // with the store then. ErrSilent comes with it when the node did not answer at all,
@@ -38,6 +39,8 @@
 const (
 	// mostEvents is the number of changes that are kept for those who come late.
 	mostEvents = 4096
+	// mostAnswerBytes bounds an answer, decompressed: some tens of thousands of entries.
+	mostAnswerBytes = 64 << 20
 	// longestWait bounds the time for which a question waits.
 	longestWait = 30 * time.Second
 	contentType = "application/msgpack"
@@ -261,7 +264,7 @@
 
 func decode(compressed io.Reader) (Changes, error) {
 	var found Changes
-	err := msgpack.NewDecoder(flate.NewReader(compressed)).Decode(&found)
+	err := msgpack.NewDecoder(io.LimitReader(flate.NewReader(compressed), mostAnswerBytes)).Decode(&found)
 	return found, eris.Wrap(err, "decode changes")
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -276,3 +276,29 @@
 		t.Errorf("error %v, decoded (-want +got):\n%s", err, diff)
 	}
 }
+
+// FuzzDecode: no answer of another node makes this one panic or take much more memory than the
+// answer has bytes, and what is read is read the same from what this node would pass on.
+func FuzzDecode(f *testing.F) {
+	sent, err := encode(&Changes{Revision: 7, Events: []store.Event{{KeyValue: store.KeyValue{Key: "k", Value: []byte("v")}}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(sent)
+	f.Add([]byte{})
+	f.Add([]byte{0xff, 0x00})
+	f.Fuzz(func(t *testing.T, content []byte) {
+		found, err := decode(bytes.NewReader(content))
+		if err != nil {
+			return
+		}
+		passedOn, err := encode(&found)
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, err := decode(bytes.NewReader(passedOn))
+		if err != nil || again.Revision != found.Revision || len(again.Events) != len(found.Events) || len(again.Suspected) != len(found.Suspected) {
+			t.Errorf("%+v passed on is %+v, error %v", found, again, err)
+		}
+	})
+}
--- a/internal/store/revision.go
+++ b/internal/store/revision.go
@@ -4,8 +4,11 @@
 // changes of an era, at a thousand a second 34 years.
 const eraBits = 40
 
-// MostEra is the highest era that a revision can hold.
-const MostEra = 1<<(63-eraBits) - 1
+// MostEra and MostNumber are the highest era and number that a revision can hold.
+const (
+	MostEra    = 1<<(63-eraBits) - 1
+	MostNumber = 1<<eraBits - 1
+)
 
 // RevisionIn returns the revision that a store's own number stands for in one of its eras. An
 // era ends when the store comes back from a copy of an earlier state: its numbers go back and
@@ -18,4 +21,4 @@
 func EraOf(revision int64) int64 { return revision >> eraBits }
 
 // NumberOf returns the store's own number of a revision.
-func NumberOf(revision int64) int64 { return revision & (1<<eraBits - 1) }
+func NumberOf(revision int64) int64 { return revision & MostNumber }
--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -111,6 +111,9 @@
 	// ConnectionLimit is the number of connections it accepts from all
 	// daemons together.
 	ConnectionLimit int `json:"connection_limit" msgpack:"c"`
+	// Born is when the replica has started; zero when it does not say. A replica that
+	// starts again under its identifier is told from the one before by it.
+	Born time.Time `json:"born,omitzero" msgpack:"b,omitempty"`
 	// ColdFor is how much longer the replica is cold, as of its entry; 0 when it does
 	// not say.
 	ColdFor time.Duration `json:"cold_for,omitempty" msgpack:"f,omitempty"`
