Soak: a store that comes back from a copy, once in each round that may hide news

The nodes' readings of it are counted, and the newest configuration must be in force once they are in touch again. An edge test lets the store come back twice within ten seconds, beside a node that starts.

--- a/internal/edge/restored_store_test.go
+++ b/internal/edge/restored_store_test.go
@@ -1,9 +1,11 @@
 package edge_test
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
+	"github.com/doorpond/doorpond/internal/inspect"
 	"github.com/doorpond/doorpond/internal/standin/kv"
 	"github.com/doorpond/doorpond/platform/standin"
 )
@@ -127,3 +129,52 @@
 		t.Errorf("%d readings by %d nodes", readings, len(s.nodes))
 	}
 }
+
+// TestTheStoreComesBackFromACopyTwice: within ten seconds, the second time beside a node that
+// starts and before the operator has written the newest configuration again. All nodes, the new
+// one among them, are recorded in the last era and have that configuration in time.
+func TestTheStoreComesBackFromACopyTwice(t *testing.T) {
+	s := startPatientSystem(t)
+	copied := s.Store.Memory.Revision()
+	s.configured(3)
+	s.restoreStore(copied, func() {})
+	time.Sleep(time.Second)
+	s.must(s.Rewrite())
+	time.Sleep(newsTime)
+	s.must(s.Configure(shards - 1))
+	s.restoreStore(copied, func() {})
+	late, err := s.StartNode(s.NodeSettings("late", "b"), nil)
+	s.must(err)
+	s.nodes = append(s.nodes, late)
+	time.Sleep(time.Second)
+	s.must(s.Rewrite())
+	s.inForceInTime()
+	s.eventually("all nodes are recorded and know the era", func() bool {
+		for _, one := range s.nodes {
+			known := s.knownBy(one)
+			if known == nil || len(known.Nodes) != len(s.nodes) {
+				return false
+			}
+			for _, node := range known.Nodes {
+				if node.StoreEra != 2 {
+					return false
+				}
+			}
+		}
+		return true
+	})
+}
+
+// knownBy returns what a node tells operators of the system; nil when it does not answer.
+func (s *system) knownBy(node *standin.Node) *inspect.System {
+	response, err := s.caller.HTTP.Get("http://" + node.Addresses().State + "/v1/system")
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = response.Body.Close() }() // what matters was read
+	var known inspect.System
+	if err := json.NewDecoder(response.Body).Decode(&known); err != nil {
+		return nil
+	}
+	return &known
+}
--- a/internal/soak/apply.go
+++ b/internal/soak/apply.go
@@ -58,6 +58,8 @@
 		w.sendEnding(ctx, fault)
 	case fault.Kind == StartWithoutStore:
 		return w.startWithoutStore(ctx, fault)
+	case fault.Kind == StoreCopy:
+		return w.restoreStore(fault)
 	default:
 		return w.leave(fault, w.replica(fault.Target))
 	}
@@ -178,7 +180,7 @@
 	defer w.noted(Evacuate, nil)()
 	w.evacuating.Lock()
 	defer w.evacuating.Unlock()
-	if err := w.deployment.Evacuate(zone); err != nil {
+	if err := w.evacuateZone(zone); err != nil {
 		return err
 	}
 	at := time.Now()
@@ -188,9 +190,17 @@
 		}
 	}
 	time.Sleep(drainTime + newsWindow) // the time to evacuate is that to drain
+	w.fleet.Lock()
+	defer w.fleet.Unlock()
 	return w.deployment.Readmit(zone)
 }
 
+func (w *world) evacuateZone(zone string) error {
+	w.fleet.Lock()
+	defer w.fleet.Unlock()
+	return w.deployment.Evacuate(zone)
+}
+
 // The configurations of a series, one each seriesGap.
 const (
 	seriesLength = 5
@@ -218,6 +228,7 @@
 	if err := w.deployment.Configure(count); err != nil {
 		return err
 	}
+	w.shards = count
 	w.markNews(news{at: time.Now(), shards: count})
 	return nil
 }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -70,6 +70,9 @@
 	// EndingRequest sends a request that ends each replica that runs it, again and again,
 	// to nodes by chance. It comes once in each round that may have kinds drawn apart.
 	EndingRequest
+	// StoreCopy lets the store be away and come back from a copy that is some seconds old.
+	// It comes once in each such round as well.
+	StoreCopy
 	kinds
 )
 
@@ -85,7 +88,7 @@
 	"store_outage", "store_throttle", "store_slow", "store_lost_answers", "store_deaf",
 	"configure", "configure_series", "drain", "vanish", "evacuate",
 	"replica_link_deaden", "service_hang", "start_without_store",
-	"ending_request",
+	"ending_request", "store_copy",
 }
 
 // String returns the name of a kind.
@@ -97,7 +100,7 @@
 	switch {
 	case k == HangUpNode:
 		return false
-	case k == StartWithoutStore:
+	case k == StartWithoutStore, k == StoreCopy:
 		return true
 	case k <= StoreLinkSilence:
 		return true
@@ -153,7 +156,10 @@
 			plan = append(plan, newFault(random, time.Duration(round)*roundLength, kind))
 		}
 		ending := Fault{At: time.Duration(round) * roundLength, Kind: EndingRequest, Target: round}
-		plan = append(plan, ending)
+		copied := Fault{
+			At: time.Duration(round)*roundLength + faultsWithin/2, For: longestFault / 3, Kind: StoreCopy, Target: round,
+		}
+		plan = append(plan, ending, copied)
 	}
 	return plan
 }
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -62,6 +62,8 @@
 	// fleet guards the deployment's replicas, configuring its configuration, evacuating
 	// its evacuated zone.
 	fleet, configuring, evacuating sync.Mutex
+	// shards is the number of shards of the newest configuration; configuring guards it.
+	shards int
 
 	mu sync.Mutex
 	// links are the proxies before the replicas, in the replicas' order.
@@ -110,7 +112,7 @@
 }
 
 func newWorld(config Config) (*world, error) {
-	w := &world{leaving: make(map[*standin.Replica]time.Time), allowed: map[int]bool{shards: true}}
+	w := &world{leaving: make(map[*standin.Replica]time.Time), allowed: map[int]bool{shards: true}, shards: shards}
 	var err error
 	w.deployment, err = standin.Start(standin.Shape{Zones: zones, Shards: shards, Work: work, Through: w.link, Ending: w.replaceEnding})
 	if err != nil {
