A node that watches another enters a new era of the store at once

Cause: what is known was kept for others with the next confirmation only, so that the node went on holding the lease of an era that was over.

--- a/internal/follower/copy_test.go
+++ b/internal/follower/copy_test.go
@@ -8,6 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/doorpond/doorpond/internal/announce"
+	"github.com/doorpond/doorpond/internal/blackboard"
 	"github.com/doorpond/doorpond/internal/store"
 	"github.com/doorpond/doorpond/internal/topology"
 )
@@ -159,3 +160,23 @@
 		}
 	})
 }
+
+// TestANodeThatWatchesAnotherEntersTheEraAtOnce: it would hold its lease of before, and hand over
+// the state of before, until the next confirmation.
+func TestANodeThatWatchesAnotherEntersTheEraAtOnce(t *testing.T) {
+	source := &fakeSource{}
+	source.put(tableAt(t, 50, 1))
+	made := New(Options{
+		Source: source, Peers: &fakePeers{received: make(chan announce.Announcement)}, Decoder: testDecoder{}, Keys: testKeys,
+		Board: &blackboard.Board{}, Self: topology.Node{ID: "self"}, News: time.Minute, VanishedFor: time.Second,
+	})
+	if err := made.read(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	table := inEra(1, tableAt(t, 3, 2))[0]
+	made.confirm(start, start, store.RevisionIn(1, 9)) // heard of before it is told
+	made.deliver(store.WatchBatch{Revision: table.ModRevision, Events: []store.Event{{KeyValue: table}}, Relayed: true})
+	if revision, _ := made.Known(); revision != table.ModRevision {
+		t.Errorf("revision %d of era %d is known", store.NumberOf(revision), store.EraOf(revision))
+	}
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -364,6 +364,7 @@
 	if batch.Relayed {
 		f.staleness.learn(batch.Revision)
 		f.feedOthers()
+		f.enterEra()
 		return
 	}
 	f.needsStore = false
@@ -371,6 +372,15 @@
 	f.learned(now, batch.Revision)
 }
 
+// enterEra keeps what is known for others as soon as it is of a later era of the store. The
+// next confirmation comes up to the time for news later, and this node would go on holding the
+// lease of an era that is over.
+func (f *Follower) enterEra() {
+	if held := f.snapshot.Load(); held != nil && store.EraOf(held.revision) < store.EraOf(f.staleness.known) {
+		f.keepSnapshot()
+	}
+}
+
 // confirm notes that the store was at a revision at some time, and tells
 // whether others should hear of it.
 func (f *Follower) confirm(now, at time.Time, revision int64) (news bool) {
