The deaf watch's test has all times for news at 9 s

The time for news is the least of three settings; the commit before left the drain time at 3 s, so that the test waited 9 s for a change due in 3. It checks the time for news itself now.

--- a/internal/edge/store_test.go
+++ b/internal/edge/store_test.go
@@ -20,7 +20,12 @@
 // a machine that runs the nodes late.
 func TestAConfigurationIsInForceThoughTheWatchIsDeaf(t *testing.T) {
 	const apply = 9 * time.Second
-	s := startSystem(t, func(settings *edge.Settings) { settings.Bounds.Apply, settings.Bounds.Evacuate = apply, apply })
+	s := startSystem(t, func(settings *edge.Settings) {
+		settings.Bounds.Apply, settings.Bounds.Evacuate, settings.Bounds.Drain = apply, apply, apply
+		if news := settings.Bounds.News(); news != apply {
+			t.Fatalf("the time for news is %v", news)
+		}
+	})
 	if err := s.Store.SetFaults(kv.Faults{FreezeWatches: true}); err != nil {
 		t.Fatal(err)
 	}
