One walk over a whole reading, of the store or of its copy

Cause: the two stood twice in one shape. Ruled out: a flag for the copy, as both what is put and what is lacking differ. No change of behaviour; before and after, go test -race ./internal/follower passes (15.6 s after).

--- a/internal/follower/copy.go
+++ b/internal/follower/copy.go
@@ -26,16 +26,7 @@
 // lacks stay for a while. Those who watch this node are told only what differs: they keep
 // the rest as it is.
 func (s *state) replaceByCopy(now time.Time, values []store.KeyValue) {
-	present := make(map[string]bool, len(values))
-	for _, value := range values {
-		present[value.Key] = true
-		s.putOfCopy(value)
-	}
-	for key := range s.values {
-		if !present[key] {
-			s.missInCopy(now, key)
-		}
-	}
+	s.takeAll(values, s.putOfCopy, func(key string) { s.missInCopy(now, key) })
 }
 
 // putOfCopy takes in an entry that may be the one that is known.
--- a/internal/follower/state.go
+++ b/internal/follower/state.go
@@ -91,16 +91,26 @@
 	}
 }
 
-// replace takes in a whole reading: entries that it lacks are gone.
+// replace takes in a whole reading: entries that it lacks are gone, but for those that a copy
+// has lacked a short while ago.
 func (s *state) replace(now time.Time, values []store.KeyValue) {
+	s.takeAll(values, s.put, func(key string) {
+		if _, kept := s.unproved[key]; !kept {
+			s.remove(now, key)
+		}
+	})
+}
+
+// takeAll puts each entry of a whole reading, then hands over the keys that it lacks.
+func (s *state) takeAll(values []store.KeyValue, put func(store.KeyValue), lacks func(key string)) {
 	present := make(map[string]bool, len(values))
 	for _, value := range values {
 		present[value.Key] = true
-		s.put(value)
+		put(value)
 	}
 	for key := range s.values {
-		if _, kept := s.unproved[key]; !present[key] && !kept {
-			s.remove(now, key)
+		if !present[key] {
+			lacks(key)
 		}
 	}
 }
