What is known of the store is acted on for the time for news, and asked for after that

What callers saw: an answer by a configuration that was replaced more than the time to apply before the request was sent; or 503 for a while after a pause. Cause: what is known was trusted until a detector noticed a pause of 1.5 s, while finding out a change behind a deaf watch spends 0.85 of the same 3 s. Neither counted the other: 4.05 s. Not noticed below 1.5 s, refused beyond it. Ruled out: a slow machine alone; a step of the follower that is late (virtual tests); a confirmation of the old configuration. Change: what is known has a validity, 0.9 of the time for news from a moment at which the store held nothing beyond it. A request that comes later asks, and waits for the answer. A node that finds nobody goes on. What lay unread during a pause does not count as said just now. A configuration that waits for replicas does so within the same sum. Why it holds: a pause of any length, any number of them and a suspension are time gone by, which is the one thing counted. Weighed: a lower threshold of the detector (pauses add up, each costs a question).

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -24,7 +24,6 @@
 	"github.com/doorpond/doorpond/internal/drain"
 	"github.com/doorpond/doorpond/internal/elapsed"
 	"github.com/doorpond/doorpond/internal/follower"
-	"github.com/doorpond/doorpond/internal/freshness"
 	"github.com/doorpond/doorpond/internal/handover"
 	"github.com/doorpond/doorpond/internal/ingress"
 	"github.com/doorpond/doorpond/internal/liveness"
@@ -121,7 +120,6 @@
 	keeper     *quarantine.Keeper
 	follower   *follower.Follower
 	registry   *registry.Registry
-	monitor    *freshness.Monitor
 	// meter tells for how long this process has run.
 	meter     *elapsed.Meter
 	processor *processor.Meter
@@ -210,16 +208,11 @@
 			HTTP: relayClient(), Wait: relayWait, Slack: relaySlack,
 			Suspected: func(found []relay.Suspicion) { n.follower.Suspect(found) },
 		}),
-		Unreachable: n.liveness.Unreachable,
+		Unreachable: n.liveness.Unreachable, Now: elapsed.Time, Steady: n.meter.Steady,
 		VanishedFor: time.Duration(vanishedShare * float64(n.settings.Bounds.Drain)),
 		ColdBound:   decision.ColdBound{Overage: n.settings.Bounds.ColdOverage, Slack: n.settings.Bounds.ColdSlack},
 	})
-	if registerer != nil {
-		registerer.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-			Name: "doorpondd_store_era", Help: "The store's era as far as it is known; it rises when the store comes back from a copy.",
-		}, func() float64 { return float64(n.storeEra()) }))
-	}
-	n.monitor = freshness.New(freshness.Options{Confirm: n.follower.Confirm, Logger: n.logger})
+	n.addNewsMetrics(registerer)
 	n.registry = registry.New(registry.Config{
 		Store: source, Key: n.platform.Keys.Nodes + n.settings.Node, TTL: max(entryTTL, n.settings.Store.LeastTTL),
 		Listed: n.listed, Era: n.storeEra,
@@ -233,6 +226,30 @@
 	n.addServers()
 }
 
+// addNewsMetrics registers what tells how far this node is behind the store.
+func (n *Node) addNewsMetrics(registerer prometheus.Registerer) {
+	if registerer == nil {
+		return
+	}
+	registerer.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "doorpondd_store_era", Help: "The store's era as far as it is known; it rises when the store comes back from a copy.",
+		}, func() float64 { return float64(n.storeEra()) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "doorpondd_requests_awaited_news_total", Help: "Requests that waited until what is known of the store was confirmed.",
+		}, func() float64 {
+			all, _ := n.follower.Waits()
+			return float64(all)
+		}),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "doorpondd_requests_awaited_news_in_vain_total", Help: "Requests that were refused after they had waited so.",
+		}, func() float64 {
+			_, vain := n.follower.Waits()
+			return float64(vain)
+		}),
+	)
+}
+
 func (n *Node) addCutOff(registerer prometheus.Registerer) {
 	n.cutOff = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "doorpondd_requests_cut_off_total", Help: "Requests whose connections ended without an answer in a planned stop.",
@@ -328,7 +345,6 @@
 	group.Go(func() error { return n.announcer.Run(running) })
 	group.Go(func() error { return n.follower.Run(running) })
 	group.Go(func() error { return n.meter.Run(running) })
-	group.Go(func() error { return n.monitor.Run(running) })
 	group.Go(func() error { return n.processor.Run(running) })
 	group.Go(func() error { return n.sweep(running) })
 	group.Go(func() error { return n.guard(running) })
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -50,7 +50,7 @@
 // addServers gives each listener its server.
 func (n *Node) addServers() {
 	n.server = n.newServer(ingress.New(ingress.Options{
-		Board: n.board, Codec: n.platform.Codec, Forwarder: n.queries, Fresh: n.monitor.Fresh, Logger: n.logger,
+		Board: n.board, Codec: n.platform.Codec, Forwarder: n.queries, Await: n.follower.Await, Logger: n.logger,
 	}))
 	n.open.Follow(n.server)
 	requests, answerNow := context.WithCancelCause(context.Background())
--- a/internal/elapsed/elapsed.go
+++ b/internal/elapsed/elapsed.go
@@ -103,8 +103,12 @@
 	return next
 }
 
-// start is what a nil Meter counts from.
-var start = time.Now()
+// start is what a nil Meter counts from, and startNow what Now was then.
+var start, startNow = time.Now(), Now()
+
+// Time returns the present time. Differences between two such times count a suspension of the
+// machine, where those of time.Now do not.
+func Time() time.Time { return start.Add(Now() - startNow) }
 
 // Ran returns for how long the process has run. It never falls, and stands still while the
 // process does.
--- a/internal/follower/adopt.go
+++ b/internal/follower/adopt.go
@@ -15,10 +15,13 @@
 	wait time.Duration
 
 	inForce *routing.Table
-	// next is newer than the one in force; since is when the first such was heard
-	// of, zero while there is none.
-	next  *routing.Table
-	since time.Time
+	// next is newer than the one in force.
+	next *routing.Table
+	// due is when it is put in force at the latest; zero while there is none.
+	due time.Time
+	// latest bounds due for a configuration that is heard of from now on; zero means that
+	// nothing does. What was heard of late has less time to wait.
+	latest time.Time
 }
 
 // offer takes in a configuration. The version never goes back.
@@ -38,13 +41,13 @@
 	if a.next == nil {
 		return false
 	}
-	if a.since.IsZero() {
-		a.since = now
+	if a.due.IsZero() {
+		a.due = a.dueFrom(now)
 	}
-	if now.Before(a.dueAt()) && !a.served(known) {
+	if now.Before(a.due) && !a.served(known) {
 		return false
 	}
-	a.inForce, a.next, a.since = a.next, nil, time.Time{}
+	a.inForce, a.next, a.due = a.next, nil, time.Time{}
 	return true
 }
 
@@ -62,15 +65,19 @@
 	return true
 }
 
-// dueAt is when the next configuration is put in force at the latest; zero when
-// none waits.
-func (a *adoption) dueAt() time.Time {
-	if a.since.IsZero() {
-		return time.Time{}
+// dueFrom is when a configuration that is heard of now is put in force at the latest.
+func (a *adoption) dueFrom(now time.Time) time.Time {
+	due := now.Add(a.wait)
+	if !a.latest.IsZero() && a.latest.Before(due) {
+		return a.latest
 	}
-	return a.since.Add(a.wait)
+	return due
 }
 
+// dueAt is when the next configuration is put in force at the latest; zero when
+// none waits.
+func (a *adoption) dueAt() time.Time { return a.due }
+
 // hasReplica tells whether a replica of a group takes requests.
 func (s *state) hasReplica(group string) bool {
 	for _, entry := range s.replicas {
--- a/internal/follower/attend.go
+++ b/internal/follower/attend.go
@@ -5,9 +5,15 @@
 	"time"
 )
 
+// ask attends while a question to the store, which must end by itself, waits for its answer.
+func (f *Follower) ask(question func()) { f.attendFrom(f.options.Now(), question) }
+
 // attend publishes what falls due and hears other nodes while some
 // work, which must end by itself, waits for an answer.
-func (f *Follower) attend(work func()) {
+func (f *Follower) attend(work func()) { f.attendFrom(time.Time{}, work) }
+
+// attendFrom is attend; asked is when the store was asked, zero when it was not.
+func (f *Follower) attendFrom(asked time.Time, work func()) {
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -15,7 +21,9 @@
 	}()
 	for {
 		f.state.publish(f.options.Now())
-		timer := time.NewTimer(f.untilDue())
+		f.findNobody(asked)
+		f.allow()
+		timer := time.NewTimer(min(f.untilDue(), f.options.share(askShare)))
 		select {
 		case <-done:
 			timer.Stop()
@@ -30,6 +38,17 @@
 	}
 }
 
+// findNobody notes that a question asked some time ago has found nobody so far, once it has
+// waited for long enough. After a pause of the process that cannot be told: its answer may lie
+// unread.
+func (f *Follower) findNobody(asked time.Time) {
+	patience := f.options.share(askShare)
+	unanswered := f.options.Now().Add(-patience)
+	if !asked.IsZero() && !unanswered.Before(asked) && f.options.Steady(patience) {
+		f.validity.tried(unanswered)
+	}
+}
+
 // untilDue is the time until the state has to be published anew at the latest.
 func (f *Follower) untilDue() time.Duration {
 	at := f.state.dueAt()
@@ -39,11 +58,13 @@
 	return at.Sub(f.options.Now())
 }
 
-// wait lets some time pass, and ends sooner when another node knows more.
+// wait lets some time pass, and ends sooner when another node knows more, or a
+// request cannot be handled before the store was asked.
 func (f *Follower) wait(ctx context.Context, pause time.Duration) {
 	until := f.options.Now().Add(pause)
 	for {
 		f.state.publish(f.options.Now())
+		f.allow()
 		timer := time.NewTimer(min(until.Sub(f.options.Now()), f.untilDue()))
 		select {
 		case <-ctx.Done():
@@ -61,28 +82,12 @@
 			}
 		case found := <-f.suspected:
 			f.suspect(found)
+		case <-f.asked:
+			if !f.permit.Load().holds(f.options.Now()) {
+				timer.Stop()
+				return
+			}
 		}
 		timer.Stop()
 	}
 }
-
-// Confirm waits until something is heard of the store that is newer than the
-// call, and tells whether that came before the end of ctx.
-func (f *Follower) Confirm(ctx context.Context) bool {
-	asked := f.options.Now()
-	ticker := time.NewTicker(confirmInterval)
-	defer ticker.Stop()
-	for {
-		if at := f.confirmedAt.Load(); at != nil && at.After(asked) {
-			return true
-		}
-		select {
-		case <-ctx.Done():
-			return false
-		case <-ticker.C:
-		}
-	}
-}
-
-// confirmInterval is the pause between two looks for a confirmation.
-const confirmInterval = 10 * time.Millisecond
--- a/internal/follower/begin.go
+++ b/internal/follower/begin.go
@@ -55,6 +55,8 @@
 // began notes what the first reading has told.
 func (f *Follower) began(now time.Time, revision int64) {
 	f.staleness.begin(now, revision)
+	f.validity.confirm(now) // it may be old, but a watch begins at once and brings the rest
+	f.allow()
 	f.feedOthers()
 	f.keepSnapshot()
 }
@@ -70,7 +72,7 @@
 	defer cancel()
 	var values []store.KeyValue
 	var err error
-	f.attend(func() { values, _, err = f.options.Source.List(bounded, f.options.Keys.Nodes, 0) })
+	f.ask(func() { values, _, err = f.options.Source.List(bounded, f.options.Keys.Nodes, 0) })
 	if err != nil {
 		f.options.Logger.Info("the other nodes are not known yet; watching the store", "error", err.Error())
 		return
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -105,9 +105,12 @@
 	VanishedFor time.Duration
 	// ColdBound is what a cold replica may receive from all nodes.
 	ColdBound decision.ColdBound
-	// Logger and Now may be left out.
+	// Logger and Now may be left out. Now has to count a suspension of the machine.
 	Logger *slog.Logger
 	Now    func() time.Time
+	// Steady tells whether the process has run for some time without a pause; nil means
+	// always.
+	Steady func(lasting time.Duration) bool
 }
 
 // The parts of the time for news.
@@ -141,6 +144,7 @@
 	options   Options
 	state     *state
 	staleness staleness
+	validity  validity
 	reached   bool
 	// mustRead is true while everything has to be read before it is watched: at the
 	// start, and when the store's history or a watch has let changes pass.
@@ -158,8 +162,13 @@
 	// left without an answer will have none, so the first ones are given up
 	// soon; each failure doubles the time, for a store that is slow.
 	patience time.Duration
-	// confirmedAt is the staleness's, for other goroutines.
-	confirmedAt atomic.Pointer[time.Time]
+	// permit is the validity's, for the goroutines of requests, which ask for another one
+	// over asked. hurried is true from then on until there is one.
+	permit  atomic.Pointer[permit]
+	asked   chan struct{}
+	hurried bool
+	// waits counts the requests that have waited, vainWaits those that did so in vain.
+	waits, vainWaits atomic.Int64
 	// snapshot is what is handed over to other nodes, feed what those that watch
 	// this one are told.
 	snapshot atomic.Pointer[snapshot]
@@ -216,14 +225,19 @@
 	if options.Now == nil {
 		options.Now = time.Now
 	}
+	if options.Steady == nil {
+		options.Steady = func(time.Duration) bool { return true }
+	}
 	if options.Quarantine == nil {
 		options.Quarantine = noQuarantine{}
 	}
 	f := &Follower{
 		options: options, state: newState(&options), reached: true, mustRead: true, patience: options.share(askShare),
 		staleness: staleness{checkAfter: options.share(checkShare), grace: options.share(graceShare)},
-		suspected: make(chan []relay.Suspicion, 1),
+		validity:  validity{bound: options.share(validShare)},
+		suspected: make(chan []relay.Suspicion, 1), asked: make(chan struct{}, 1),
 	}
+	f.permit.Store(&permit{replaced: make(chan struct{})})
 	f.feed.Suspected = f.suspicions
 	return f
 }
@@ -295,6 +309,7 @@
 	if f.staleness.known == 0 {
 		return f.readFirst(ctx)
 	}
+	began := f.options.Now()
 	values, revision, err := f.list(ctx, f.readAll)
 	if err != nil {
 		return err
@@ -304,6 +319,8 @@
 	}
 	now := f.takeIn(values, revision)
 	f.learned(now, revision)
+	f.validity.confirm(began)
+	f.allow()
 	return nil
 }
 
@@ -347,8 +364,10 @@
 	var values []store.KeyValue
 	var revision int64
 	var err error
-	f.attend(func() { values, revision, err = read(bounded) })
+	began := f.options.Now()
+	f.ask(func() { values, revision, err = read(bounded) })
 	if err != nil {
+		f.foundNobody(began)
 		f.patience = min(2*f.patience, f.options.News)
 		return nil, 0, err
 	}
@@ -356,9 +375,16 @@
 	return values, revision, nil
 }
 
+// foundNobody notes that an attempt to reach the store has failed.
+func (f *Follower) foundNobody(began time.Time) {
+	f.validity.tried(began)
+	f.allow()
+}
+
 // told takes in what another node has heard, and passes news on.
 func (f *Follower) told(news announce.Announcement) {
 	now := f.options.Now()
+	f.claimed(now.Add(-news.Age()), news.Revision)
 	if f.confirm(now, now.Add(-news.Age()), news.Revision) {
 		f.options.Peers.Send(news)
 	}
@@ -371,16 +397,23 @@
 	}
 	f.state.publish(now)
 	if batch.Relayed {
-		f.staleness.learn(batch.Revision)
+		f.know(batch.Revision)
 		f.feedOthers()
 		f.enterEra()
 		return
 	}
 	f.needsStore = false
 	f.heard(now)
+	f.claimed(now, batch.Revision)
 	f.learned(now, batch.Revision)
 }
 
+// know notes that everything up to a revision is known.
+func (f *Follower) know(revision int64) {
+	f.staleness.learn(revision)
+	f.validity.learn(f.staleness.known)
+}
+
 // enterEra keeps what is known for others as soon as it is of a later era of the store. The
 // next confirmation comes up to the time for news later, and this node would go on holding the
 // lease of an era that is over.
@@ -395,8 +428,6 @@
 func (f *Follower) confirm(now, at time.Time, revision int64) (news bool) {
 	news = f.staleness.confirm(now, at, revision)
 	if f.staleness.known >= f.staleness.confirmed {
-		confirmed := f.staleness.confirmedAt
-		f.confirmedAt.Store(&confirmed)
 		f.keepSnapshot()
 	}
 	return news
@@ -405,7 +436,7 @@
 // learned notes that everything up to a revision is known now, and tells the
 // others when that is news.
 func (f *Follower) learned(now time.Time, revision int64) {
-	f.staleness.learn(revision)
+	f.know(revision)
 	f.feedOthers()
 	if f.confirm(now, now, revision) {
 		f.options.Peers.Send(announce.Announcement{Revision: revision})
--- a/internal/follower/others.go
+++ b/internal/follower/others.go
@@ -45,8 +45,8 @@
 // askOthers takes over what another node knows, when that may be more: the
 // store may refuse this node alone.
 func (f *Follower) askOthers(ctx context.Context) {
-	now := f.options.Now()
-	current := f.staleness.known >= f.staleness.confirmed && now.Before(f.staleness.checkAt(0))
+	asked := f.options.Now()
+	current := f.staleness.known >= f.staleness.confirmed && asked.Before(f.staleness.checkAt(0))
 	if f.options.Others == nil || current {
 		return
 	}
@@ -58,15 +58,17 @@
 	if err != nil || handed.Revision < f.staleness.known {
 		return // the next attempt asks another one
 	}
-	now = f.options.Now()
+	now := f.options.Now()
 	if handed.Revision > f.staleness.known {
 		f.options.Logger.Info("state taken over from another node", "revision", handed.Revision, "known_revision", f.staleness.known, "age", handed.Age().String())
 		f.replace(now, handed.Values, handed.Revision)
 		f.state.publish(now)
-		f.staleness.learn(handed.Revision)
+		f.know(handed.Revision)
 		f.feedOthers()
 	}
+	f.validity.claim(claim{revision: handed.Revision, at: asked.Add(-handed.Age())}, f.staleness.known)
 	f.confirm(now, now.Add(-handed.Age()), handed.Revision)
+	f.allow()
 }
 
 // Snapshot returns what this node knows, for another node; known is false
--- a/internal/follower/watch.go
+++ b/internal/follower/watch.go
@@ -56,6 +56,7 @@
 
 // watchOne runs a watch of one source beside the checks.
 func (f *Follower) watchOne(ctx context.Context, from source, revision int64) error {
+	began := f.options.Now()
 	watching, cancel := context.WithCancel(ctx)
 	batches, ended := make(chan store.WatchBatch), make(chan error, 1)
 	go func() {
@@ -81,6 +82,9 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case err := <-ended:
+			if !from.node.IsValid() {
+				f.foundNobody(began)
+			}
 			return err
 		case batch := <-batches:
 			f.silentInTurn = 0
@@ -89,11 +93,16 @@
 			f.told(news)
 		case found := <-f.suspected:
 			f.suspect(found)
+		case <-f.asked:
+			if err := f.hurry(ctx); err != nil {
+				return err
+			}
 		case <-timer.C:
 			if err := f.due(ctx); err != nil {
 				return err
 			}
 		}
+		f.allow()
 		if f.mayChange(from) {
 			return errOtherSource
 		}
@@ -103,6 +112,8 @@
 // graceOf is what a watch may take to tell what others know already.
 func (f *Follower) graceOf(from source) time.Duration {
 	switch {
+	case f.hurried:
+		return 0
 	case from.node.IsValid():
 		return f.options.share(graceShare + relayShare)
 	case f.relayBehind:
@@ -193,12 +204,14 @@
 	asked := f.options.Now()
 	var revision int64
 	var err error
-	f.attend(func() { _, _, revision, err = f.options.Source.Get(bounded, f.options.Keys.Configuration) })
+	f.ask(func() { _, _, revision, err = f.options.Source.Get(bounded, f.options.Keys.Configuration) })
 	if err != nil {
+		f.foundNobody(asked)
 		return err
 	}
 	now := f.options.Now()
 	f.heard(now)
+	f.validity.claim(claim{revision: revision, at: asked}, f.staleness.known)
 	f.confirm(now, asked, revision)
 	f.options.Peers.Send(announce.Announcement{Revision: revision, AgeMilliseconds: now.Sub(asked).Milliseconds()})
 	return nil
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -43,8 +43,9 @@
 	Board     *blackboard.Board
 	Codec     Codec
 	Forwarder Forwarder
-	// Fresh tells whether the routes may be trusted; nil means always.
-	Fresh  func() bool
+	// Await waits until the routes may be trusted, and tells whether they may; nil means
+	// always. It ends with ctx.
+	Await  func(ctx context.Context) bool
 	Logger *slog.Logger
 }
 
@@ -56,8 +57,8 @@
 
 // New makes a Handler.
 func New(options Options) *Handler {
-	if options.Fresh == nil {
-		options.Fresh = func() bool { return true }
+	if options.Await == nil {
+		options.Await = func(context.Context) bool { return true }
 	}
 	if options.Logger == nil {
 		options.Logger = slog.New(slog.DiscardHandler)
@@ -97,13 +98,13 @@
 }
 
 func (h *Handler) forward(r *http.Request, id string, wait time.Duration) (*routing.Route, query.Forwarded, error) {
-	table := h.options.Board.Routes.Load()
-	if table == nil {
+	if h.options.Board.Routes.Load() == nil {
 		return nil, query.Forwarded{}, failure.New(failure.NoTable, "no routes are known yet")
 	}
-	if !h.options.Fresh() {
-		return nil, query.Forwarded{}, failure.New(failure.StaleTable, "the routes are being confirmed after a pause")
+	if !h.options.Await(r.Context()) {
+		return nil, query.Forwarded{}, failure.New(failure.StaleTable, "the routes could not be confirmed after a pause")
 	}
+	table := h.options.Board.Routes.Load() // after the wait, which may bring another one
 	target := r.RequestURI
 	if !strings.HasPrefix(target, "/") {
 		target = r.URL.RequestURI()
