What replicas have answered while a daemon stood still is delivered, also late

What callers saw: deadline_exceeded, or outcome_unknown for a call that may not be repeated, when their daemon or its machine had stood still past the deadline. Cause: after a pause the deadline and the answers are there at the same moment. The deadline came first: sub-requests' contexts had ended, and the run finished at its first event. Two more places: a call's wait for its outcome, and sub-requests that a peer forwards. Change: a run is pardoned time in which its process has not run, as far as it needs it to go on for 0.25 s after a pause; from the request's arrival on. Outcomes of calls and forwarded sub-requests are waited for as long as the process runs.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -146,6 +146,7 @@
 		HasPeers:     d.seeds.mayHaveSeeds,
 		StoreTrouble: d.storeUnreachable,
 		Announce:     d.announceMark,
+		WithTimeout:  d.meter.WithTimeout,
 	})
 	d.queries = query.NewService(query.Options{
 		Board:      d.board,
@@ -153,6 +154,7 @@
 		Statistics: d.statistics,
 		Admission:  admission.New(admission.Options{Total: d.settings.Callers.MaxInFlight, Registerer: d.registry}),
 		Registerer: d.registry,
+		Lost:       d.meter.Lost,
 	})
 	d.connectGossip()
 	d.listeners.serve(d)
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -91,12 +91,13 @@
 func (d *Daemon) newPeersServer() *http.Server {
 	return &http.Server{
 		Handler: d.endingHTTP1(peer.NewServer(peer.ServerOptions{
-			Exchange:   d.node.Receive,
-			Document:   d.register.Current,
-			State:      d.state,
-			Statistics: d.encodedStatistics,
-			Forwarder:  replica.NewForwardServer(d.pool, d.registry),
-			Registerer: d.registry,
+			WithTimeout: d.meter.WithTimeout,
+			Exchange:    d.node.Receive,
+			Document:    d.register.Current,
+			State:       d.state,
+			Statistics:  d.encodedStatistics,
+			Forwarder:   replica.NewForwardServer(d.pool, d.registry),
+			Registerer:  d.registry,
 		})),
 		Protocols:         peer.ServerProtocols(),
 		ReadHeaderTimeout: peerReadTimeout,
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -197,7 +197,7 @@
 	n.addQuarantine(source, registerer)
 	n.queries = query.NewService(query.Options{
 		Board: n.board, Pool: n.pool, Registerer: registerer, Logger: n.logger, Quarantine: n.quarantine,
-		Admission: admission.New(admission.Options{Registerer: registerer}),
+		Admission: admission.New(admission.Options{Registerer: registerer}), Lost: n.meter.Lost,
 	})
 	n.follower = follower.New(follower.Options{
 		Source: source, Decoder: n.platform.Codec, Keys: n.platform.Keys, Board: n.board, Quarantine: n.quarantine,
--- a/internal/elapsed/elapsed.go
+++ b/internal/elapsed/elapsed.go
@@ -141,6 +141,9 @@
 // WithTimeout returns a context that ends once the process has run for some time, or with its
 // parent.
 func (m *Meter) WithTimeout(parent context.Context, lasting time.Duration) (context.Context, context.CancelFunc) {
+	if m == nil {
+		return context.WithTimeout(parent, lasting)
+	}
 	ctx, cancel := context.WithCancelCause(parent)
 	until := m.Ran() + lasting
 	go func() {
--- a/internal/once/flight.go
+++ b/internal/once/flight.go
@@ -69,8 +69,9 @@
 // limit passes.
 func (f *flight) await(ctx context.Context) Action {
 	left := f.deadline.Sub(f.service.options.Now())
-	deadline := time.NewTimer(left)
-	defer deadline.Stop()
+	bounded, cancel := f.service.options.WithTimeout(context.Background(), left)
+	defer cancel()
+	deadline := bounded.Done()
 	storeLimit := time.NewTimer(f.service.options.StoreTimeout)
 	defer storeLimit.Stop()
 	leaving := ctx.Done()
@@ -81,7 +82,8 @@
 		case <-leaving:
 			leaving = nil
 			f.step(Event{Kind: EventGiveUp, Reason: reasonOf(ctx)})
-		case <-deadline.C:
+		case <-deadline:
+			deadline = nil
 			f.step(Event{Kind: EventGiveUp, Reason: DeadlinePassed})
 		case <-storeLimit.C:
 			f.step(Event{Kind: EventGiveUp, Reason: StoreTimeout})
@@ -144,7 +146,7 @@
 		f.step(Event{Kind: EventRefused, Failure: refused})
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), left)
+	ctx, cancel := f.service.options.WithTimeout(context.Background(), left)
 	defer cancel()
 	reply, err := f.service.options.Dispatcher.Call(ctx, f.call.Service, backendapi.CallRequest{
 		Key:                      f.call.Key,
--- a/internal/once/service.go
+++ b/internal/once/service.go
@@ -61,6 +61,10 @@
 	// StoreTimeout bounds the wait for the store before a call is refused as
 	// not run; 0 means 2 s.
 	StoreTimeout time.Duration
+	// WithTimeout bounds the wait for the answer of a call that runs; nil means
+	// context.WithTimeout. That of an elapsed.Meter does not count a pause of the
+	// process, after which the answer may be there at the same moment as the deadline.
+	WithTimeout func(parent context.Context, lasting time.Duration) (context.Context, context.CancelFunc)
 	// MaxResultBytes is the greatest result that is kept for repeats; a
 	// larger one is given to its caller only, and a repeat gets a Conflict
 	// that says so. 0 means 64 KiB.
@@ -101,6 +105,9 @@
 	}
 	kept := newMetrics(options.Registerer)
 	granted := &leases{leaser: options.Store, now: options.Now}
+	if options.WithTimeout == nil {
+		options.WithTimeout = context.WithTimeout
+	}
 	if options.HasPeers == nil {
 		options.HasPeers = func() bool { return false }
 	}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -34,6 +34,9 @@
 	State      func() NodeState
 	Statistics StatisticsSource
 	Forwarder  Forwarder
+	// WithTimeout bounds a forwarded sub-request; nil means context.WithTimeout. That of an
+	// elapsed.Meter does not count a pause of the process.
+	WithTimeout func(parent context.Context, lasting time.Duration) (context.Context, context.CancelFunc)
 	// MaxBodyBytes bounds a request's body; 0 means DefaultMaxBodyBytes.
 	MaxBodyBytes int64
 	Registerer   prometheus.Registerer
@@ -62,6 +65,9 @@
 	if options.MaxBodyBytes == 0 {
 		options.MaxBodyBytes = DefaultMaxBodyBytes
 	}
+	if options.WithTimeout == nil {
+		options.WithTimeout = context.WithTimeout
+	}
 	s := &server{options: options, metrics: newServerMetrics(options.Registerer)}
 	routes := http.NewServeMux()
 	routes.Handle("POST "+ExchangePath, route(s, ExchangePath, maximumExchangeBytes, s.exchange))
@@ -164,7 +170,7 @@
 	if timeout <= 0 || timeout > maximumForwardTime {
 		timeout = maximumForwardTime
 	}
-	bounded, cancel := context.WithTimeout(ctx, timeout)
+	bounded, cancel := s.options.WithTimeout(ctx, timeout)
 	defer cancel()
 	return s.options.Forwarder.Forward(bounded, request)
 }
--- a/internal/proofs/planned_stop.go
+++ b/internal/proofs/planned_stop.go
@@ -36,6 +36,9 @@
 	// Stops is the number of daemons to stop, one after the other; each is
 	// replaced once it has ended.
 	Stops int
+	// CallDeadline is the time allowed for an operation that may not be repeated; 0 leaves
+	// it to the daemons.
+	CallDeadline time.Duration
 	// Freeze is for how long each daemon stands still in its stop, FreezeAfter after the
 	// signal; 0 means not at all.
 	Freeze, FreezeAfter time.Duration
@@ -111,7 +114,7 @@
 		}
 		server.Replica.SetFaults(backend.Faults{ServiceFactor: slowFactor})
 	}
-	load := &steadyLoad{least: options.Requests, pause: options.Pause}
+	load := &steadyLoad{least: options.Requests, pause: options.Pause, callDeadline: options.CallDeadline}
 	for _, process := range cluster.Alive() {
 		load.add(process.callersURL())
 	}
@@ -199,6 +202,8 @@
 	least     int64
 	pause     time.Duration
 	stopsDone atomic.Bool
+	// callDeadline is PlannedStopOptions'.
+	callDeadline time.Duration
 
 	mutex  sync.Mutex
 	urls   []string
@@ -258,6 +263,7 @@
 	}
 	_, err := daemon.Call(ctx, client.Call{
 		Group: callerGroup, Key: ulid.Make().String(), Service: platform.RefundService, Operation: "credit",
+		DeadlineMilliseconds: l.callDeadline.Milliseconds(),
 	})
 	return err
 }
--- a/internal/proofs/proofs_test.go
+++ b/internal/proofs/proofs_test.go
@@ -94,7 +94,7 @@
 	t.Parallel()
 	ctx, cluster := startCluster(t)
 	report, err := Pauses(ctx, cluster, PausesOptions{
-		PlannedStopOptions: PlannedStopOptions{Requests: *requests, Callers: 40, Pause: time.Millisecond},
+		PlannedStopOptions: PlannedStopOptions{Requests: *requests, Callers: 40, Pause: time.Millisecond, CallDeadline: time.Second},
 		Pauses:             6, Lasting: 1200 * time.Millisecond,
 	})
 	if err != nil {
--- a/internal/query/driver.go
+++ b/internal/query/driver.go
@@ -12,8 +12,7 @@
 type Driver interface {
 	// Start runs one sub-request beside its query.
 	Start(work func())
-	// WithTimeout and WithCancel are as in package context.
-	WithTimeout(parent context.Context, timeout time.Duration) (context.Context, context.CancelFunc)
+	// WithCancel is as in package context.
 	WithCancel(parent context.Context) (context.Context, context.CancelFunc)
 	// Detached returns a context that outlives the request.
 	Detached() context.Context
@@ -60,10 +59,6 @@
 
 func (goroutines) Start(work func()) { go work() }
 
-func (goroutines) WithTimeout(parent context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(parent, timeout)
-}
-
 func (goroutines) WithCancel(parent context.Context) (context.Context, context.CancelFunc) {
 	return context.WithCancel(parent)
 }
--- a/internal/query/fixture_test.go
+++ b/internal/query/fixture_test.go
@@ -26,6 +26,7 @@
 // fixture is a service over two shards of one index, each with its replicas.
 type fixture struct {
 	board      *blackboard.Board
+	options    query.Options
 	service    *query.Service
 	statistics *statistics.Recorder
 	row        policy.Row
@@ -104,7 +105,8 @@
 	f.publishPolicy()
 	pool := replica.NewPool(replica.PoolOptions{Board: f.board, Random: func() uint64 { return 0 }, Dial: f.network.dial})
 	t.Cleanup(pool.Close)
-	f.service = query.NewService(query.Options{Board: f.board, Pool: pool, Statistics: f.statistics})
+	f.options = query.Options{Board: f.board, Pool: pool, Statistics: f.statistics}
+	f.service = query.NewService(f.options)
 	return f
 }
 
--- a/internal/query/forward.go
+++ b/internal/query/forward.go
@@ -214,7 +214,7 @@
 	r.terms.Canary = canary
 	acquired := r.service.options.Pool.AcquireFor(shard.Group, &r.terms, tried)
 	if acquired.Handle != nil && r.plan.AnswerBy > 0 {
-		left := r.plan.AnswerBy - r.inbox.Elapsed()
+		left := r.plan.AnswerBy - r.elapsed()
 		acquired.LateAfter = hedgeAfter(acquired.LateAfter, left, r.terms.LateAtMost())
 	}
 	return acquired
--- a/internal/query/run.go
+++ b/internal/query/run.go
@@ -52,6 +52,7 @@
 	onEnded     func(canary string)
 	// abandoned is set once the caller no longer waits.
 	abandoned bool
+	pardon    pardon
 }
 
 // runCounts is what a run cost.
@@ -129,9 +130,20 @@
 		service: s, protocol: speaks, plan: plan, core: decision.New(plan),
 		inbox:  s.options.Driver.NewInbox(len(plan.Shards)),
 		shards: make([]shardRun, len(plan.Shards)),
+		pardon: pardon{seen: s.options.Lost()},
 	}
 }
 
+// elapsed is the time since the run's start, without what is pardoned.
+func (r *run) elapsed() time.Duration { return r.inbox.Elapsed() - r.pardon.granted }
+
+func (r *run) pardonPauses(deadline time.Duration) {
+	r.pardon.look(r.service.options.Lost(), r.inbox.Elapsed(), deadline)
+}
+
+// setTimer sets the timer to a time as elapsed counts it.
+func (r *run) setTimer(at time.Duration) { r.inbox.SetTimer(at + r.pardon.granted) }
+
 // execute runs until the core finishes. Its attempts end with it, but for
 // those that linger.
 func (r *run) execute(ctx context.Context, deadline time.Duration) {
@@ -139,14 +151,17 @@
 	if r.linger > 0 {
 		r.context = r.service.options.Driver.Detached()
 	} else {
-		sub, cancel := r.service.options.Driver.WithTimeout(ctx, deadline)
+		// no time-out: the core gives attempts up at the deadline, and it may be later
+		sub, cancel := r.service.options.Driver.WithCancel(ctx)
 		defer cancel()
 		r.context = sub
 	}
-	r.inbox.SetTimer(deadline)
+	r.pardonPauses(deadline)
+	r.setTimer(deadline)
 	finished := r.step(decision.Event{Kind: decision.Started})
 	for !finished {
 		result, woken := r.inbox.Next(ctx)
+		r.pardonPauses(deadline)
 		switch woken {
 		case WokenByResult:
 			finished = r.step(r.take(result))
@@ -181,7 +196,7 @@
 // noteHalf notes when half of the shards have answered.
 func (r *run) noteHalf() {
 	if r.halfAt == 0 && 2*r.core.Answered() >= len(r.shards) {
-		r.halfAt = r.inbox.Elapsed()
+		r.halfAt = r.elapsed()
 	}
 }
 
@@ -228,14 +243,14 @@
 // is fed back after all actions, as the core reuses their memory.
 func (r *run) step(event decision.Event) (finished bool) {
 	var arisen []decision.Event
-	for _, action := range r.core.Step(r.inbox.Elapsed(), event) {
+	for _, action := range r.core.Step(r.elapsed(), event) {
 		switch action.Kind {
 		case decision.Send:
 			arisen = r.send(action, arisen)
 		case decision.Cancel:
 			r.cancel(action)
 		case decision.SetTimer:
-			r.inbox.SetTimer(action.At)
+			r.setTimer(action.At)
 		case decision.Finish:
 			r.reason = action.Reason
 			return true
@@ -290,7 +305,7 @@
 	}
 	sub, cancel := r.service.options.Driver.WithCancel(r.context)
 	shard.tried = append(shard.tried, handle)
-	shard.attempts = append(shard.attempts, attempt{handle: handle, cancel: cancel, cause: action.Cause, canary: action.Canary, sent: r.inbox.Elapsed(), ended: inFlight})
+	shard.attempts = append(shard.attempts, attempt{handle: handle, cancel: cancel, cause: action.Cause, canary: action.Canary, sent: r.elapsed(), ended: inFlight})
 	r.counts.dispatched++
 	if action.Cause == decision.CauseHedge {
 		r.counts.hedges++
--- a/internal/query/service.go
+++ b/internal/query/service.go
@@ -42,6 +42,9 @@
 	Now    func() time.Time
 	// NewID names a query; it must be unique over all daemons.
 	NewID func() string
+	// Lost is for how much of the time this process has not run (elapsed.Meter); nil means
+	// that it always has.
+	Lost func() time.Duration
 	// Driver defaults to goroutines and the real clock; a simulation brings
 	// its own.
 	Driver Driver
@@ -64,6 +67,9 @@
 	if options.NewID == nil {
 		options.NewID = func() string { return ulid.Make().String() }
 	}
+	if options.Lost == nil {
+		options.Lost = func() time.Duration { return 0 }
+	}
 	if options.Driver == nil {
 		options.Driver = goroutines{}
 	}
@@ -86,6 +92,8 @@
 	row      *policy.Row
 	revision uint64
 	started  time.Time
+	// lost is how much time the process had lost by then.
+	lost     time.Duration
 	deadline time.Duration
 	// restarts is the number of times that it may still start anew on
 	// another snapshot.
@@ -97,7 +105,7 @@
 // Search answers one query. Errors are *failure.Error; NotRun is true only
 // when no back end ran any part of it.
 func (s *Service) Search(ctx context.Context, query client.Query) (client.Answer, error) {
-	started := s.options.Now()
+	started, lost := s.options.Now(), s.options.Lost()
 	if err := Validate(&query); err != nil {
 		return client.Answer{}, err
 	}
@@ -105,6 +113,7 @@
 	if err != nil {
 		return client.Answer{}, err
 	}
+	request.lost = lost
 	corpus, err := s.findCorpus(&request.query)
 	if err != nil {
 		return client.Answer{}, err
--- a/internal/simulation/system/driver.go
+++ b/internal/simulation/system/driver.go
@@ -18,10 +18,6 @@
 	})
 }
 
-func (driver) WithTimeout(parent context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
-	return parent.(*virtualContext).withTimeout(timeout)
-}
-
 func (driver) WithCancel(parent context.Context) (context.Context, context.CancelFunc) {
 	created := parent.(*virtualContext).child()
 	return created, func() { created.cancel(context.Canceled) }
