A pause between two readings of a query's clocks is pardoned as well

Cause, from the daemon's own trace: deadline 1 s, sub-requests sent at 1.203 s and in flight, nothing pardoned: the pause came after the reading of how long the process had not run, and before that of the time gone by. Change: both are read on the same side of a pause, before each step. Test: the process stands still at each reading in turn; fails before (reading 3). Ruled out: a pardon that is too short (none was given); a peer's bound (no peer).

--- a/internal/query/pause_virtual_test.go
+++ b/internal/query/pause_virtual_test.go
@@ -76,3 +76,27 @@
 		}
 	})
 }
+
+// TestAPauseBetweenTwoReadingsFailsNoQuery: the process stands still right after it has read for
+// how long it had not run, at each of the readings of a query in turn. Trace of one that failed
+// (1 of 3,028 requests): deadline 1 s, sub-requests sent at 1.203 s and in flight, nothing pardoned.
+func TestAPauseBetweenTwoReadingsFailsNoQuery(t *testing.T) {
+	for at := 1; at <= 12; at++ {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(t, []respond{good}, []respond{good})
+			paused, readings := time.Duration(0), 0
+			f.options.Lost = func() time.Duration {
+				read := paused
+				if readings++; readings == at {
+					time.Sleep(time.Minute)
+					paused = time.Minute
+				}
+				return read
+			}
+			answer, err := query.NewService(f.options).Search(t.Context(), phraseQuery())
+			if err != nil || answer.Coverage.Answered != 2 {
+				t.Errorf("paused at reading %d of %d: answered %d, error %v", at, readings, answer.Coverage.Answered, err)
+			}
+		})
+	}
+}
--- a/internal/query/run.go
+++ b/internal/query/run.go
@@ -126,19 +126,29 @@
 
 // newRun makes a run of a plan.
 func (s *Service) newRun(plan decision.Plan, speaks protocol) *run {
+	lost := s.options.Lost() // before the inbox, which begins to count
 	return &run{
 		service: s, protocol: speaks, plan: plan, core: decision.New(plan),
 		inbox:  s.options.Driver.NewInbox(len(plan.Shards)),
 		shards: make([]shardRun, len(plan.Shards)),
-		pardon: pardon{seen: s.options.Lost()},
+		pardon: pardon{seen: lost},
 	}
 }
 
 // elapsed is the time since the run's start, without what is pardoned.
 func (r *run) elapsed() time.Duration { return r.inbox.Elapsed() - r.pardon.granted }
 
-func (r *run) pardonPauses(deadline time.Duration) {
-	r.pardon.look(r.service.options.Lost(), r.inbox.Elapsed(), deadline)
+// now is elapsed, after pauses of the process up to now have been taken in. A pause may come
+// between any two readings; the two clocks have to be read on the same side of it.
+func (r *run) now() time.Duration {
+	for {
+		lost := r.service.options.Lost()
+		elapsed := r.inbox.Elapsed()
+		if r.service.options.Lost()-lost < leastPardoned {
+			r.pardon.look(lost, elapsed, r.plan.Deadline)
+			return elapsed - r.pardon.granted
+		}
+	}
 }
 
 // setTimer sets the timer to a time as elapsed counts it.
@@ -156,12 +166,10 @@
 		defer cancel()
 		r.context = sub
 	}
-	r.pardonPauses(deadline)
 	r.setTimer(deadline)
 	finished := r.step(decision.Event{Kind: decision.Started})
 	for !finished {
 		result, woken := r.inbox.Next(ctx)
-		r.pardonPauses(deadline)
 		switch woken {
 		case WokenByResult:
 			finished = r.step(r.take(result))
@@ -243,7 +251,7 @@
 // is fed back after all actions, as the core reuses their memory.
 func (r *run) step(event decision.Event) (finished bool) {
 	var arisen []decision.Event
-	for _, action := range r.core.Step(r.elapsed(), event) {
+	for _, action := range r.core.Step(r.now(), event) {
 		switch action.Kind {
 		case decision.Send:
 			arisen = r.send(action, arisen)
--- a/internal/query/service.go
+++ b/internal/query/service.go
@@ -105,7 +105,8 @@
 // Search answers one query. Errors are *failure.Error; NotRun is true only
 // when no back end ran any part of it.
 func (s *Service) Search(ctx context.Context, query client.Query) (client.Answer, error) {
-	started, lost := s.options.Now(), s.options.Lost()
+	lost := s.options.Lost() // before the time from which the deadline counts
+	started := s.options.Now()
 	if err := Validate(&query); err != nil {
 		return client.Answer{}, err
 	}
