Soak: nodes stand still in their planned stops and about changes of the configuration

A stop that stands still may cut nothing off (only a caller's own patience is excused), a node that goes on after a change may not answer by the one before. Judged as of a node that is well; what a paused node had in hand may still go to a replica that leaves.

--- a/internal/soak/apply.go
+++ b/internal/soak/apply.go
@@ -60,6 +60,12 @@
 		return w.startWithoutStore(ctx, fault)
 	case fault.Kind == StoreCopy:
 		return w.restoreStore(fault)
+	case fault.Kind == PauseStop:
+		return w.pauseStop(ctx, fault, w.nodes[fault.Target%len(w.nodes)])
+	case fault.Kind == PauseNews:
+		target := w.nodes[fault.Target%len(w.nodes)]
+		defer w.noted(fault.Kind, target)()
+		pause(target, fault.For)
 	default:
 		return w.leave(fault, w.replica(fault.Target))
 	}
@@ -86,11 +92,7 @@
 		_ = target.process.Signal(syscall.SIGHUP) // another fault may have just ended it
 		return nil
 	case PauseNode:
-		if err := target.process.Signal(syscall.SIGSTOP); err != nil {
-			return nil // another fault has just ended it
-		}
-		time.Sleep(fault.For)
-		_ = target.process.Signal(syscall.SIGCONT) // it may have been killed meanwhile
+		pause(target, fault.For)
 		return nil
 	case StopNode:
 		return w.restartAfter(ctx, target, syscall.SIGTERM)
@@ -99,6 +101,30 @@
 	}
 }
 
+// pause lets a node stand still for some time.
+func pause(target *node, lasting time.Duration) {
+	if err := target.process.Signal(syscall.SIGSTOP); err != nil {
+		return // another fault has just ended it
+	}
+	time.Sleep(lasting)
+	_ = target.process.Signal(syscall.SIGCONT) // it may have been killed meanwhile
+}
+
+// pauseStop stops a node as planned and lets it stand still in its stop, at a moment that the
+// fault's target chooses.
+func (w *world) pauseStop(ctx context.Context, fault Fault, target *node) error {
+	defer w.noted(fault.Kind, target)()
+	paused := make(chan struct{})
+	go func() {
+		defer close(paused)
+		time.Sleep(time.Duration(fault.Target%100) * grace / 100)
+		pause(target, fault.For)
+	}()
+	err := w.restartAfter(ctx, target, syscall.SIGTERM)
+	<-paused
+	return err
+}
+
 func (w *world) everySecond(first int) []*node {
 	var chosen []*node
 	for i := first % 2; i < len(w.nodes); i += 2 {
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"strings"
@@ -162,9 +164,13 @@
 // endsConnections is true for the faults that may end a caller's connection to
 // the node, or keep it waiting.
 func endsConnections(address string) func(event) bool {
-	return func(one event) bool {
-		return one.node != nil && one.node.settings.Callers == address && (one.kind == KillNode || one.kind == PauseNode)
-	}
+	return func(one event) bool { return one.befell(address, KillNode, PauseNode) }
+}
+
+// keepsWaiting is true for the faults that may keep a caller of the node waiting beyond its own
+// patience, and end no connection.
+func keepsWaiting(address string) func(event) bool {
+	return func(one event) bool { return one.befell(address, PauseStop, PauseNews) }
 }
 
 // checkEnd: a request that was passed on gets a final answer in time, also from
@@ -176,6 +182,10 @@
 	if j.world.met(one.sent.Add(-time.Second), one.ended, endsConnections(one.response.Node)) {
 		return
 	}
+	gaveUp := errors.Is(one.err, context.DeadlineExceeded)
+	if gaveUp && j.world.met(one.sent.Add(-time.Second), one.ended, keepsWaiting(one.response.Node)) {
+		return
+	}
 	j.found("%s (%s) was passed on by %s at %.2f s and got no answer: %v",
 		one.id, strings.Trim(string(one.path), "/"), one.response.Node, one.sent.Sub(j.world.began).Seconds(), one.err)
 }
--- a/internal/soak/news.go
+++ b/internal/soak/news.go
@@ -26,7 +26,10 @@
 		due = one.at.Add(drainTime)
 	}
 	until := due.Add(newsWindow)
-	hidden := j.world.met(one.at.Add(-contactTime), until, func(e event) bool { return e.kind.hidesNews() })
+	hidden := j.world.met(one.at.Add(-contactTime), until, func(e event) bool {
+		// what a paused node had in hand may go to a leaving replica when the node goes on
+		return e.kind.hidesNews() || one.replica != nil && (e.kind == PauseNews || e.kind == PauseStop)
+	})
 	if hidden || j.replaced(one, until) || j.world.stalls.touches(one.at, until) {
 		return
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -73,6 +73,12 @@
 	// StoreCopy lets the store be away and come back from a copy that is some seconds old.
 	// It comes once in each such round as well.
 	StoreCopy
+	// The kinds from here on are drawn apart from all before, each once in each round but the
+	// first (see newPlanOfPauses). PauseStop stops a node as planned, and lets it stand still
+	// in its stop; no request may be cut off by that. PauseNews lets a node stand still about
+	// a change of the configuration; when it goes on it may not answer by the one before.
+	PauseStop
+	PauseNews
 	kinds
 )
 
@@ -88,7 +94,7 @@
 	"store_outage", "store_throttle", "store_slow", "store_lost_answers", "store_deaf",
 	"configure", "configure_series", "drain", "vanish", "evacuate",
 	"replica_link_deaden", "service_hang", "start_without_store",
-	"ending_request", "store_copy",
+	"ending_request", "store_copy", "pause_stop", "pause_news",
 }
 
 // String returns the name of a kind.
@@ -134,7 +140,35 @@
 // added later are drawn apart and come besides, so that the seeds that failed once keep
 // the faults that they failed by.
 func NewPlan(seed uint64, length time.Duration) []Fault {
-	return append(newPlan(seed, length), newPlanApart(seed, length)...)
+	plan := append(newPlan(seed, length), newPlanApart(seed, length)...)
+	return append(plan, newPlanOfPauses(seed, length)...)
+}
+
+// The pauses of PauseStop and PauseNews: from such that no detector of pauses could tell from a
+// busy machine up to such that go beyond every time-out of a caller.
+const (
+	shortestPause = 200 * time.Millisecond
+	longestPause  = 2 * time.Second
+)
+
+// newPlanOfPauses draws the pauses that a node must bear without harm. Those about a change come
+// where the time for news is checked.
+func newPlanOfPauses(seed uint64, length time.Duration) []Fault {
+	random := rand.New(rand.NewPCG(^seed, seed))
+	var plan []Fault
+	for round := 1; time.Duration(round+1)*roundLength <= length; round++ {
+		begin := time.Duration(round) * roundLength
+		pause := func(kind Kind, from time.Duration) Fault {
+			at := from + time.Duration(random.Int64N(int64(faultsWithin)))
+			lasting := shortestPause + time.Duration(random.Int64N(int64(longestPause-shortestPause)))
+			return Fault{At: at, For: lasting, Kind: kind, Target: random.IntN(1 << 16)}
+		}
+		plan = append(plan, pause(PauseStop, begin))
+		if round%calmEvery == calmEvery-1 {
+			plan = append(plan, pause(PauseNews, begin+faultsWithin-longestPause/2))
+		}
+	}
+	return plan
 }
 
 // faultsApart is the number of faults of the kinds that are drawn apart, in each round that
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -111,6 +112,11 @@
 	until time.Time
 }
 
+// befell tells whether the event is of one of some kinds and befell the node of an address.
+func (e event) befell(address string, kinds ...Kind) bool {
+	return e.node != nil && e.node.settings.Callers == address && slices.Contains(kinds, e.kind)
+}
+
 func newWorld(config Config) (*world, error) {
 	w := &world{leaving: make(map[*standin.Replica]time.Time), allowed: map[int]bool{shards: true}, shards: shards}
 	var err error
