--- a/internal/query/run.go
+++ b/internal/query/run.go
@@ -126,7 +126,7 @@
 
 // newRun makes a run of a plan.
 func (s *Service) newRun(plan decision.Plan, speaks protocol) *run {
-	lost := s.options.Lost() // before the inbox, which begins to count
+	lost := s.lost() // before the inbox, which begins to count
 	return &run{
 		service: s, protocol: speaks, plan: plan, core: decision.New(plan),
 		inbox:  s.options.Driver.NewInbox(len(plan.Shards)),
@@ -142,9 +142,9 @@
 // between any two readings; the two clocks have to be read on the same side of it.
 func (r *run) now() time.Duration {
 	for {
-		lost := r.service.options.Lost()
+		lost := r.service.lost()
 		elapsed := r.inbox.Elapsed()
-		if r.service.options.Lost()-lost < leastPardoned {
+		if r.service.lost()-lost < leastPardoned {
 			r.pardon.look(lost, elapsed, r.plan.Deadline)
 			return elapsed - r.pardon.granted
 		}
--- a/internal/query/service.go
+++ b/internal/query/service.go
@@ -67,9 +67,6 @@
 	if options.NewID == nil {
 		options.NewID = func() string { return ulid.Make().String() }
 	}
-	if options.Lost == nil {
-		options.Lost = func() time.Duration { return 0 }
-	}
 	if options.Driver == nil {
 		options.Driver = goroutines{}
 	}
@@ -105,7 +102,7 @@
 // Search answers one query. Errors are *failure.Error; NotRun is true only
 // when no back end ran any part of it.
 func (s *Service) Search(ctx context.Context, query client.Query) (client.Answer, error) {
-	lost := s.options.Lost() // before the time from which the deadline counts
+	lost := s.lost() // before the time from which the deadline counts
 	started := s.options.Now()
 	if err := Validate(&query); err != nil {
 		return client.Answer{}, err
@@ -128,6 +125,14 @@
 	return s.answer(ctx, request, corpus, ticket)
 }
 
+// lost is for how much of the time this process has not run.
+func (s *Service) lost() time.Duration {
+	if s.options.Lost == nil {
+		return 0
+	}
+	return s.options.Lost()
+}
+
 // pinPolicy resolves the policy and fills in the query's defaults.
 func (s *Service) pinPolicy(query client.Query, started time.Time) (*request, error) {
 	index := s.options.Board.Table.Load()
