--- a/internal/elapsed/elapsed.go
+++ b/internal/elapsed/elapsed.go
@@ -19,8 +19,12 @@
 	// thousandth of a processor.
 	interval = 100 * time.Millisecond
 	// mostRun is the most that counts as run between two readings: a process that was
-	// stopped shows a long gap, of which it has run for no more than this.
-	mostRun = 2 * interval
+	// stopped shows a long gap, of which it has run for no more than this. Of a call's time
+	// each pause takes this much.
+	mostRun = interval + interval/5
+	// leastPause is the least gap between two readings that is called a pause. A busy machine
+	// brings shorter ones, which are lost time as well.
+	leastPause = 2 * interval
 )
 
 // Config is what a Meter is made of. All fields may be left out.
@@ -97,7 +101,7 @@
 	last, now := m.last.Load(), m.config.Now()
 	gap := max(0, now-last.at)
 	next := &reading{at: now, ran: last.ran + min(gap, mostRun), steadySince: last.steadySince}
-	if gap > mostRun {
+	if gap > leastPause {
 		next.steadySince = now
 	}
 	return next
