How long ago the store was heard of is told by the clock that counts a suspension

The follower's times count a suspension of the machine; their age was told by one that does not, and would be negative after it. Only what operators read changes.

--- a/internal/ingress/log.go
+++ b/internal/ingress/log.go
@@ -10,6 +10,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/doorpond/doorpond/internal/blackboard"
+	"github.com/doorpond/doorpond/internal/elapsed"
 	"github.com/doorpond/doorpond/internal/failure"
 	"github.com/doorpond/doorpond/internal/query"
 	"github.com/doorpond/doorpond/internal/routing"
@@ -99,7 +100,7 @@
 		attributes = append(attributes, "configuration", table.Version)
 	}
 	if status := l.board.Store.Load(); status != nil && !status.Reachable {
-		attributes = append(attributes, "store_lost_ms", time.Since(status.Since).Milliseconds())
+		attributes = append(attributes, "store_lost_ms", elapsed.Time().Sub(status.Since).Milliseconds())
 	}
 	if about.route != nil {
 		attributes = append(attributes, "route", about.route.Name, "attempts", about.answer.Attempts, "hedges", about.answer.Hedges)
--- a/internal/inspect/inspect.go
+++ b/internal/inspect/inspect.go
@@ -16,6 +16,7 @@
 
 	"github.com/doorpond/doorpond/internal/blackboard"
 	"github.com/doorpond/doorpond/internal/comparison"
+	"github.com/doorpond/doorpond/internal/elapsed"
 	"github.com/doorpond/doorpond/internal/failure"
 	"github.com/doorpond/doorpond/internal/quarantine"
 	"github.com/doorpond/doorpond/internal/routing"
@@ -177,7 +178,7 @@
 	revision, confirmedAt := h.config.Known()
 	described.StoreEra, described.StoreRevision = store.EraOf(revision), store.NumberOf(revision)
 	if !confirmedAt.IsZero() {
-		described.ConfirmedAgo = max(0, time.Since(confirmedAt).Milliseconds())
+		described.ConfirmedAgo = max(0, elapsed.Time().Sub(confirmedAt).Milliseconds())
 	}
 }
 
