--- a/internal/soak/apply.go
+++ b/internal/soak/apply.go
@@ -9,7 +9,6 @@
 
 	"github.com/doorpond/doorpond/internal/soak/proxy"
 	"github.com/doorpond/doorpond/internal/standin/kv"
-	"github.com/doorpond/doorpond/platform/standin"
 )
 
 // apply lets one fault come, and returns at its end.
@@ -111,36 +110,6 @@
 	_ = target.process.Signal(syscall.SIGCONT) // it may have been killed meanwhile
 }
 
-// The moments of a planned stop at which it stands still, as shares of the grace time: about
-// those when it answers what is left and ends its connections.
-const (
-	firstStill = 0.60
-	lastStill  = 0.95
-)
-
-// pauseStop stops a node as planned while a service holds all that comes, and lets the node
-// stand still towards the end, at a moment that the fault's target chooses.
-func (w *world) pauseStop(ctx context.Context, fault Fault, target *node) error {
-	defer w.noted(fault.Kind, target)()
-	held := w.serving(standin.PlainService)
-	for _, replica := range held {
-		replica.Hang(1)
-	}
-	paused := make(chan struct{})
-	go func() {
-		defer close(paused)
-		share := firstStill + (lastStill-firstStill)*float64(fault.Target%100)/100
-		time.Sleep(time.Duration(share * float64(grace)))
-		pause(target, fault.For)
-	}()
-	err := w.restartAfter(ctx, target, syscall.SIGTERM)
-	<-paused
-	for _, replica := range held {
-		replica.Hang(0)
-	}
-	return err
-}
-
 func (w *world) everySecond(first int) []*node {
 	var chosen []*node
 	for i := first % 2; i < len(w.nodes); i += 2 {
