A load limit that was cut is given back with time

Cause: a cut limit grows only by windows of queries that make use of it. A node that few callers come to makes none. Ruled out: strain that is still there (no query was strained for 27 s). Change: without a sign of strain (no cut, no strained query, no refused shard) for 5 s the limit doubles each second, up to where it began. Why it holds: an overload shows in single queries all the while, so that nothing is given back in it (test: a minute of strained queries, or of refused shards).

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -132,6 +132,7 @@
 		return Ticket{}, c.refuse("policy", failure.Overloaded,
 			fmt.Sprintf("policy %s is at its limit of %d queries", row.Name, row.Limits.Concurrency))
 	}
+	c.limit.giveBack(now)
 	limit := c.limit.forRank(rankOf(priority))
 	if c.inFlight.Add(1) > limit {
 		c.inFlight.Add(-1)
--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -44,6 +44,12 @@
 	// calmAfter is the time since the last cut after which the limit grows by
 	// a query for each whole answer, and so doubles with each round.
 	calmAfter = 2 * time.Second
+	// quietBefore is the time without a sign of strain after which a cut limit is given back
+	// with time, doubled each giveBackEvery: where few callers come none makes use of it, and
+	// it would stand where it was cut to (a request was refused at a limit of 3, 27 s after the
+	// last trouble). An overload shows in single queries long before that.
+	quietBefore   = 5 * time.Second
+	giveBackEvery = time.Second
 )
 
 // adaptiveLimit finds how many queries in flight the back ends bear, by
@@ -56,6 +62,10 @@
 	cutAt     atomic.Int64  // Unix nanoseconds
 	overSince atomic.Int64  // time of the first cut of an overload, Unix nanoseconds
 	lastShard atomic.Uint64 // hash of the shard of the last sign
+	// strainedAt is when a query was last strained or shards refused, givenBackAt when the
+	// limit was last raised for want of that; Unix nanoseconds.
+	strainedAt  atomic.Int64
+	givenBackAt atomic.Int64
 	// congestion is of queries with an objective, overloaded the number of its
 	// windows since the last without, futile that of the cuts since then, and liftedUntil when cuts begin again
 	// after they did not help, Unix nanoseconds.
@@ -99,6 +109,9 @@
 func (e *Ended) whole() bool { return e.Answered == e.Asked }
 
 func (l *adaptiveLimit) observe(now time.Time, inFlight int64, ended *Ended) {
+	if ended.Strained || ended.Refused > 0 {
+		l.strainedAt.Store(now.UnixNano())
+	}
 	switch {
 	case ended.Objective > 0:
 		l.observeStrain(now, inFlight, ended)
@@ -111,6 +124,20 @@
 	}
 }
 
+// giveBack raises a limit that was cut when nothing has shown strain for a while.
+func (l *adaptiveLimit) giveBack(now time.Time) {
+	units := l.units.Load()
+	if units >= l.most {
+		return
+	}
+	sign := max(l.cutAt.Load(), l.strainedAt.Load())
+	last := l.givenBackAt.Load()
+	quiet, paused := now.UnixNano()-sign >= int64(quietBefore), now.UnixNano()-last >= int64(giveBackEvery)
+	if quiet && paused && l.givenBackAt.CompareAndSwap(last, now.UnixNano()) {
+		l.units.Store(min(l.most, 2*units))
+	}
+}
+
 // observeStrain cuts the limit to what the back ends bear at the end of a window
 // in which they were overloaded. When cuts do not help, the back ends are slow
 // for another reason: refusing queries would cost answers for nothing.
--- a/internal/admission/limit_test.go
+++ b/internal/admission/limit_test.go
@@ -70,3 +70,43 @@
 	limit.calm.Store(windowsToKnow)
 	return limit
 }
+
+// TestACutLimitIsGivenBackWithTime: a node that few callers come to never makes use of what it
+// was cut to, and so its limit was never raised: a soak's request was refused (429, limit of 3 for
+// its priority) 27 s after the last trouble. Without a sign of strain the limit comes back by
+// itself; while there are such signs it does not.
+func TestACutLimitIsGivenBackWithTime(t *testing.T) {
+	const most = 100
+	refused := Ended{Asked: 2, Answered: 1, Refused: 1, RefusedShard: "a"}
+	strained := Ended{Asked: 2, Answered: 2, Objective: time.Second, Strained: true}
+	whole := Ended{Asked: 2, Answered: 2, Objective: time.Second}
+	cases := []struct {
+		name string
+		// each second one query ends so.
+		ended Ended
+		after time.Duration
+		want  int64
+	}{
+		{"not at once", whole, quietBefore - time.Second, leastLimit},
+		{"a little, after that", whole, quietBefore, 2 * leastLimit},
+		{"whole in the end", whole, quietBefore + 8*giveBackEvery, most},
+		{"not while queries are strained", strained, time.Minute, leastLimit},
+		{"not while shards are refused", refused, time.Minute, leastLimit},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			limit := newLimit(most)
+			now := time.Unix(1000, 0)
+			limit.observe(now, 1, &refused)
+			for end := now.Add(test.after); now.Before(end); {
+				now = now.Add(time.Second)
+				limit.giveBack(now)
+				ended := test.ended
+				limit.observe(now, 1, &ended)
+			}
+			if got := limit.forRank(3); got != test.want {
+				t.Errorf("limit %d, want %d", got, test.want)
+			}
+		})
+	}
+}
