A request's wait for news is a part of its time

What callers would see: a request that waited up to 0.9 s until what the node knows was confirmed had its whole time from then on; replicas were given more time than remains, and its caller had left before the answer. Change: what was waited is taken off the caller's and the route's time.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -101,7 +101,10 @@
 	if h.options.Board.Routes.Load() == nil {
 		return nil, query.Forwarded{}, failure.New(failure.NoTable, "no routes are known yet")
 	}
-	if !h.options.Await(r.Context()) {
+	began := time.Now()
+	trusted := h.options.Await(r.Context())
+	waited := time.Since(began) // of the request's time: nothing is sent for longer than is left
+	if !trusted {
 		return nil, query.Forwarded{}, failure.New(failure.StaleTable, "the routes could not be confirmed after a pause")
 	}
 	table := h.options.Board.Routes.Load() // after the wait, which may bring another one
@@ -121,7 +124,7 @@
 	message := &upstream.Message{
 		ID: id, Caller: callerOf(r), Method: r.Method, Target: target, Host: r.Host, Header: endToEnd(r.Header), Body: body,
 	}
-	answer, err := h.options.Forwarder.Forward(r.Context(), &query.Forwarding{Message: message, Route: route, Wait: wait})
+	answer, err := h.options.Forwarder.Forward(r.Context(), &query.Forwarding{Message: message, Route: route, Wait: wait, Waited: waited})
 	return route, answer, err
 }
 
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -74,6 +75,24 @@
 	return recorder
 }
 
+// TestAWaitForNewsIsPartOfARequestsTime: its caller does not wait longer for it, and replicas are
+// not to work on it for longer than it waits.
+func TestAWaitForNewsIsPartOfARequestsTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		forwarder := &fakeForwarder{}
+		handler := newTestHandler(forwarder, func(o *Options) {
+			o.Await = func(context.Context) bool {
+				time.Sleep(700 * time.Millisecond)
+				return true
+			}
+		})
+		serveOne(handler, request(http.MethodGet, "/p/", ""))
+		if forwarder.asked == nil || forwarder.asked.Wait != 2*time.Second || forwarder.asked.Waited != 700*time.Millisecond {
+			t.Errorf("asked %+v", forwarder.asked)
+		}
+	})
+}
+
 func TestARequestIsPassedOnUnaltered(t *testing.T) {
 	forwarder := &fakeForwarder{answer: query.Forwarded{Reply: &upstream.Reply{
 		Status: 201, Header: http.Header{"X-Own": {"1"}, "Keep-Alive": {"timeout=3"}, "Content-Length": {"9"}}, Body: []byte("made"),
--- a/internal/query/forward.go
+++ b/internal/query/forward.go
@@ -43,8 +43,20 @@
 	Message *upstream.Message
 	// Route is pinned for the whole request.
 	Route *routing.Route
-	// Wait is how long the caller still waits; 0 means that it did not say.
+	// Wait is how long the caller waits from the request's arrival on; 0 means that it did
+	// not say.
 	Wait time.Duration
+	// Waited is how much of the request's time is over.
+	Waited time.Duration
+}
+
+// deadline is how much of the request's time is left: of its caller's, and of its route's.
+func (f *Forwarding) deadline() time.Duration {
+	deadline := time.Duration(f.Route.Policy.Wait.Timeout)
+	if f.Wait > 0 {
+		deadline = min(deadline, f.Wait)
+	}
+	return deadline - f.Waited
 }
 
 // Forwarded is the answer to a Forwarding.
@@ -104,10 +116,11 @@
 		s.metrics.observe(0, err)
 		return Forwarded{}, err
 	}
-	row := forwarding.Route.Policy
-	deadline := time.Duration(row.Wait.Timeout)
-	if forwarding.Wait > 0 {
-		deadline = min(deadline, forwarding.Wait)
+	row, deadline := forwarding.Route.Policy, forwarding.deadline()
+	if deadline <= 0 {
+		err := failure.New(failure.DeadlineExceeded, "the request's time was over before it could be passed on").WithNotRun(true)
+		s.metrics.observe(s.options.Now().Sub(started), err)
+		return Forwarded{}, err
 	}
 	suspicion := s.options.Quarantine.Suspicion(forwarding.Message)
 	if suspicion.RefuseFor > 0 {
