--- a/internal/follower/attend.go
+++ b/internal/follower/attend.go
@@ -21,7 +21,7 @@
 	}()
 	for {
 		f.state.publish(f.options.Now())
-		f.findNobody(asked)
+		f.noteUnanswered(asked)
 		f.allow()
 		timer := time.NewTimer(min(f.untilDue(), f.options.share(askShare)))
 		select {
@@ -38,10 +38,10 @@
 	}
 }
 
-// findNobody notes that a question asked some time ago has found nobody so far, once it has
+// noteUnanswered notes that a question asked some time ago has found nobody so far, once it has
 // waited for long enough. After a pause of the process that cannot be told: its answer may lie
 // unread.
-func (f *Follower) findNobody(asked time.Time) {
+func (f *Follower) noteUnanswered(asked time.Time) {
 	patience := f.options.share(askShare)
 	unanswered := f.options.Now().Add(-patience)
 	if !asked.IsZero() && !unanswered.Before(asked) && f.options.Steady(patience) {
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -367,7 +367,7 @@
 	began := f.options.Now()
 	f.ask(func() { values, revision, err = read(bounded) })
 	if err != nil {
-		f.foundNobody(began)
+		f.noteUnreachable(began)
 		f.patience = min(2*f.patience, f.options.News)
 		return nil, 0, err
 	}
--- a/internal/follower/validity.go
+++ b/internal/follower/validity.go
@@ -179,8 +179,8 @@
 	f.validity.learn(f.staleness.known)
 }
 
-// foundNobody notes that an attempt to reach the store has failed.
-func (f *Follower) foundNobody(began time.Time) {
+// noteUnreachable notes that an attempt to reach the store has failed.
+func (f *Follower) noteUnreachable(began time.Time) {
 	f.validity.tried(began)
 	f.allow()
 }
--- a/internal/follower/watch.go
+++ b/internal/follower/watch.go
@@ -83,7 +83,7 @@
 			return ctx.Err()
 		case err := <-ended:
 			if !from.node.IsValid() {
-				f.foundNobody(began)
+				f.noteUnreachable(began)
 			}
 			return err
 		case batch := <-batches:
@@ -206,7 +206,7 @@
 	var err error
 	f.ask(func() { _, _, revision, err = f.options.Source.Get(bounded, f.options.Keys.Configuration) })
 	if err != nil {
-		f.foundNobody(asked)
+		f.noteUnreachable(asked)
 		return err
 	}
 	now := f.options.Now()
--- a/internal/query/pardon_test.go
+++ b/internal/query/pause_allowance_test.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-func TestPardon(t *testing.T) {
+func TestPauseAllowance(t *testing.T) {
 	const deadline = time.Second
 	cases := []struct {
 		name          string
@@ -14,7 +14,7 @@
 		left time.Duration
 	}{
 		{"no pause", 0, 990 * time.Millisecond, 10 * time.Millisecond},
-		{"a hitch", leastPardoned - 1, 990 * time.Millisecond, 10 * time.Millisecond},
+		{"a hitch", leastAllowed - 1, 990 * time.Millisecond, 10 * time.Millisecond},
 		{"a pause that leaves time enough", 500 * time.Millisecond, 600 * time.Millisecond, 400 * time.Millisecond},
 		{"a pause that leaves little", 800 * time.Millisecond, 900 * time.Millisecond, wakeTime},
 		{"a pause beyond the deadline", time.Minute, time.Minute, wakeTime},
@@ -23,27 +23,27 @@
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
-			p := pardon{seen: time.Hour}
+			p := pauseAllowance{seen: time.Hour}
 			p.look(time.Hour+test.lost, test.elapsed, deadline)
 			if left := deadline - (test.elapsed - p.granted); left != test.left {
 				t.Errorf("%v are left, want %v", left, test.left)
 			}
-			if test.lost < leastPardoned {
+			if test.lost < leastAllowed {
 				return // hitches add up to a pause
 			}
 			granted := p.granted
 			p.look(time.Hour+test.lost+time.Millisecond, test.elapsed+time.Millisecond, deadline)
 			if p.granted != granted {
-				t.Errorf("one pause is pardoned twice: %v, then %v", granted, p.granted)
+				t.Errorf("one pause is allowed for twice: %v, then %v", granted, p.granted)
 			}
 		})
 	}
 }
 
-// TestAPardonIsBounded: pauses in a series give no run more than wakeTime after the last of them.
-func TestAPardonIsBounded(t *testing.T) {
+// TestAPauseAllowanceIsBounded: pauses in a series give no run more than wakeTime after the last of them.
+func TestAPauseAllowanceIsBounded(t *testing.T) {
 	const deadline = time.Second
-	p := pardon{}
+	p := pauseAllowance{}
 	lost, elapsed := time.Duration(0), time.Duration(0)
 	for range 50 {
 		lost += 300 * time.Millisecond
--- a/internal/query/pause_virtual_test.go
+++ b/internal/query/pause_virtual_test.go
@@ -79,7 +79,7 @@
 
 // TestAPauseBetweenTwoReadingsFailsNoQuery: the process stands still right after it has read for
 // how long it had not run, at each of the readings of a query in turn. Trace of one that failed
-// (1 of 3,028 requests): deadline 1 s, sub-requests sent at 1.203 s and in flight, nothing pardoned.
+// (1 of 3,028 requests): deadline 1 s, sub-requests sent at 1.203 s and in flight, nothing allowed for.
 func TestAPauseBetweenTwoReadingsFailsNoQuery(t *testing.T) {
 	for at := 1; at <= 12; at++ {
 		synctest.Test(t, func(t *testing.T) {
--- a/internal/query/run.go
+++ b/internal/query/run.go
@@ -52,7 +52,7 @@
 	onEnded     func(canary string)
 	// abandoned is set once the caller no longer waits.
 	abandoned bool
-	pardon    pardon
+	allowance pauseAllowance
 }
 
 // runCounts is what a run cost.
@@ -129,14 +129,14 @@
 	lost := s.lost() // before the inbox, which begins to count
 	return &run{
 		service: s, protocol: speaks, plan: plan, core: decision.New(plan),
-		inbox:  s.options.Driver.NewInbox(len(plan.Shards)),
-		shards: make([]shardRun, len(plan.Shards)),
-		pardon: pardon{seen: lost},
+		inbox:     s.options.Driver.NewInbox(len(plan.Shards)),
+		shards:    make([]shardRun, len(plan.Shards)),
+		allowance: pauseAllowance{seen: lost},
 	}
 }
 
-// elapsed is the time since the run's start, without what is pardoned.
-func (r *run) elapsed() time.Duration { return r.inbox.Elapsed() - r.pardon.granted }
+// elapsed is the time since the run's start, without what is allowed for pauses.
+func (r *run) elapsed() time.Duration { return r.inbox.Elapsed() - r.allowance.granted }
 
 // now is elapsed, after pauses of the process up to now have been taken in. A pause may come
 // between any two readings; the two clocks have to be read on the same side of it.
@@ -144,15 +144,15 @@
 	for {
 		lost := r.service.lost()
 		elapsed := r.inbox.Elapsed()
-		if r.service.lost()-lost < leastPardoned {
-			r.pardon.look(lost, elapsed, r.plan.Deadline)
-			return elapsed - r.pardon.granted
+		if r.service.lost()-lost < leastAllowed {
+			r.allowance.look(lost, elapsed, r.plan.Deadline)
+			return elapsed - r.allowance.granted
 		}
 	}
 }
 
 // setTimer sets the timer to a time as elapsed counts it.
-func (r *run) setTimer(at time.Duration) { r.inbox.SetTimer(at + r.pardon.granted) }
+func (r *run) setTimer(at time.Duration) { r.inbox.SetTimer(at + r.allowance.granted) }
 
 // execute runs until the core finishes. Its attempts end with it, but for
 // those that linger.
--- a/internal/query/search.go
+++ b/internal/query/search.go
@@ -28,7 +28,7 @@
 	plan := decision.Plan{Shards: selected.Asked, Policy: request.row, Deadline: deadline}
 	search := &searchRun{request: request, snapshot: snapshot, selected: selected}
 	search.run = s.newRun(plan, search)
-	search.pardon.seen = request.lost // the deadline counts from the request's start
+	search.allowance.seen = request.lost // the deadline counts from the request's start
 	return search
 }
 
