A node that has read a copy of the store is not told what led another into its era

Cause, from the nodes' logs: it started while the store came back from a copy, read the copy itself (era 1, revision 46), and watched a node that was still in the era before. That one entered era 1 at revision 74 and told how it differs from what it had known: the two replicas were gone there before, so that nothing was told of them. Ruled out: the stand-in (other nodes heard of the removals from the store). Why it holds: the diff between eras is told only to who was where it begins; others are told that it is forgotten, and watch the store from their own revision. Test: fails before. Packages relay, follower, simulation: green with -race.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -84,8 +84,11 @@
 	started  bool
 	from     int64
 	revision int64
-	events   []numbered
-	changed  chan struct{} // closed when revision rises
+	// entered is the revision at which a later era of the store was entered by what had
+	// changed since the one before; zero when none was.
+	entered int64
+	events  []numbered
+	changed chan struct{} // closed when revision rises
 
 	// encoding guards last, the last answer with changes.
 	encoding sync.Mutex
@@ -119,6 +122,9 @@
 	if revision <= f.revision {
 		return
 	}
+	if store.EraOf(revision) > store.EraOf(f.revision) {
+		f.entered = revision
+	}
 	f.revision = revision
 	f.wake()
 }
@@ -136,7 +142,7 @@
 func (f *Feed) since(after int64) (found Changes, changed <-chan struct{}, known bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.started && after < f.from {
+	if f.started && (after < f.from || f.isBesideEntry(after)) {
 		return Changes{}, nil, false
 	}
 	if !f.started || after >= f.revision {
@@ -154,6 +160,14 @@
 	return found, nil, true
 }
 
+// isBesideEntry tells whether a node at a revision has come into the present era of the store in
+// another way than this feed, as one does that reads the copy itself when it starts. What has
+// changed since the era before says nothing of what that node knows: replicas that had ended
+// before, and are in the copy, would stay in use there for good.
+func (f *Feed) isBesideEntry(after int64) bool {
+	return after < f.entered && store.EraOf(after) == store.EraOf(f.entered)
+}
+
 // ServeHTTP answers with the changes after a revision as soon as there are
 // some (a node that has just started knows none yet), and with 410 when some of them
 // are not kept. When there are none in time, it answers with the nodes that do not
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -302,3 +302,33 @@
 		}
 	})
 }
+
+// TestAnEraIsEnteredOnlyByThoseWhoFollowed: what is published with a later era of the store is how
+// it differs from what was known before. A node that has read the copy itself, and asks from there,
+// holds entries that were gone before: it must not take itself for up to date. (Two replicas that
+// had ended stayed in use at such a node for good, and its callers got 502.)
+func TestAnEraIsEnteredOnlyByThoseWhoFollowed(t *testing.T) {
+	var feed Feed
+	gone := store.Event{KeyValue: store.KeyValue{Key: "a"}, Deleted: true}
+	feed.Publish(50, nil)
+	feed.Publish(58, nil)
+	inCopy := store.RevisionIn(1, 46)
+	if _, changed, known := feed.since(inCopy); !known || changed == nil {
+		t.Fatal("before the era is entered there is nothing to tell")
+	}
+	entered := store.RevisionIn(1, 74)
+	feed.Publish(entered, []store.Event{gone})
+	if found, _, known := feed.since(58); !known || len(found.Events) != 1 || found.Revision != entered {
+		t.Errorf("who followed is told %+v, %v", found, known)
+	}
+	if found, _, known := feed.since(inCopy); known {
+		t.Errorf("who has read the copy is told %+v", found)
+	}
+	feed.Publish(entered+1, []store.Event{gone})
+	if found, _, known := feed.since(entered); !known || len(found.Events) != 1 {
+		t.Errorf("who is in the era is told %+v, %v", found, known)
+	}
+	if _, _, known := feed.since(inCopy); known {
+		t.Error("who has read the copy is told later changes")
+	}
+}
