Deadlines of connections leave out pauses of the process

Callers of a daemon (or an edge node) that was paused for longer than its header timeout (5 s, edge 10 s) lost their connections: EOF, reset, or "http: server closed idle connection", without a response.

Cause: net/http sets read and write deadlines by the wall clock. When a paused process resumes they have passed, although nothing could be read meanwhile.

Ruled out: the reload (errors come before it), reuse of connections (each request opens its own).

Fix: elapsed.Listener; an exceeded deadline is extended by the time for which the process was paused since it was set. Used by all listeners of the daemon and, as it has the same server, the edge node.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -240,7 +240,7 @@
 	} {
 		group.Go(func() error { return ignoreCanceled(run(groupContext)) })
 	}
-	d.listeners.start(group)
+	d.listeners.start(group, d.meter)
 	d.setPhase(blackboard.PhaseServing)
 	d.logger.Info("serving", "id", d.id, "version", Version,
 		"callers", d.listeners.callers.Addr().String(),
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -11,6 +11,7 @@
 
 	"github.com/doorpond/doorpond/internal/admin"
 	"github.com/doorpond/doorpond/internal/drain"
+	"github.com/doorpond/doorpond/internal/elapsed"
 	"github.com/doorpond/doorpond/internal/gateway"
 	"github.com/doorpond/doorpond/internal/peer"
 	"github.com/doorpond/doorpond/internal/replica"
@@ -123,11 +124,12 @@
 	}
 }
 
-// start runs the servers in group. A server that fails ends the group.
-func (l *listeners) start(group *errgroup.Group) {
-	group.Go(func() error { return serve(l.callersServer, l.callers) })
-	group.Go(func() error { return serve(l.peersServer, l.peers) })
-	group.Go(func() error { return serve(l.administrationServer, l.administration) })
+// start runs the servers in group. A server that fails ends the group. Deadlines of connections
+// do not count time in which the process is paused, as measured by meter.
+func (l *listeners) start(group *errgroup.Group, meter *elapsed.Meter) {
+	group.Go(func() error { return serve(l.callersServer, elapsed.NewListener(l.callers, meter)) })
+	group.Go(func() error { return serve(l.peersServer, elapsed.NewListener(l.peers, meter)) })
+	group.Go(func() error { return serve(l.administrationServer, elapsed.NewListener(l.administration, meter)) })
 }
 
 func serve(server *http.Server, listener net.Listener) error {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -347,9 +347,9 @@
 		defer close(registrationDone)
 		return n.registry.Run(registering)
 	})
-	group.Go(func() error { return serve(n.server, n.callers) })
+	group.Go(func() error { return serve(n.server, elapsed.NewListener(n.callers, n.meter)) })
 	for _, aux := range n.auxiliary {
-		group.Go(func() error { return serve(aux.server, aux.listener) })
+		group.Go(func() error { return serve(aux.server, elapsed.NewListener(aux.listener, n.meter)) })
 	}
 	n.setPhase(blackboard.PhaseServing)
 	n.logger.Info("started", "node", n.settings.Node, "version", Version, "zone", n.settings.Zone, "callers", n.callers.Addr().String())
--- /dev/null
+++ b/internal/proofs/paused_connections_test.go
@@ -0,0 +1,60 @@
+package proofs
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// TestPausedDaemonAnswersWaitingRequests guards against closing connections of callers that were
+// paused together with the daemon, for longer than its header timeout.
+func TestPausedDaemonAnswersWaitingRequests(t *testing.T) {
+	t.Parallel()
+	const connections, headerTimeout, pause = 20, 3 * time.Second, 4 * time.Second
+	ctx, cluster := startCluster(t, "--callers-header-timeout", headerTimeout.String())
+	daemon := cluster.Alive()[0]
+	body, err := json.Marshal(searchQuery(1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	start := "POST /v1/query HTTP/1.1\r\nHost: doorpond\r\n"
+	rest := fmt.Sprintf("Content-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	var opened []net.Conn
+	for range connections {
+		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", daemon.Addresses.Callers)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		if _, err := conn.Write([]byte(start)); err != nil {
+			t.Fatal(err)
+		}
+		opened = append(opened, conn)
+	}
+	sleep(ctx, headerTimeout/10) // the daemon accepts the connections
+	if err := daemon.Freeze(); err != nil {
+		t.Fatal(err)
+	}
+	sleep(ctx, pause)
+	if err := daemon.Resume(); err != nil {
+		t.Fatal(err)
+	}
+	sleep(ctx, headerTimeout/10) // the daemon's timers expire
+	for _, conn := range opened {
+		if _, err := conn.Write([]byte(rest)); err != nil {
+			t.Error(err)
+		}
+	}
+	for _, conn := range opened {
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Error("no response: ", err)
+			continue
+		}
+		response.Body.Close()
+	}
+}
