Queries wait for the policy table to be confirmed after a pause

Cause: every query was refused until the table was confirmed, which takes one question to a peer or the store. The rule is kept: nothing is answered from a table that is not confirmed. Ruled out: a store that does not answer.

Fix: a query waits for up to half of its deadline (counted from its arrival), then it is refused as before. One confirmation a pause, as before.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -156,6 +156,7 @@
 		Registerer: d.registry,
 		Logger:     d.logger,
 		PausedTime: d.meter.PausedTime,
+		WaitFresh:  d.monitor.WaitFresh,
 	})
 	d.connectGossip()
 	d.listeners.createServers(d)
@@ -219,7 +220,7 @@
 	d.editor = policytable.NewEditor(policytable.Options{
 		Store: d.store, Register: d.register, Board: d.board, Logger: d.logger,
 	})
-	d.monitor = freshness.New(freshness.Options{Confirm: d.confirm, Logger: d.logger})
+	d.monitor = freshness.New(freshness.Options{Confirm: d.confirm, Logger: d.logger, Registerer: d.registry})
 }
 
 // elected reports whether this daemon is one of those that watch the store.
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -75,7 +75,7 @@
 func (d *Daemon) newCallersServer() *http.Server {
 	return &http.Server{
 		Handler: gateway.New(gateway.Options{
-			Searcher:     &freshSearcher{monitor: d.monitor, searcher: d.queries},
+			Searcher:     d.queries,
 			Caller:       d.calls,
 			Board:        d.board,
 			MaxBodyBytes: d.settings.Callers.MaxBodyBytes,
--- a/internal/daemon/state.go
+++ b/internal/daemon/state.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"context"
 	"maps"
 	"slices"
 	"time"
@@ -9,10 +8,6 @@
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/doorpond/doorpond/client"
-	"github.com/doorpond/doorpond/internal/failure"
-	"github.com/doorpond/doorpond/internal/freshness"
-	"github.com/doorpond/doorpond/internal/gateway"
 	"github.com/doorpond/doorpond/internal/peer"
 	"github.com/doorpond/doorpond/internal/topology"
 )
@@ -83,18 +78,3 @@
 	encoded, err := msgpack.Marshal(d.statistics.Snapshot(since))
 	return encoded, eris.Wrap(err, "encode statistics")
 }
-
-// freshSearcher rejects queries while the policy table may be stale because the process was
-// paused.
-type freshSearcher struct {
-	monitor  *freshness.Monitor
-	searcher gateway.Searcher
-}
-
-// Search implements gateway.Searcher.
-func (s *freshSearcher) Search(ctx context.Context, query client.Query) (client.Answer, error) {
-	if !s.monitor.Fresh() {
-		return client.Answer{}, failure.New(failure.StaleTable, "policy table not confirmed since the process was paused")
-	}
-	return s.searcher.Search(ctx, query)
-}
--- a/internal/proofs/paused_connections_test.go
+++ b/internal/proofs/paused_connections_test.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"github.com/doorpond/doorpond/client"
 )
 
 // TestPausedDaemonAnswersWaitingRequests guards against closing connections of callers that were
@@ -58,3 +60,33 @@
 		response.Body.Close()
 	}
 }
+
+// TestPausedDaemonConfirmsTableBeforeAnswering guards against refusing queries after a pause
+// although they have time for the daemon to confirm its policy table.
+func TestPausedDaemonConfirmsTableBeforeAnswering(t *testing.T) {
+	t.Parallel()
+	const queries, pause = 20, 3 * time.Second
+	ctx, cluster := startCluster(t)
+	daemon := cluster.Alive()[0]
+	if err := daemon.Freeze(); err != nil {
+		t.Fatal(err)
+	}
+	results := make(chan error, queries)
+	for number := range queries {
+		go func() {
+			transport := &http.Transport{}
+			defer transport.CloseIdleConnections()
+			_, err := client.New(daemon.callersURL(), &http.Client{Transport: transport}).Query(ctx, searchQuery(number))
+			results <- err
+		}()
+	}
+	sleep(ctx, pause)
+	if err := daemon.Resume(); err != nil {
+		t.Fatal(err)
+	}
+	for range queries {
+		if err := <-results; err != nil {
+			t.Error(err)
+		}
+	}
+}
--- a/internal/query/service.go
+++ b/internal/query/service.go
@@ -44,6 +44,9 @@
 	// PausedTime returns for how long in total this process has been suspended
 	// (see elapsed.Meter); nil means never.
 	PausedTime func() time.Duration
+	// WaitFresh waits, for up to limit, until the policy table is known to be current, and
+	// reports whether it is (see freshness.Monitor); nil means always.
+	WaitFresh func(ctx context.Context, limit time.Duration) bool
 	// Driver defaults to goroutines and the system clock; simulations supply
 	// their own.
 	Driver Driver
@@ -108,6 +111,9 @@
 	if err := Validate(&query); err != nil {
 		return client.Answer{}, err
 	}
+	if s.options.WaitFresh != nil && !s.options.WaitFresh(ctx, s.freshWaitLimit(&query)) {
+		return client.Answer{}, failure.New(failure.StaleTable, "policy table not confirmed since the process was paused")
+	}
 	request, err := s.pinPolicy(query, started)
 	if err != nil {
 		return client.Answer{}, err
@@ -134,17 +140,41 @@
 	return s.options.PausedTime()
 }
 
+const (
+	// freshWaitFraction is the share of its deadline for which a query waits for the policy
+	// table to be confirmed. The rest is for the replicas.
+	freshWaitFraction = 0.5
+	// unknownDeadline stands in for the deadline of a query whose policy is not known.
+	unknownDeadline = time.Second
+)
+
+// freshWaitLimit returns for how long a query may wait for a current policy table. The deadline
+// is that of the present table, which may be out of date.
+func (s *Service) freshWaitLimit(query *client.Query) time.Duration {
+	deadline := unknownDeadline
+	if index := s.options.Board.PolicyTable.Load(); index != nil {
+		if row := index.Resolve(query.Group, callerOf(query)); row != nil {
+			deadline = effectiveDeadline(query, row)
+		}
+	}
+	return time.Duration(freshWaitFraction * float64(deadline))
+}
+
+// callerOf returns the caller that split assignments hash.
+func callerOf(query *client.Query) string {
+	if query.Caller == "" {
+		return query.Group
+	}
+	return query.Caller
+}
+
 // pinPolicy resolves the policy and fills in the query's defaults.
 func (s *Service) pinPolicy(query client.Query, started time.Time) (*request, error) {
 	index := s.options.Board.PolicyTable.Load()
 	if index == nil {
 		return nil, failure.New(failure.NoTable, "no policy table has been accepted yet")
 	}
-	caller := query.Caller
-	if caller == "" {
-		caller = query.Group
-	}
-	row := index.Resolve(query.Group, caller)
+	row := index.Resolve(query.Group, callerOf(&query))
 	if row == nil {
 		return nil, failure.New(failure.NotFound, fmt.Sprintf("group: no policy for %q and no default policy", query.Group))
 	}
