Partial answers wait for replies that a pause has delayed

Cause: when a node resumes after a pause beyond the soft deadline, the query ended with the first reply that reached the minimum of shards, and the others were thrown away. Ready replies and pauses counted for the deadline only.

Ruled out: the drain, entries that lapse.

Fix: results that are ready are processed before a partial answer, and nothing is sent for them; a soft deadline that passes in a pause is postponed by as much, 250 ms at most. The deadline is not. No answer in time is lost by it: the answer is late when the process resumes.

--- a/internal/decision/attempts.go
+++ b/internal/decision/attempts.go
@@ -103,7 +103,7 @@
 	if event.Outcome == ConnectFailed && state.unsent == 0 {
 		delay = 0 // the other replicas are most likely reachable
 	}
-	if !q.canAttempt(now+delay, event.Shard) {
+	if q.expired(now) || !q.canAttempt(now+delay, event.Shard) {
 		return false
 	}
 	state.unsent++
@@ -151,7 +151,7 @@
 // acquireRetry reports whether a retry after an outcome is allowed, and withdraws
 // it from the budget.
 func (q *Query) acquireRetry(now time.Duration, shard int, outcome Outcome) bool {
-	if outcome == DeadlineExceeded || !q.canAttempt(now, shard) {
+	if outcome == DeadlineExceeded || q.expired(now) || !q.canAttempt(now, shard) {
 		return false
 	}
 	if q.plan.AtMostOnce && !outcome.provesNotRun() {
@@ -172,8 +172,8 @@
 // softDeadline returns when the query finishes if no more shards answer, never if
 // too few have answered.
 func (q *Query) softDeadline(now time.Duration) time.Duration {
-	if q.canAnswer() && now < q.plan.SoftDeadline {
-		return q.plan.SoftDeadline
+	if q.canAnswer() && now < q.softEnd {
+		return q.softEnd
 	}
 	return never
 }
--- a/internal/decision/crash.go
+++ b/internal/decision/crash.go
@@ -317,6 +317,8 @@
 func (q *Query) resume(now time.Duration, shard int) (sent bool) {
 	state := &q.shards[shard]
 	switch {
+	case q.expired(now):
+		return false
 	case state.attempts == 0 && state.sent < maxAttempts:
 		state.suspended = false
 		q.send(now, shard, CauseFirst)
--- a/internal/decision/event.go
+++ b/internal/decision/event.go
@@ -104,12 +104,15 @@
 
 // Event is an input of Query.Step. Shard is an index into Plan.Shards. Shard and
 // Attempt are set for AttemptCompleted and Dispatched, HedgeDelay for Dispatched,
-// and the other fields for AttemptCompleted.
+// ResultsReady for all kinds, and the other fields for AttemptCompleted.
 type Event struct {
 	Kind    EventKind
 	Shard   int
 	Attempt int
 	Outcome Outcome
+	// ResultsReady is true when further results are ready. They are processed before
+	// the query finishes with a partial answer.
+	ResultsReady bool
 	// OtherSnapshot is true when the query could be restarted on another
 	// snapshot; it then finishes as soon as a shard's replicas lack this one.
 	OtherSnapshot bool
--- a/internal/decision/query.go
+++ b/internal/decision/query.go
@@ -58,7 +58,11 @@
 	settled  int
 	target   int
 	graceEnd time.Duration
-	timerAt  time.Duration
+	// softEnd is Plan.SoftDeadline, postponed after pauses.
+	softEnd time.Duration
+	timerAt time.Duration
+	// resultsReady is true while further results are ready.
+	resultsReady bool
 	// snapshotLost is true once a shard has settled because its replicas do not
 	// hold the pinned snapshot.
 	snapshotLost bool
@@ -80,6 +84,7 @@
 		actions:    make([]Action, 0, count+2),
 		target:     int(math.Ceil(plan.Policy.Completeness.Target * float64(count))),
 		graceEnd:   never,
+		softEnd:    plan.SoftDeadline,
 		timerAt:    never,
 		crashState: crashState{canaryShard: noCanary, canaryRetryAt: never, idleWaitEnd: never, abortAt: never},
 	}
@@ -89,6 +94,7 @@
 // time since the query's start. The returned slice is valid until the next call.
 func (q *Query) Step(now time.Duration, event Event) []Action {
 	q.actions = q.actions[:0]
+	q.resultsReady = event.ResultsReady
 	if q.finished {
 		return nil
 	}
@@ -111,11 +117,22 @@
 	case EvidenceDisputed:
 		q.evidenceDisputed()
 	}
-	q.sendNextCanary(now)
+	if !q.expired(now) {
+		q.sendNextCanary(now)
+	}
 	q.finishOrSetTimer(now)
 	return q.actions
 }
 
+// Resume postpones the soft deadline if it has passed while the process was paused. Replies
+// that arrived during the pause are about to be read, and sub-requests may have been sent late.
+// now is the end of the pause; wait is the time left to them.
+func (q *Query) Resume(now, pause, wait time.Duration) {
+	if q.plan.SoftDeadline > 0 && now >= q.softEnd && now-pause < q.softEnd {
+		q.softEnd = now + wait
+	}
+}
+
 // Status returns the status of the shard at an index of Plan.Shards.
 func (q *Query) Status(shard int) ShardStatus { return q.shards[shard].status }
 
@@ -271,7 +288,7 @@
 		q.finish(DeadlineReached, client.MissingTimeout)
 	case q.tooFewShardsLeft():
 		q.finish(AllSettled, client.MissingFailed)
-	case q.expired(now):
+	case q.expired(now) && !q.resultsReady:
 		q.finish(CompleteEnough, client.MissingComplete)
 	case q.canAnswer() && q.remainingUnreachable():
 		q.finish(CompleteEnough, client.MissingFailed)
@@ -283,7 +300,7 @@
 // expired reports whether the deadline, the grace period or the soft deadline
 // ends the query at now. Nothing is sent from then on.
 func (q *Query) expired(now time.Duration) bool {
-	answerNow := q.canAnswer() && now >= q.plan.SoftDeadline
+	answerNow := q.canAnswer() && now >= q.softEnd
 	return now >= q.plan.Deadline || now >= q.graceEnd || answerNow
 }
 
@@ -340,7 +357,7 @@
 func (q *Query) setTimer() {
 	next := min(q.plan.Deadline, q.graceEnd, q.abortAt, q.canaryRetryAt)
 	if q.canAnswer() {
-		next = min(next, q.plan.SoftDeadline)
+		next = min(next, q.softEnd)
 	}
 	if q.timerAt == never {
 		for i := range q.shards {
--- a/internal/query/pause_compensation.go
+++ b/internal/query/pause_compensation.go
@@ -24,14 +24,15 @@
 	lastPaused time.Duration
 }
 
-// update extends excluded after a pause. paused is the process's total paused time, elapsed
-// the time since the run's start.
-func (p *pauseCompensation) update(paused, elapsed, deadline time.Duration) {
+// update extends excluded after a pause and returns the length of the pause, or 0 if there was
+// none. paused is the process's total paused time, elapsed the time since the run's start.
+func (p *pauseCompensation) update(paused, elapsed, deadline time.Duration) time.Duration {
 	pause := paused - p.lastPaused
 	if pause < minPause {
-		return
+		return 0
 	}
 	p.lastPaused = paused
 	shortfall := elapsed - p.excluded + minTimeAfterPause - deadline
 	p.excluded += max(0, min(pause, shortfall))
+	return pause
 }
--- a/internal/query/run.go
+++ b/internal/query/run.go
@@ -146,15 +146,20 @@
 // elapsed returns the time since the run's start, without compensated pauses.
 func (r *run) elapsed() time.Duration { return r.inbox.Elapsed() - r.pauses.excluded }
 
-// now compensates for the pauses of the process so far and returns the elapsed time.
+// now compensates for the pauses of the process so far, reports them to the core, and returns
+// the elapsed time.
 // If a pause falls between the readings of the two clocks, both are read again.
 func (r *run) now() time.Duration {
 	for {
 		paused := r.service.pausedTime()
 		elapsed := r.inbox.Elapsed()
 		if r.service.pausedTime()-paused < minPause {
-			r.pauses.update(paused, elapsed, r.plan.Deadline)
-			return elapsed - r.pauses.excluded
+			pause := r.pauses.update(paused, elapsed, r.plan.Deadline)
+			now := elapsed - r.pauses.excluded
+			if pause > 0 {
+				r.core.Resume(now, pause, min(pause, minTimeAfterPause))
+			}
+			return now
 		}
 	}
 }
@@ -263,7 +268,8 @@
 func (r *run) step(event decision.Event) (finished bool) {
 	var followUps []decision.Event
 	now := r.now()
-	if r.inbox.Ready() > 0 {
+	event.ResultsReady = r.inbox.Ready() > 0
+	if event.ResultsReady {
 		now = min(now, r.plan.Deadline-1) // results that are ready still count
 	}
 	for _, action := range r.core.Step(now, event) {
--- a/internal/query/run_internal_test.go
+++ b/internal/query/run_internal_test.go
@@ -152,3 +152,30 @@
 		t.Errorf("%d shards answered, want 3", answered)
 	}
 }
+
+// Guards against a partial answer at the moment at which a node resumes after a pause beyond the
+// soft deadline: the reply of the missing shard has arrived and is read a moment later.
+func TestRunAwaitsRepliesAfterPause(t *testing.T) {
+	const soft, pause = 100 * time.Millisecond, 300 * time.Millisecond
+	row := &policy.Row{Retry: policy.Retry{Attempts: 2}, Completeness: policy.Completeness{Target: 1}}
+	plan := decision.Plan{Shards: make([]decision.ShardPlan, 3), Policy: row, Deadline: time.Second, SoftDeadline: soft, MinShards: 2}
+	inbox := &readyInbox{}
+	paused := time.Duration(0)
+	r := &run{
+		service:  &Service{options: Options{Driver: goroutineDriver{}, PausedTime: func() time.Duration { return paused }}},
+		protocol: allBusyProtocol{}, plan: plan, core: decision.New(plan), context: context.Background(), inbox: inbox,
+		shards: make([]shardRun, 3),
+	}
+	r.core.Step(0, decision.Event{Kind: decision.Started})
+	paused, inbox.now = pause, soft/2+pause
+	for shard := range 3 {
+		finished := r.step(decision.Event{Kind: decision.AttemptCompleted, Shard: shard, Outcome: decision.Success})
+		if finished != (shard == 2) {
+			t.Errorf("finished %v after reply %d of 3", finished, shard+1)
+		}
+		inbox.now += time.Millisecond
+	}
+	if answered := r.core.Answered(); answered != 3 {
+		t.Errorf("%d shards answered, want 3", answered)
+	}
+}
