Client: requests are not sent on connections that the daemon has closed

Callers got EOF for a request during a planned stop of their daemon and could not tell whether it ran: the one cut-off request of TestPlannedStopCompletesRequests that was not traced.

Cause: a stopping daemon closes connections that are idle for its grace time. A caller whose process was paused meanwhile may send before net/http's reader has seen the end of the connection.

Fix: client.NewTransport, the default of client.New, looks into the socket before it reuses a connection. The client repeats a request only if no byte of it was sent. What the proof counts as cut off is unchanged.

--- a/client/client.go
+++ b/client/client.go
@@ -17,18 +17,22 @@
 	jsonContentType = "application/json"
 )
 
-// Client sends queries and calls to one daemon. It is safe for concurrent use
-// and never retries a request.
+// Client sends queries and calls to one daemon. It is safe for concurrent use. It
+// sends a request again only if the daemon had closed an idle connection before any
+// byte of the request was sent on it.
 type Client struct {
 	baseURL string
 	http    *http.Client
 }
 
+var defaultHTTPClient = &http.Client{Transport: NewTransport()}
+
 // New returns a Client for the daemon at baseURL, such as
-// "http://127.0.0.1:7000". If httpClient is nil, it uses http.DefaultClient.
+// "http://127.0.0.1:7000". If httpClient is nil, it uses one with the transport of
+// NewTransport, which all such clients share.
 func New(baseURL string, httpClient *http.Client) *Client {
 	if httpClient == nil {
-		httpClient = http.DefaultClient
+		httpClient = defaultHTTPClient
 	}
 	return &Client{baseURL: strings.TrimSuffix(baseURL, "/"), http: httpClient}
 }
@@ -54,15 +58,9 @@
 	if err != nil {
 		return fmt.Errorf("encode the request: %w", err)
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, c.baseURL+path, bytes.NewReader(body))
-	if err != nil {
-		return fmt.Errorf("make a request to %s: %w", c.baseURL+path, err)
-	}
-	request.GetBody = nil // prevents the transport from replaying the request
-	request.Header.Set("Content-Type", jsonContentType)
-	response, err := c.http.Do(request)
+	response, err := c.send(ctx, path, body)
 	if err != nil {
-		return fmt.Errorf("post to %s: %w", c.baseURL+path, err)
+		return err
 	}
 	defer func() { _ = response.Body.Close() }() // the body has been read
 	content, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
@@ -72,6 +70,30 @@
 	return decodeAnswer(response, content, answer)
 }
 
+// maxSends bounds the sends of a request. Each failed one removes a closed connection from the
+// transport's pool, so that the last one opens a new connection.
+const maxSends = maxIdleConnsPerDaemon + 1
+
+// send posts a request. It sends it again if it met a connection that the daemon had closed.
+func (c *Client) send(ctx context.Context, path string, body []byte) (*http.Response, error) {
+	for sends := 1; ; sends++ {
+		sendCtx, trace := withSendTrace(ctx)
+		request, err := http.NewRequestWithContext(sendCtx, http.MethodPost, c.baseURL+path, bytes.NewReader(body))
+		if err != nil {
+			return nil, fmt.Errorf("make a request to %s: %w", c.baseURL+path, err)
+		}
+		request.GetBody = nil // prevents the transport from replaying the request
+		request.Header.Set("Content-Type", jsonContentType)
+		response, err := c.http.Do(request)
+		if err == nil {
+			return response, nil
+		}
+		if sends == maxSends || !trace.unsent() {
+			return nil, fmt.Errorf("post to %s: %w", c.baseURL+path, err)
+		}
+	}
+}
+
 func decodeAnswer(response *http.Response, content []byte, answer any) error {
 	if response.StatusCode == http.StatusOK {
 		if err := json.Unmarshal(content, answer); err != nil {
--- /dev/null
+++ b/client/transport.go
@@ -0,0 +1,97 @@
+package client
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	dialTimeout           = 5 * time.Second
+	keepAlivePeriod       = 15 * time.Second
+	maxIdleConnsPerDaemon = 16
+	idleConnTimeout       = 90 * time.Second
+)
+
+// errStaleConnection means that the daemon had closed an idle connection before a request
+// was sent on it.
+var errStaleConnection = errors.New("daemon has closed the idle connection")
+
+// NewTransport returns a transport for the http.Client passed to New. Before it reuses a
+// connection, it checks that the daemon has not closed it, as a daemon does when it shuts down.
+// net/http notices this only once its reading goroutine has run, and may send the request first,
+// in particular after a pause of the caller's process.
+func NewTransport() *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
+	return &http.Transport{
+		Proxy: http.ProxyFromEnvironment,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &checkedConn{Conn: conn}, nil
+		},
+		MaxIdleConnsPerHost: maxIdleConnsPerDaemon,
+		IdleConnTimeout:     idleConnTimeout,
+	}
+}
+
+// checkedConn is a connection that is checked before the first write of each request.
+type checkedConn struct {
+	net.Conn
+	// checkNext is true if the next write begins a request on a reused connection.
+	checkNext atomic.Bool
+	// writes counts the writes that were attempted.
+	writes atomic.Int64
+}
+
+// Write implements net.Conn.
+func (c *checkedConn) Write(content []byte) (int, error) {
+	if c.checkNext.Swap(false) && hasInput(c.Conn) {
+		return 0, errStaleConnection
+	}
+	c.writes.Add(1)
+	return c.Conn.Write(content)
+}
+
+// sendTrace observes whether any byte of a request was sent.
+type sendTrace struct {
+	conn         *checkedConn
+	writesBefore int64
+}
+
+// withSendTrace returns a context for one sending of a request.
+func withSendTrace(ctx context.Context) (context.Context, *sendTrace) {
+	trace := &sendTrace{}
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: trace.gotConn}), trace
+}
+
+// gotConn is called before the request is written.
+func (t *sendTrace) gotConn(info httptrace.GotConnInfo) {
+	t.conn = nil
+	conn, checked := underlying(info.Conn).(*checkedConn)
+	if !checked || !info.Reused {
+		return
+	}
+	t.conn, t.writesBefore = conn, conn.writes.Load()
+	conn.checkNext.Store(true)
+}
+
+// unsent reports whether the request failed on a reused connection before any byte of it was
+// sent. It is then safe to send it again.
+func (t *sendTrace) unsent() bool {
+	return t.conn != nil && t.conn.writes.Load() == t.writesBefore
+}
+
+// underlying returns the connection below TLS.
+func underlying(conn net.Conn) net.Conn {
+	if wrapper, ok := conn.(interface{ NetConn() net.Conn }); ok {
+		return wrapper.NetConn()
+	}
+	return conn
+}
--- a/internal/proofs/planned_stop.go
+++ b/internal/proofs/planned_stop.go
@@ -237,7 +237,8 @@
 // runCaller runs one caller. It stays with a daemon until a connection is refused
 // or cut off, or the daemon is draining, and then switches to the next.
 func (l *loadGenerator) runCaller(ctx context.Context, number int) error {
-	transport := &http.Transport{MaxIdleConnsPerHost: 1}
+	transport := client.NewTransport()
+	transport.MaxIdleConnsPerHost = 1
 	defer transport.CloseIdleConnections()
 	httpClient := &http.Client{Transport: transport}
 	turn, pause := number, l.pause
