Client: new connections are checked as well; a test waits longer

The callers' process got no turn for 2.0 s: connections that it had opened were closed by the stopping daemon before their first request. net/http reports them as not reused, so that the client did not check them.

Fix: new connections are checked for their end (not for input, which may belong to the TLS handshake), and replaced once if nothing was sent.

--- a/client/client.go
+++ b/client/client.go
@@ -18,8 +18,8 @@
 )
 
 // Client sends queries and calls to one daemon. It is safe for concurrent use. It
-// sends a request again only if the daemon had closed an idle connection before any
-// byte of the request was sent on it.
+// sends a request again only if the daemon had closed the connection before any byte
+// of the request was sent on it.
 type Client struct {
 	baseURL string
 	http    *http.Client
@@ -70,8 +70,9 @@
 	return decodeAnswer(response, content, answer)
 }
 
-// maxSends bounds the sends of a request. Each failed one removes a closed connection from the
-// transport's pool, so that the last one opens a new connection.
+// maxSends bounds the sends of a request. Each one that fails removes a closed connection from the
+// transport's pool, so that the last one opens a new connection. If a new connection fails, one
+// more is tried.
 const maxSends = maxIdleConnsPerDaemon + 1
 
 // send posts a request. It sends it again if it met a connection that the daemon had closed.
@@ -88,7 +89,8 @@
 		if err == nil {
 			return response, nil
 		}
-		if sends == maxSends || !trace.unsent() {
+		lastSend := sends == maxSends || !trace.reused && sends > 1
+		if lastSend || !trace.unsent() {
 			return nil, fmt.Errorf("post to %s: %w", c.baseURL+path, err)
 		}
 	}
--- a/client/transport.go
+++ b/client/transport.go
@@ -44,15 +44,25 @@
 // checkedConn is a connection that is checked before the first write of each request.
 type checkedConn struct {
 	net.Conn
-	// checkNext is true if the next write begins a request on a reused connection.
-	checkNext atomic.Bool
+	// check is what the next write checks.
+	check atomic.Int32
 	// writes counts the writes that were attempted.
 	writes atomic.Int64
 }
 
+// The checks before a write.
+const (
+	noCheck int32 = iota
+	// checkEnd checks that the peer has not closed the connection.
+	checkEnd
+	// checkInput checks also that the peer has sent nothing: on an idle connection, it
+	// precedes its end. On a new one it may belong to the TLS handshake.
+	checkInput
+)
+
 // Write implements net.Conn.
 func (c *checkedConn) Write(content []byte) (int, error) {
-	if c.checkNext.Swap(false) && hasInput(c.Conn) {
+	if check := c.check.Swap(noCheck); check != noCheck && !isIdle(c.Conn, check == checkEnd) {
 		return 0, errStaleConnection
 	}
 	c.writes.Add(1)
@@ -62,6 +72,7 @@
 // sendTrace observes whether any byte of a request was sent.
 type sendTrace struct {
 	conn         *checkedConn
+	reused       bool
 	writesBefore int64
 }
 
@@ -75,14 +86,18 @@
 func (t *sendTrace) gotConn(info httptrace.GotConnInfo) {
 	t.conn = nil
 	conn, checked := underlying(info.Conn).(*checkedConn)
-	if !checked || !info.Reused {
+	if !checked {
 		return
 	}
-	t.conn, t.writesBefore = conn, conn.writes.Load()
-	conn.checkNext.Store(true)
+	t.conn, t.reused, t.writesBefore = conn, info.Reused, conn.writes.Load()
+	if info.Reused {
+		conn.check.Store(checkInput)
+	} else {
+		conn.check.Store(checkEnd)
+	}
 }
 
-// unsent reports whether the request failed on a reused connection before any byte of it was
+// unsent reports whether the request got a connection and failed before any byte of it was
 // sent. It is then safe to send it again.
 func (t *sendTrace) unsent() bool {
 	return t.conn != nil && t.conn.writes.Load() == t.writesBefore
--- a/client/transport_unix.go
+++ b/client/transport_unix.go
@@ -8,23 +8,24 @@
 	"syscall"
 )
 
-// hasInput reports whether the peer of an idle connection has closed or reset it, or has sent
-// anything. It does not block and leaves the input in the socket.
-func hasInput(conn net.Conn) bool {
+// isIdle reports whether a connection is open and its socket holds nothing, or, if
+// inputAllowed, whether it is open. It does not block and leaves the input in the socket.
+func isIdle(conn net.Conn, inputAllowed bool) bool {
 	socket, ok := conn.(syscall.Conn)
 	if !ok {
-		return false
+		return true
 	}
 	raw, err := socket.SyscallConn()
 	if err != nil {
-		return true
+		return false
 	}
-	pending := false
-	// Control and not Read, for whose lock a reading goroutine would have to be waited for
+	idle := false
+	// Control and not Read, whose lock a reading goroutine holds
 	err = raw.Control(func(descriptor uintptr) {
 		var content [1]byte
-		_, _, receiveErr := syscall.Recvfrom(int(descriptor), content[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		pending = !errors.Is(receiveErr, syscall.EAGAIN) && !errors.Is(receiveErr, syscall.EINTR)
+		n, _, receiveErr := syscall.Recvfrom(int(descriptor), content[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		empty := errors.Is(receiveErr, syscall.EAGAIN) || errors.Is(receiveErr, syscall.EINTR)
+		idle = empty || inputAllowed && receiveErr == nil && n > 0
 	})
-	return pending || err != nil
+	return idle && err == nil
 }
--- a/internal/proofs/paused_connections_test.go
+++ b/internal/proofs/paused_connections_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -10,6 +11,8 @@
 	"time"
 
 	"github.com/doorpond/doorpond/client"
+	"github.com/doorpond/doorpond/internal/policy"
+	"github.com/doorpond/doorpond/internal/policytable"
 )
 
 // TestPausedDaemonAnswersWaitingRequests guards against closing connections of callers that were
@@ -67,6 +70,7 @@
 	t.Parallel()
 	const queries, pause = 20, 3 * time.Second
 	ctx, cluster := startCluster(t)
+	setQueryTimeout(ctx, t, cluster, time.Minute)
 	daemon := cluster.Alive()[0]
 	if err := daemon.Freeze(); err != nil {
 		t.Fatal(err)
@@ -90,3 +94,17 @@
 		}
 	}
 }
+
+// setQueryTimeout sets the timeout of the policy of the callers.
+func setQueryTimeout(ctx context.Context, t *testing.T, cluster *Cluster, timeout time.Duration) {
+	t.Helper()
+	row := policy.DefaultRow(policyName)
+	row.Wait.Timeout = policy.Duration(timeout)
+	result, err := cluster.AdminClient(0).Edit(ctx, policytable.Edit{Author: author, SetPolicies: []policy.Row{row}}, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cluster.awaitServing(ctx, result.Change.Revision); err != nil {
+		t.Fatal(err)
+	}
+}
