A change is not reported in force while a daemon has just failed

Cause: the wait counted the live members at its start. A daemon that has not answered for the suspicion timeout is taken for failed and was left out without a word; one that failed during the wait went on to count as reached.

Ruled out: a daemon that has not joined (the test waits for it).

Fix: members declared dead within 10 s are waited for; those that do not come back are named and not counted.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -29,6 +29,7 @@
 	"github.com/doorpond/doorpond/internal/policy"
 	"github.com/doorpond/doorpond/internal/policytable"
 	"github.com/doorpond/doorpond/internal/replica"
+	"github.com/doorpond/doorpond/internal/topology"
 )
 
 // Editor edits the policy table. It is implemented by policytable.Editor.
@@ -52,6 +53,9 @@
 	Peers  Peers
 	// State returns this daemon's state.
 	State func() peer.NodeState
+	// Failed returns the members that were declared dead within the given time before
+	// now; nil means none.
+	Failed func(within time.Duration) []topology.Member
 	// Statistics returns this daemon's statistics in the encoding used between
 	// peers; nil means that none are collected.
 	Statistics peer.StatisticsSource
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -270,6 +271,60 @@
 	}
 }
 
+// TestWaitIncludesRecentlyFailedMember guards against reporting a change as in force everywhere
+// although a daemon that was taken for failed still serves callers by the old table.
+func TestWaitIncludesRecentlyFailedMember(t *testing.T) {
+	cases := []struct {
+		name string
+		// c answers by the new table after activeAfter, never if negative. It failed
+		// shortly before the edit.
+		activeAfter time.Duration
+		wait        string
+		complete    bool
+		daemons     int
+		failed      []string
+	}{
+		{"back in time", 3 * time.Second, "30s", true, 3, nil},
+		{"does not come back", -1, "30s", true, 2, []string{"c"}},
+		{"not back before the wait ends", -1, "5s", false, 3, nil},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				peers := &fakePeers{start: time.Now(), activeAfter: map[string]time.Duration{"b": 0}}
+				if test.activeAfter >= 0 {
+					peers.activeAfter["c"] = test.activeAfter
+				}
+				options := newOptions(&fakeEditor{}, peers)
+				known := options.Board.Members.Load()
+				failed := known.Members[2]
+				failed.State = topology.MemberDead
+				options.Board.Members.Publish(&topology.Members{Self: known.Self, Members: known.Members[:2]})
+				options.Failed = func(within time.Duration) []topology.Member {
+					if time.Since(peers.start) > within {
+						return nil
+					}
+					return []topology.Member{failed}
+				}
+				got := serve(New(options), "POST", "/v1/edits?wait="+test.wait, `{}`, "")
+				var result EditResult
+				if err := json.Unmarshal(got.Body.Bytes(), &result); err != nil {
+					t.Fatal(err)
+				}
+				propagation := result.Propagation
+				var notCounted []string
+				for _, member := range propagation.Failed {
+					notCounted = append(notCounted, member.ID)
+				}
+				if propagation.Complete != test.complete || propagation.Daemons != test.daemons || !slices.Equal(notCounted, test.failed) {
+					t.Errorf("complete %v on %d daemons, failed %v; want %v on %d, failed %v",
+						propagation.Complete, propagation.Daemons, notCounted, test.complete, test.daemons, test.failed)
+				}
+			})
+		})
+	}
+}
+
 func TestStatusLaggingAndUnreachable(t *testing.T) {
 	peers := &fakePeers{start: time.Now(), activeAfter: map[string]time.Duration{"b": time.Hour}}
 	got := serve(New(newOptions(&fakeEditor{}, peers)), "GET", "/v1/status", "", "")
--- a/internal/admin/status.go
+++ b/internal/admin/status.go
@@ -55,11 +55,15 @@
 type Propagation struct {
 	Revision uint64 `json:"revision"`
 	// Complete is true if the revision is active on all daemons.
-	Complete            bool            `json:"complete"`
-	ElapsedMilliseconds int64           `json:"took_ms"`
-	Daemons             int             `json:"daemons"`
-	Lagging             []LaggingDaemon `json:"lagging,omitempty"`
-	Unreachable         []Unreachable   `json:"unreachable,omitempty"`
+	Complete            bool  `json:"complete"`
+	ElapsedMilliseconds int64 `json:"took_ms"`
+	// Daemons counts the live members, and those that have failed recently.
+	Daemons     int             `json:"daemons"`
+	Lagging     []LaggingDaemon `json:"lagging,omitempty"`
+	Unreachable []Unreachable   `json:"unreachable,omitempty"`
+	// Failed are the members that were waited for and have not come back. They do not
+	// count.
+	Failed []topology.Member `json:"failed,omitempty"`
 }
 
 const (
@@ -71,6 +75,10 @@
 	// lagging daemons.
 	minRecheckInterval = 20 * time.Millisecond
 	maxRecheckInterval = 500 * time.Millisecond
+	// recentFailure is for how long after its failure a member counts as unreachable. A
+	// daemon that was only slow or paused is back within it, and may serve callers
+	// by an older table until then.
+	recentFailure = 10 * time.Second
 )
 
 // answer is the state of one member, or the error of its query.
@@ -184,13 +192,26 @@
 	return LaggingDaemon{ID: node.Member.ID, Place: node.Member.Place, Revision: node.TableRevision}
 }
 
+// recentlyFailed returns the members that have failed within the given time.
+func (h *handler) recentlyFailed(within time.Duration) []topology.Member {
+	if h.options.Failed == nil {
+		return nil
+	}
+	return h.options.Failed(within)
+}
+
+// expectedMembers returns the live members, and those that have failed recently.
+func (h *handler) expectedMembers() []topology.Member {
+	return slices.Concat(h.liveMembers(), h.recentlyFailed(recentFailure))
+}
+
 // awaitRevision polls the members until the revision is active on all of them or wait
 // has elapsed. Members that have reached the revision are not polled again.
 func (h *handler) awaitRevision(ctx context.Context, revision uint64, wait time.Duration) Propagation {
 	start := time.Now()
 	waitCtx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	remaining := h.liveMembers()
+	remaining := h.expectedMembers()
 	propagation := Propagation{Revision: revision, Daemons: len(remaining)}
 	interval := minRecheckInterval
 	for {
@@ -206,12 +227,13 @@
 }
 
 // recheck queries the given members and returns those that have not reached the
-// revision. Members that failed or left in the meantime are omitted. A round that the
-// deadline interrupted does not replace an earlier result.
+// revision. Members that have left in the meantime, or have failed and not come back, are
+// omitted. A round that the deadline interrupted does not replace an earlier result.
 func (h *handler) recheck(ctx context.Context, propagation *Propagation, members []topology.Member) []topology.Member {
 	answers := h.gather(ctx, members)
 	interrupted := ctx.Err() != nil
-	live := h.liveIDs()
+	expected := idsOf(h.expectedMembers())
+	failed := idsOf(h.recentlyFailed(recentFailure + maxPropagationWait))
 	var remaining []topology.Member
 	var lagging []LaggingDaemon
 	var unreachable []Unreachable
@@ -221,7 +243,11 @@
 			continue
 		case got.err == nil:
 			lagging = append(lagging, newLaggingDaemon(got.state))
-		case !live[members[i].ID]:
+		case !expected[members[i].ID]:
+			propagation.Daemons--
+			if failed[members[i].ID] {
+				propagation.Failed = append(propagation.Failed, members[i])
+			}
 			continue
 		default:
 			unreachable = append(unreachable, Unreachable{Member: members[i], Reason: got.err.Error()})
@@ -235,12 +261,12 @@
 	return remaining
 }
 
-func (h *handler) liveIDs() map[string]bool {
-	live := make(map[string]bool)
-	for _, member := range h.liveMembers() {
-		live[member.ID] = true
+func idsOf(members []topology.Member) map[string]bool {
+	ids := make(map[string]bool, len(members))
+	for i := range members {
+		ids[members[i].ID] = true
 	}
-	return live
+	return ids
 }
 
 // sleep returns false if ctx is done first.
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -113,6 +113,7 @@
 			Editor:     &restoringEditor{Editor: d.editor, calls: d.calls, board: d.board},
 			Peers:      d.peers,
 			State:      d.state,
+			Failed:     d.node.Failed,
 			Statistics: d.encodedStatistics,
 			Replicas:   d.pool.Statuses,
 			Token:      d.token,
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -112,6 +112,12 @@
 	return c.registry.members(func(member topology.Member) bool { return IsLive(member.State) })
 }
 
+// FailedSince returns the members that were declared dead at or after a time and are not known
+// to have left, sorted by ID.
+func (c *Core) FailedSince(since time.Duration) []topology.Member {
+	return c.registry.failedSince(since)
+}
+
 // LiveCount returns the number of live members, this daemon included.
 func (c *Core) LiveCount() int { return c.registry.live }
 
--- a/internal/membership/core_test.go
+++ b/internal/membership/core_test.go
@@ -169,6 +169,27 @@
 	}
 }
 
+// TestFailedSince guards against forgetting members that failed a moment ago, and against counting
+// those that failed long before.
+func TestFailedSince(t *testing.T) {
+	w := newNetwork(9)
+	w.addMany(clusterSize)
+	w.run(20 * time.Second)
+	w.kill(address(5))
+	w.run(time.Minute)
+	for at, core := range w.cores {
+		if at == address(5) {
+			continue
+		}
+		if failed := core.FailedSince(core.now - time.Minute); len(failed) != 1 || failed[0].ID != "node-0005" {
+			t.Errorf("%s: failed within a minute: %v", at, failed)
+		}
+		if failed := core.FailedSince(core.now); len(failed) != 0 {
+			t.Errorf("%s: failed just now: %v", at, failed)
+		}
+	}
+}
+
 func TestUnknownTombstoneIgnored(t *testing.T) {
 	core := NewCore(CoreOptions{Self: topology.Member{ID: "a", PeerAddress: "a:1"}})
 	dead := topology.Member{ID: "b", PeerAddress: "b:1", State: topology.MemberDead}
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -112,6 +112,13 @@
 	return n.core.Self()
 }
 
+// Failed returns the members that were declared dead within the given time before now.
+func (n *Node) Failed(within time.Duration) []topology.Member {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.core.FailedSince(n.options.Now() - within)
+}
+
 // Leave marks this daemon as leaving and returns when the rumor has been sent to
 // some members, or when ctx is done. Run must be running; when it is stopped after
 // that, it notifies some members that the daemon has left.
--- a/internal/membership/registry.go
+++ b/internal/membership/registry.go
@@ -183,6 +183,13 @@
 	return found
 }
 
+// failedSince returns the members that were declared dead at or after a time, sorted by ID.
+func (r *registry) failedSince(since time.Duration) []topology.Member {
+	return r.members(func(member topology.Member) bool {
+		return member.State == topology.MemberDead && r.memberEntries[member.ID].since >= since
+	})
+}
+
 func (r *registry) appendLive(to []topology.Member) []topology.Member {
 	for i := range r.buckets {
 		for _, stored := range r.buckets[i].entries {
--- a/internal/operator/edits.go
+++ b/internal/operator/edits.go
@@ -96,6 +96,9 @@
 		fmt.Fprintf(w, "in force on all %d daemons after %d ms\n", propagation.Daemons, propagation.ElapsedMilliseconds)
 	}
 	printLagging(w, propagation.Lagging, propagation.Unreachable)
+	for _, member := range propagation.Failed {
+		fmt.Fprintf(w, "failed, not counted: %s at %s\n", member.ID, member.PeerAddress)
+	}
 }
 
 func printLagging(w io.Writer, lagging []admin.LaggingDaemon, unreachable []admin.Unreachable) {
