A soak that would inject no faults is refused

Seeds of 8 s were reported as soaks, and had no fault in them: a plan consists of rounds of 12 s.

After: it exits with "a soak of 8s injects no faults, the first ones come with a length of 12s".

--- a/cmd/doorpond-lab/soak.go
+++ b/cmd/doorpond-lab/soak.go
@@ -31,7 +31,7 @@
 		Flags: []cli.Flag{
 			&cli.Uint64Flag{Name: flagSeed, Usage: "`SEED` of the first run's faults; 0 draws one; each further run takes the next"},
 			&cli.IntFlag{Name: flagRuns, Value: 1, Usage: "`NUMBER` of runs, one after the other"},
-			&cli.DurationFlag{Name: flagLength, Value: time.Minute, Usage: "time in which faults come, without the calm at the end"},
+			&cli.DurationFlag{Name: flagLength, Value: time.Minute, Usage: "time in which faults come, without the calm at the end: 12s at least; pauses, crashing requests and restored stores come from 24s on"},
 			&cli.IntFlag{Name: flagNodes, Value: 9, Usage: "`NUMBER` of nodes, divided among three zones"},
 			&cli.StringFlag{Name: flagProgram, Usage: "run the doorpond-edge at `PATH`"},
 			&cli.BoolFlag{Name: flagVerbose, Usage: "print each fault"},
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -58,6 +58,9 @@
 
 // Run executes one soak run.
 func Run(ctx context.Context, config Config) (Report, error) {
+	if config.Length < roundLength {
+		return Report{}, eris.Errorf("a soak of %s injects no faults, the first ones come with a length of %s", config.Length, roundLength)
+	}
 	if config.Nodes == 0 {
 		config.Nodes = defaultNodes
 	}
