--- a/client/transport.go
+++ b/client/transport.go
@@ -12,14 +12,15 @@
 
 const (
 	dialTimeout           = 5 * time.Second
+	tlsHandshakeTimeout   = 10 * time.Second
 	keepAlivePeriod       = 15 * time.Second
 	maxIdleConnsPerDaemon = 16
 	idleConnTimeout       = 90 * time.Second
 )
 
-// errStaleConnection means that the daemon had closed an idle connection before a request
-// was sent on it.
-var errStaleConnection = errors.New("daemon has closed the idle connection")
+// errConnectionClosed means that the daemon had closed a connection before a request was sent
+// on it.
+var errConnectionClosed = errors.New("daemon has closed the connection")
 
 // NewTransport returns a transport for the http.Client passed to New. Before it reuses a
 // connection, it checks that the daemon has not closed it, as a daemon does when it shuts down.
@@ -36,6 +37,7 @@
 			}
 			return &checkedConn{Conn: conn}, nil
 		},
+		TLSHandshakeTimeout: tlsHandshakeTimeout,
 		MaxIdleConnsPerHost: maxIdleConnsPerDaemon,
 		IdleConnTimeout:     idleConnTimeout,
 	}
@@ -63,7 +65,7 @@
 // Write implements net.Conn.
 func (c *checkedConn) Write(content []byte) (int, error) {
 	if check := c.check.Swap(noCheck); check != noCheck && !isIdle(c.Conn, check == checkEnd) {
-		return 0, errStaleConnection
+		return 0, errConnectionClosed
 	}
 	c.writes.Add(1)
 	return c.Conn.Write(content)
