Accepted connections can close their sending side alone again

elapsed.Conn, which all servers use since this work, hid the CloseWrite method of TCP connections. net/http calls it before it closes a connection whose request it has not read whole (a body over the limit): without it, the response may be lost to a reset. Found by reading the change; no caller was seen to lose one.

TestConnCloseWrite uses the method, which did not exist before.

--- a/internal/elapsed/conn.go
+++ b/internal/elapsed/conn.go
@@ -65,6 +65,16 @@
 	}
 }
 
+// CloseWrite closes the sending side. net/http does so before it closes a connection whose request
+// it has not read whole, so that the response is not lost to a reset.
+func (c *Conn) CloseWrite() error {
+	closer, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return closer.CloseWrite()
+}
+
 // SetDeadline implements net.Conn.
 func (c *Conn) SetDeadline(at time.Time) error {
 	return errors.Join(c.SetReadDeadline(at), c.SetWriteDeadline(at))
--- a/internal/elapsed/conn_test.go
+++ b/internal/elapsed/conn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"os"
 	"sync/atomic"
@@ -104,6 +105,37 @@
 	})
 }
 
+// TestConnCloseWrite guards against hiding that the connection can close its sending side alone.
+func TestConnCloseWrite(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	peer, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	conn, err := NewListener(listener, nil).Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if err := conn.(*Conn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := peer.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("peer's read error %v, want EOF", err)
+	}
+	if _, err := peer.Write([]byte{1}); err != nil {
+		t.Error(err)
+	}
+	if n, err := conn.Read(make([]byte, 1)); n != 1 || err != nil {
+		t.Errorf("read %d bytes after CloseWrite, error %v", n, err)
+	}
+}
+
 // newPausableMeter returns a running meter, and a function that lets time pass in which the meter
 // is not read, as in a paused process.
 func newPausableMeter(t *testing.T) (*Meter, func(time.Duration)) {
