Waits for the policy table do not count further pauses

Callers of a daemon that was paused twice within seconds were refused with stale_table though most of their time was left: with a policy of 20 s after 10.8 to 16.7 s.

Cause: after a pause a query waits for the confirmation of the table, for a quarter of its deadline (freshness.WaitFresh). The wait was bounded by the wall clock. A second pause that is longer than the bound uses it up, and when the process resumes, the bound has passed before the confirmation had a chance to run. The confirmation's own attempts of 1 s had the same bound: three pauses of 1 s each, too short to be noticed, let the table be used without confirmation.

Fix: both limits count active time (elapsed.Meter.WithTimeout). The rule is as before: nothing is answered from a table that is not confirmed. An attempt that a pause interrupted reads the clock itself instead of asking again at once.

Before: TestPauseDuringConfirmation (real daemon, paused again while it asks its peers) 20 of 20 queries refused; TestWaitFreshExcludesPauses and TestAttemptsExcludePauses (3 of 3 attempts aborted) failed.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -220,7 +220,7 @@
 	d.editor = policytable.NewEditor(policytable.Options{
 		Store: d.store, Register: d.register, Board: d.board, Logger: d.logger,
 	})
-	d.monitor = freshness.New(freshness.Options{Confirm: d.confirm, Logger: d.logger, Registerer: d.registry})
+	d.monitor = freshness.New(freshness.Options{Confirm: d.confirm, Meter: d.meter, Logger: d.logger, Registerer: d.registry})
 }
 
 // elected reports whether this daemon is one of those that watch the store.
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -22,7 +22,7 @@
 	// above the delays of garbage collection or a busy machine, and well below the
 	// seconds within which a change must take effect.
 	pauseThreshold = 1500 * time.Millisecond
-	// confirmTimeout bounds one confirmation attempt.
+	// confirmTimeout bounds the active time of one confirmation attempt.
 	confirmTimeout = time.Second
 	// confirmAttempts is the number of attempts after which the table is used
 	// unconfirmed: a node without peers and store cannot learn of changes.
@@ -36,7 +36,11 @@
 	Confirm func(ctx context.Context) bool
 	// Now returns a monotonic clock reading; nil means elapsed.Monotonic, which
 	// includes time suspended.
-	Now        func() time.Duration
+	Now func() time.Duration
+	// Meter measures the time limits of waits and of confirmation attempts: a limit that a
+	// further pause could use up would pass before the answer that has arrived is read. Nil
+	// counts all time.
+	Meter      *elapsed.Meter
 	Logger     *slog.Logger
 	Registerer prometheus.Registerer
 }
@@ -98,13 +102,14 @@
 	return m.options.Now()-time.Duration(m.lastReading.Load()) > pauseThreshold
 }
 
-// WaitFresh waits until Fresh, for up to limit, and reports whether it is. A confirmation
-// usually takes one round trip, so that waiting is shorter than a rejection and a retry.
+// WaitFresh waits until Fresh, for up to limit of active time, and reports whether it is. A
+// confirmation usually takes one round trip, so that waiting is shorter than a rejection and
+// a retry.
 func (m *Monitor) WaitFresh(ctx context.Context, limit time.Duration) bool {
 	if m.Fresh() {
 		return true
 	}
-	bounded, cancel := context.WithTimeout(ctx, limit)
+	bounded, cancel := m.options.Meter.WithTimeout(ctx, limit)
 	defer cancel()
 	for {
 		confirmed := *m.confirmed.Load()
@@ -144,8 +149,8 @@
 	}
 }
 
-// read stores a new reading and starts a confirmation after a pause. It sets confirming
-// before storing the reading, so that Fresh does not return true in between.
+// read stores a new reading and starts a confirmation after a pause, unless one is running. It
+// sets confirming before storing the reading, so that Fresh does not return true in between.
 func (m *Monitor) read(ctx context.Context) {
 	if m.paused() {
 		m.pauses.Add(1)
@@ -162,11 +167,11 @@
 	defer m.confirming.Store(false)
 	for failed := 0; failed < confirmAttempts && ctx.Err() == nil; {
 		pauses := m.pauses.Load()
-		attemptCtx, cancel := context.WithTimeout(ctx, confirmTimeout)
+		attemptCtx, cancel := m.options.Meter.WithTimeout(ctx, confirmTimeout)
 		confirmed := m.options.Confirm(attemptCtx)
 		cancel()
 		if m.paused() || m.pauses.Load() != pauses {
-			m.requestReading()
+			m.read(ctx)
 			continue // the answer may be from before another pause
 		}
 		if confirmed {
--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/doorpond/doorpond/internal/elapsed"
 )
 
 func TestFreshAfterPause(t *testing.T) {
@@ -103,6 +105,66 @@
 	}
 }
 
+// TestWaitFreshExcludesPauses guards against rejecting queries with time to spare, as a further
+// pause during the confirmation exceeds the limit of their wait.
+func TestWaitFreshExcludesPauses(t *testing.T) {
+	const limit, pause = 5 * time.Second, 5500 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		now := func() time.Duration { return time.Since(start) }
+		// the meter and the monitor do not run in a pause
+		meter := elapsed.New(elapsed.Config{Now: now})
+		confirmed := make(chan struct{})
+		monitor := New(Options{Now: now, Meter: meter, Confirm: func(context.Context) bool {
+			<-confirmed
+			return true
+		}})
+		time.Sleep(pause)
+		result := make(chan bool, 1)
+		go func() { result <- monitor.WaitFresh(t.Context(), limit) }()
+		synctest.Wait()
+		time.Sleep(pause)
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = monitor.Run(ctx) }()
+		go func() { _ = meter.Run(ctx) }()
+		time.Sleep(readInterval)
+		close(confirmed)
+		if !<-result {
+			t.Error("not fresh, though the table was confirmed as soon as the process ran")
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// TestAttemptsExcludePauses guards against using the table unconfirmed, as pauses use up the time
+// of each confirmation attempt.
+func TestAttemptsExcludePauses(t *testing.T) {
+	const pause = pauseThreshold - 100*time.Millisecond // too short to be detected
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		now := func() time.Duration { return time.Since(start) }
+		meter := elapsed.New(elapsed.Config{Now: now})
+		attempts, aborted := 0, 0
+		monitor := New(Options{Now: now, Meter: meter, Confirm: func(ctx context.Context) bool {
+			attempts++
+			time.Sleep(pause) // the answer arrives in a pause
+			if ctx.Err() != nil {
+				aborted++
+			}
+			return ctx.Err() == nil
+		}})
+		time.Sleep(time.Minute)
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = monitor.Run(ctx) }()
+		if !monitor.WaitFresh(t.Context(), time.Minute) || aborted > 0 || attempts != 1 {
+			t.Errorf("%d of %d confirmation attempts aborted", aborted, attempts)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // TestPauseDuringConfirmation guards against taking an answer from before a second pause for a
 // confirmation after it.
 func TestPauseDuringConfirmation(t *testing.T) {
--- a/internal/proofs/paused_connections_test.go
+++ b/internal/proofs/paused_connections_test.go
@@ -75,15 +75,7 @@
 	if err := daemon.Freeze(); err != nil {
 		t.Fatal(err)
 	}
-	results := make(chan error, queries)
-	for number := range queries {
-		go func() {
-			transport := &http.Transport{}
-			defer transport.CloseIdleConnections()
-			_, err := client.New(daemon.callersURL(), &http.Client{Transport: transport}).Query(ctx, searchQuery(number))
-			results <- err
-		}()
-	}
+	results := startQueries(ctx, daemon, queries)
 	sleep(ctx, pause)
 	if err := daemon.Resume(); err != nil {
 		t.Fatal(err)
@@ -95,6 +87,69 @@
 	}
 }
 
+// TestPauseDuringConfirmation guards against refusing queries that wait for the policy table to be
+// confirmed, with time to spare, as the daemon is paused again before it gets an answer.
+func TestPauseDuringConfirmation(t *testing.T) {
+	t.Parallel()
+	const (
+		queries      = 20
+		queryTimeout = 8 * time.Second
+		firstPause   = 2 * time.Second
+		secondPause  = 3 * time.Second // longer than a query may wait
+		// confirming is how long the daemon runs between the pauses.
+		confirming = 300 * time.Millisecond
+	)
+	ctx, cluster := startCluster(t)
+	setQueryTimeout(ctx, t, cluster, queryTimeout)
+	daemon, peers := cluster.Alive()[0], cluster.Alive()[1:]
+	if err := daemon.Freeze(); err != nil {
+		t.Fatal(err)
+	}
+	results := startQueries(ctx, daemon, queries)
+	sleep(ctx, firstPause)
+	for _, peer := range peers { // they do not answer until the daemon is paused again
+		if err := peer.Freeze(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := daemon.Resume(); err != nil {
+		t.Fatal(err)
+	}
+	sleep(ctx, confirming)
+	if err := daemon.Freeze(); err != nil {
+		t.Fatal(err)
+	}
+	for _, peer := range peers {
+		if err := peer.Resume(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	sleep(ctx, secondPause)
+	if err := daemon.Resume(); err != nil {
+		t.Fatal(err)
+	}
+	for range queries {
+		if err := <-results; err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// startQueries sends queries to a daemon at the same time, each on a connection of its own, and
+// returns the channel of their results.
+func startQueries(ctx context.Context, daemon *Process, count int) <-chan error {
+	results := make(chan error, count)
+	for number := range count {
+		go func() {
+			transport := &http.Transport{}
+			defer transport.CloseIdleConnections()
+			_, err := client.New(daemon.callersURL(), &http.Client{Transport: transport}).Query(ctx, searchQuery(number))
+			results <- err
+		}()
+	}
+	return results
+}
+
 // setQueryTimeout sets the timeout of the policy of the callers.
 func setQueryTimeout(ctx context.Context, t *testing.T, cluster *Cluster, timeout time.Duration) {
 	t.Helper()
