Both clocks of a reading belong to the same moment

A pause between the two clock readings of elapsed.Meter was missing from PausedTime until the next reading, up to 0.1 s later: deadlines of queries and connections that were checked in between counted it. With the readings in the other order it would count twice.

Found by reading, shown on the type alone; no failure of a caller was traced to it. Test: TestPauseBetweenClockReadings, before: `paused time 0s after a pause of 1m0s`.

Fix: the clocks are read again, a few times at most, if reading both takes a millisecond or more.

--- a/internal/elapsed/elapsed.go
+++ b/internal/elapsed/elapsed.go
@@ -23,6 +23,11 @@
 	// pauseThreshold is the gap between two readings above which a pause is reported.
 	// Shorter gaps, as on a busy machine, still count as paused time.
 	pauseThreshold = 2 * readInterval
+	// maxReadingTime bounds the time that reading both clocks takes. A longer one includes a
+	// pause, and the two readings belong to different times.
+	maxReadingTime = time.Millisecond
+	// readAttempts bounds how often the clocks are read for one reading.
+	readAttempts = 5
 )
 
 // Config configures a Meter. All fields are optional.
@@ -53,6 +58,9 @@
 	takenAt time.Time
 }
 
+// paused returns the paused time so far.
+func (r *reading) paused() time.Duration { return r.at - r.active }
+
 // New returns a Meter that starts at zero. It measures only while Run is running.
 func New(config Config) *Meter {
 	if config.Now == nil {
@@ -67,8 +75,8 @@
 	if config.Registerer != nil {
 		config.Registerer.MustRegister(m.pauses)
 	}
-	now := config.Now()
-	m.last.Store(&reading{at: now, uninterruptedSince: now, takenAt: time.Now()})
+	now, takenAt := m.readClocks()
+	m.last.Store(&reading{at: now, uninterruptedSince: now, takenAt: takenAt})
 	return m
 }
 
@@ -96,13 +104,27 @@
 	m.last.Store(&next)
 }
 
+// readClocks returns the elapsed time and the time of package time at the same moment.
+func (m *Meter) readClocks() (now time.Duration, takenAt time.Time) {
+	for range readAttempts {
+		takenAt = time.Now()
+		now = m.config.Now()
+		if time.Since(takenAt) < maxReadingTime {
+			break
+		}
+	}
+	return now, takenAt
+}
+
 // currentReading returns a reading of the present time without storing it.
 func (m *Meter) currentReading() reading {
-	last, now := m.last.Load(), m.config.Now()
-	gap := max(0, now-last.at)
-	next := reading{at: now, active: last.active + min(gap, maxActivePerReading), uninterruptedSince: last.uninterruptedSince, takenAt: time.Now()}
+	last := m.last.Load()
+	next := *last
+	next.at, next.takenAt = m.readClocks()
+	gap := max(0, next.at-last.at)
+	next.active += min(gap, maxActivePerReading)
 	if gap > pauseThreshold {
-		next.uninterruptedSince = now
+		next.uninterruptedSince = next.at
 	}
 	return next
 }
@@ -131,7 +153,7 @@
 		return 0
 	}
 	last := m.last.Load()
-	return last.at - last.active + max(0, time.Since(last.takenAt)-maxActivePerReading)
+	return last.paused() + max(0, time.Since(last.takenAt)-maxActivePerReading)
 }
 
 // RanWithoutPause reports whether the process has been running without a pause for at
--- a/internal/elapsed/elapsed_test.go
+++ b/internal/elapsed/elapsed_test.go
@@ -78,6 +78,40 @@
 	})
 }
 
+// TestPauseBetweenClockReadings guards against missing a pause, or counting it twice, until the
+// next reading if it falls between the readings of the two clocks.
+func TestPauseBetweenClockReadings(t *testing.T) {
+	const pause = time.Minute
+	for _, test := range []struct {
+		name          string
+		before, after time.Duration
+	}{{"before the clock is read", pause, 0}, {"after the clock is read", 0, pause}} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				start, pauseNext := time.Now(), false
+				meter := New(Config{Now: func() time.Duration {
+					paused := pauseNext
+					pauseNext = false
+					if paused {
+						time.Sleep(test.before)
+					}
+					now := time.Since(start)
+					if paused {
+						time.Sleep(test.after)
+					}
+					return now
+				}})
+				before := meter.PausedTime()
+				pauseNext = true
+				meter.read()
+				if paused := meter.PausedTime() - before; paused < pause-maxActivePerReading || paused > pause {
+					t.Errorf("paused time %v after a pause of %v", paused, pause)
+				}
+			})
+		})
+	}
+}
+
 func TestNilMeter(t *testing.T) {
 	var meter *Meter
 	synctest.Test(t, func(t *testing.T) {
