--- a/internal/elapsed/conn_test.go
+++ b/internal/elapsed/conn_test.go
@@ -50,6 +50,48 @@
 	}
 }
 
+// TestConnDeadlineSetAfterPause guards against closing connections whose deadline was computed
+// right before a pause and set right after it.
+func TestConnDeadlineSetAfterPause(t *testing.T) {
+	const timeout = 5 * time.Second
+	cases := []struct {
+		name string
+		// ran is how long the process has run since the pause.
+		ran     time.Duration
+		silence time.Duration
+		wantErr error
+	}{
+		{"input during the pause", 0, time.Nanosecond, nil},
+		{"clock read once after the pause", readInterval, time.Nanosecond, nil},
+		{"input after the pause", 0, timeout - time.Second, nil},
+		{"no input", 0, timeout + time.Second, os.ErrDeadlineExceeded},
+		{"deadline passed while the process ran", 3 * markInterval, time.Second, os.ErrDeadlineExceeded},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				meter, pause := newPausableMeter(t)
+				local, remote := net.Pipe()
+				defer local.Close()
+				defer remote.Close()
+				conn := NewConn(local, meter)
+				time.Sleep(3 * markInterval)
+				at := time.Now().Add(timeout)
+				pause(timeout + time.Second)
+				time.Sleep(test.ran)
+				if err := conn.SetReadDeadline(at); err != nil {
+					t.Fatal(err)
+				}
+				input := time.AfterFunc(test.silence, func() { _, _ = remote.Write([]byte{1}) })
+				defer input.Stop()
+				if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, test.wantErr) {
+					t.Errorf("read error %v, want %v", err, test.wantErr)
+				}
+			})
+		})
+	}
+}
+
 // TestConnWriteDeadlineExcludesPauses guards against discarding a response that is partly
 // written when the process is paused.
 func TestConnWriteDeadlineExcludesPauses(t *testing.T) {
--- a/internal/elapsed/elapsed.go
+++ b/internal/elapsed/elapsed.go
@@ -28,6 +28,8 @@
 	maxReadingTime = time.Millisecond
 	// readAttempts bounds how often the clocks are read for one reading.
 	readAttempts = 5
+	// markInterval is the active time between two marks (see EarlierPausedTime).
+	markInterval = time.Second
 )
 
 // Config configures a Meter. All fields are optional.
@@ -56,8 +58,13 @@
 	uninterruptedSince time.Duration
 	// takenAt is the time of the reading according to package time.
 	takenAt time.Time
+	// lastMark and earlierMark are the two latest marks, markInterval or more apart.
+	lastMark, earlierMark mark
 }
 
+// mark is the active and the paused time of a past reading.
+type mark struct{ active, paused time.Duration }
+
 // paused returns the paused time so far.
 func (r *reading) paused() time.Duration { return r.at - r.active }
 
@@ -76,7 +83,8 @@
 		config.Registerer.MustRegister(m.pauses)
 	}
 	now, takenAt := m.readClocks()
-	m.last.Store(&reading{at: now, uninterruptedSince: now, takenAt: takenAt})
+	start := mark{paused: now}
+	m.last.Store(&reading{at: now, uninterruptedSince: now, takenAt: takenAt, lastMark: start, earlierMark: start})
 	return m
 }
 
@@ -101,6 +109,9 @@
 		m.pauses.Inc()
 		m.config.Logger.Warn("process was paused", "gap", (next.at - m.last.Load().at).String())
 	}
+	if next.active-next.lastMark.active >= markInterval {
+		next.earlierMark, next.lastMark = next.lastMark, mark{active: next.active, paused: next.paused()}
+	}
 	m.last.Store(&next)
 }
 
@@ -156,6 +167,16 @@
 	return last.paused() + max(0, time.Since(last.takenAt)-maxActivePerReading)
 }
 
+// EarlierPausedTime returns what PausedTime was one to two seconds of active time ago, or at the
+// start of the meter. Pauses since then may lie between the computation of a value that was
+// received just now and its receipt.
+func (m *Meter) EarlierPausedTime() time.Duration {
+	if m == nil {
+		return 0
+	}
+	return m.last.Load().earlierMark.paused
+}
+
 // RanWithoutPause reports whether the process has been running without a pause for at
 // least the given duration. Input received around a pause may be as old as the pause is
 // long.
--- a/internal/elapsed/elapsed_test.go
+++ b/internal/elapsed/elapsed_test.go
@@ -112,6 +112,30 @@
 	}
 }
 
+// TestEarlierPausedTime tests that a pause is part of the earlier paused time after one to two
+// seconds of active time, however long it was.
+func TestEarlierPausedTime(t *testing.T) {
+	for _, pause := range []time.Duration{300 * time.Millisecond, time.Second, time.Hour} {
+		synctest.Test(t, func(t *testing.T) {
+			meter, clock := startMeter(t)
+			time.Sleep(5*markInterval + readInterval/2)
+			before := meter.PausedTime()
+			if earlier := meter.EarlierPausedTime(); earlier != before {
+				t.Errorf("earlier paused time %v without a pause, want %v", earlier, before)
+			}
+			clock.pause(pause)
+			time.Sleep(markInterval - 2*readInterval)
+			if earlier := meter.EarlierPausedTime(); earlier != before {
+				t.Errorf("earlier paused time %v right after a pause of %v, want %v", earlier, pause, before)
+			}
+			time.Sleep(markInterval + 4*readInterval)
+			if earlier, paused := meter.EarlierPausedTime(), meter.PausedTime(); earlier != paused {
+				t.Errorf("earlier paused time %v two seconds after a pause of %v, want %v", earlier, pause, paused)
+			}
+		})
+	}
+}
+
 func TestNilMeter(t *testing.T) {
 	var meter *Meter
 	synctest.Test(t, func(t *testing.T) {
