Test the limit of a query's wait for the policy table

Only the real daemon's tests covered the wait, and none its length. It also checks that a refused query reaches no replica.

--- a/internal/query/service_test.go
+++ b/internal/query/service_test.go
@@ -17,6 +17,7 @@
 	"github.com/doorpond/doorpond/internal/catalogue"
 	"github.com/doorpond/doorpond/internal/failure"
 	"github.com/doorpond/doorpond/internal/policy"
+	"github.com/doorpond/doorpond/internal/query"
 )
 
 // runSynctest runs a subtest in a synctest bubble.
@@ -208,6 +209,45 @@
 	}
 }
 
+// TestSearchFreshWaitLimit guards against waiting for the policy table for so long that no time is
+// left for the replicas.
+func TestSearchFreshWaitLimit(t *testing.T) {
+	cases := []struct {
+		name          string
+		tablePresent  bool
+		policyTimeout time.Duration
+		queryDeadline time.Duration
+		wantLimit     time.Duration
+	}{
+		{"timeout of the policy", true, 8 * time.Second, 0, 2 * time.Second},
+		{"deadline of the query", true, 8 * time.Second, time.Second, 250 * time.Millisecond},
+		{"deadline longer than the policy's timeout", true, 8 * time.Second, time.Minute, 2 * time.Second},
+		{"no table", false, 0, 0, 250 * time.Millisecond},
+	}
+	for _, test := range cases {
+		runSynctest(t, test.name, func(t *testing.T) {
+			f := newFixture(t, []replyFunc{replyValid})
+			f.row.Wait.Timeout = policy.Duration(test.policyTimeout)
+			f.publishPolicy()
+			if !test.tablePresent {
+				f.options.Board = &blackboard.Board{}
+			}
+			var limit time.Duration
+			f.options.WaitFresh = func(_ context.Context, atMost time.Duration) bool {
+				limit = atMost
+				return false
+			}
+			request := phraseQuery()
+			request.DeadlineMilliseconds = test.queryDeadline.Milliseconds()
+			_, err := query.NewService(f.options).Search(t.Context(), request)
+			refused := failure.From(err)
+			if limit != test.wantLimit || refused.Kind != failure.StaleTable || !refused.NotRun || f.requests.Load() != 0 {
+				t.Errorf("waited up to %v, want %v; error %v, not run: %t", limit, test.wantLimit, err, refused.NotRun)
+			}
+		})
+	}
+}
+
 func TestSearchConcurrencyLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		arrived, release := make(chan struct{}), make(chan struct{})
