Daemons that were paused together do not confirm each other's policy table

After a pause, a daemon asks a peer for the present table before it answers. A peer that had been paused at the same time answered with its own table, which it had not confirmed either. Queries were answered by a table that had been replaced during the pause, until the watch of the store or an announcement brought the change.

Fix: a confirming request says so, and a peer that does not know that its documents are current replies stale_table at once; the next peer or the store is asked then. Weighed: a peer that confirms first and replies then (two paused daemons would wait for each other).

--- a/internal/daemon/gossip.go
+++ b/internal/daemon/gossip.go
@@ -77,12 +77,13 @@
 	return addresses
 }
 
-// confirm fetches the latest documents from a peer, or from the store if no peer answers.
-// It reports whether one of them answered.
+// confirm fetches the latest documents from a peer that knows that its own are current, or from the
+// store if there is none. Peers that were paused together must not confirm each other's tables. It
+// reports whether one of them answered.
 func (d *Daemon) confirm(ctx context.Context) bool {
 	for _, address := range d.otherPeers() {
-		if d.fetcher.FetchFrom(ctx, address, document.Table) {
-			d.fetcher.FetchFrom(ctx, address, document.Catalogue)
+		if d.fetcher.ConfirmFrom(ctx, address, document.Table) {
+			d.fetcher.ConfirmFrom(ctx, address, document.Catalogue)
 			return true
 		}
 	}
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -94,6 +94,7 @@
 			WithTimeout: d.meter.WithTimeout,
 			Exchange:    d.node.Receive,
 			Document:    d.register.Current,
+			Fresh:       d.monitor.Fresh,
 			State:       d.state,
 			Statistics:  d.encodedStatistics,
 			Forwarder:   replica.NewForwardServer(d.pool, d.registry),
--- a/internal/document/fetcher.go
+++ b/internal/document/fetcher.go
@@ -10,6 +10,8 @@
 // Source fetches a document from a peer; peer.Client implements it.
 type Source interface {
 	FetchDocument(ctx context.Context, address string, name Name) (Document, error)
+	// FetchConfirmedDocument fails if the peer does not know whether its document is current.
+	FetchConfirmedDocument(ctx context.Context, address string, name Name) (Document, error)
 }
 
 // FetcherOptions configures a Fetcher.
@@ -137,9 +139,20 @@
 // FetchFrom fetches a document from one peer and offers it to the register. It
 // reports whether the peer returned a valid document, even if not a newer one.
 func (f *Fetcher) FetchFrom(ctx context.Context, address string, name Name) bool {
+	return f.fetch(ctx, f.options.Source.FetchDocument, address, name)
+}
+
+// ConfirmFrom is like FetchFrom, but the peer must know that its document is current.
+func (f *Fetcher) ConfirmFrom(ctx context.Context, address string, name Name) bool {
+	return f.fetch(ctx, f.options.Source.FetchConfirmedDocument, address, name)
+}
+
+type fetchFunc func(ctx context.Context, address string, name Name) (Document, error)
+
+func (f *Fetcher) fetch(ctx context.Context, from fetchFunc, address string, name Name) bool {
 	ctx, cancel := context.WithTimeout(ctx, FetchTimeout)
 	defer cancel()
-	fetched, err := f.options.Source.FetchDocument(ctx, address, name)
+	fetched, err := from(ctx, address, name)
 	if err != nil {
 		f.options.Logger.Debug("fetching document from peer failed", "document", name, "peer", address, "error", err)
 		return false
--- a/internal/document/fetcher_test.go
+++ b/internal/document/fetcher_test.go
@@ -17,6 +17,10 @@
 	requested []string
 }
 
+func (s *fakeSource) FetchConfirmedDocument(ctx context.Context, address string, name Name) (Document, error) {
+	return s.FetchDocument(ctx, address, name)
+}
+
 func (s *fakeSource) FetchDocument(_ context.Context, address string, name Name) (Document, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -127,6 +127,12 @@
 	return c.FetchDocumentAtLeast(ctx, address, DocumentRequest{Name: name})
 }
 
+// FetchConfirmedDocument returns the document that the peer holds. It fails with
+// failure.StaleTable if the peer does not know whether that is current.
+func (c *Client) FetchConfirmedDocument(ctx context.Context, address string, name document.Name) (document.Document, error) {
+	return c.FetchDocumentAtLeast(ctx, address, DocumentRequest{Name: name, Confirmed: true})
+}
+
 // FetchDocumentAtLeast returns the document that the peer holds. It fails with
 // failure.NotFound if the revision is below request.MinimumRevision.
 func (c *Client) FetchDocumentAtLeast(ctx context.Context, address string, request DocumentRequest) (document.Document, error) {
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -36,6 +36,9 @@
 	// MinimumRevision is the lowest acceptable revision; the reply is not found
 	// if the peer only has an older one.
 	MinimumRevision uint64 `msgpack:"r"`
+	// Confirmed requests the document only if the peer knows that it is current. One that has
+	// just been paused itself replies stale_table.
+	Confirmed bool `msgpack:"c,omitempty"`
 }
 
 // StateRequest requests the NodeState.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -104,6 +104,9 @@
 	failing := serverOptions()
 	failing.Forwarder = fakeForwarder{err: failure.New(failure.BackendRefused, "shed").WithRetryAfter(time.Second)}
 	peerClient, address := startServer(t, failing)
+	paused := serverOptions()
+	paused.Fresh = func() bool { return false }
+	stale, staleAddress := startServer(t, paused)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -125,6 +128,10 @@
 			_, err := peerClient.FetchDocumentAtLeast(ctx, address, DocumentRequest{Name: document.Table, MinimumRevision: 8})
 			return err
 		}, failure.NotFound, true},
+		{"document not confirmed", func() error {
+			_, err := stale.FetchConfirmedDocument(ctx, staleAddress, document.Table)
+			return err
+		}, failure.StaleTable, true},
 		{"unknown membership message", func() error {
 			_, err := peerClient.Exchange(ctx, address, membership.Message{Kind: 99, From: member("a")})
 			return err
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -31,7 +31,10 @@
 	// Exchange handles a membership message, as membership.Node.Receive does.
 	Exchange func(membership.Message) membership.Message
 	// Document returns a document, as document.Register.Current does.
-	Document   func(document.Name) (document.Document, bool)
+	Document func(document.Name) (document.Document, bool)
+	// Fresh reports whether the documents are known to be current, as freshness.Monitor.Fresh
+	// does; nil means always.
+	Fresh      func() bool
 	State      func() NodeState
 	Statistics StatisticsSource
 	Forwarder  Forwarder
@@ -70,6 +73,9 @@
 	if options.WithTimeout == nil {
 		options.WithTimeout = context.WithTimeout
 	}
+	if options.Fresh == nil {
+		options.Fresh = func() bool { return true }
+	}
 	s := &server{options: options, metrics: newServerMetrics(options.Registerer)}
 	routes := http.NewServeMux()
 	routes.Handle("POST "+ExchangePath, route(s, ExchangePath, maxExchangeBytes, s.exchange))
@@ -146,6 +152,9 @@
 }
 
 func (s *server) document(_ context.Context, request DocumentRequest) (document.Document, error) {
+	if request.Confirmed && !s.options.Fresh() {
+		return document.Document{}, failure.New(failure.StaleTable, "documents not confirmed since the process was paused")
+	}
 	current, found := s.options.Document(request.Name)
 	if !found || current.Revision < request.MinimumRevision {
 		return document.Document{}, failure.New(failure.NotFound, "requested revision not found of document "+string(request.Name))
--- a/internal/proofs/paused_connections_test.go
+++ b/internal/proofs/paused_connections_test.go
@@ -13,6 +13,7 @@
 	"github.com/doorpond/doorpond/client"
 	"github.com/doorpond/doorpond/internal/policy"
 	"github.com/doorpond/doorpond/internal/policytable"
+	"github.com/doorpond/doorpond/internal/standin/kv"
 )
 
 // TestPausedDaemonAnswersWaitingRequests guards against closing connections of callers that were
@@ -107,11 +108,7 @@
 	}
 	results := startQueries(ctx, daemon, queries)
 	sleep(ctx, firstPause)
-	for _, peer := range peers { // they do not answer until the daemon is paused again
-		if err := peer.Freeze(); err != nil {
-			t.Fatal(err)
-		}
-	}
+	freezeAll(t, peers) // they do not answer until the daemon is paused again
 	if err := daemon.Resume(); err != nil {
 		t.Fatal(err)
 	}
@@ -119,11 +116,7 @@
 	if err := daemon.Freeze(); err != nil {
 		t.Fatal(err)
 	}
-	for _, peer := range peers {
-		if err := peer.Resume(); err != nil {
-			t.Fatal(err)
-		}
-	}
+	resumeAll(t, peers)
 	sleep(ctx, secondPause)
 	if err := daemon.Resume(); err != nil {
 		t.Fatal(err)
@@ -135,6 +128,36 @@
 	}
 }
 
+// TestPausedDaemonsDoNotConfirmEachOther guards against answering queries by a policy table that was
+// replaced during a pause, as a peer that was paused as well has confirmed it.
+func TestPausedDaemonsDoNotConfirmEachOther(t *testing.T) {
+	t.Parallel()
+	const rounds, pause = 4, 2 * time.Second
+	ctx, cluster := startCluster(t)
+	setQueryTimeout(ctx, t, cluster, time.Minute)
+	if err := cluster.Platform.Store.SetFaults(kv.Faults{FreezeWatches: true}); err != nil {
+		t.Fatal(err) // daemons learn of changes from each other only
+	}
+	paused, running := cluster.Alive()[1:], cluster.Alive()[0]
+	for round := range rounds {
+		freezeAll(t, paused)
+		sleep(ctx, pause)
+		revision := editPolicy(ctx, t, cluster, time.Minute+time.Duration(round+1)*time.Second)
+		freezeAll(t, []*Process{running}) // only the paused daemons and the store can be asked
+		resumeAll(t, paused)
+		for _, daemon := range paused {
+			answer, err := client.New(daemon.callersURL(), http.DefaultClient).Query(ctx, searchQuery(1))
+			if err != nil || answer.TableRevision < revision {
+				t.Errorf("answered by revision %d, error %v, want revision %d", answer.TableRevision, err, revision)
+			}
+		}
+		resumeAll(t, []*Process{running})
+		if err := cluster.awaitServing(ctx, revision); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
 // startQueries sends queries to a daemon at the same time, each on a connection of its own, and
 // returns the channel of their results.
 func startQueries(ctx context.Context, daemon *Process, count int) <-chan error {
@@ -152,6 +175,15 @@
 
 // setQueryTimeout sets the timeout of the policy of the callers.
 func setQueryTimeout(ctx context.Context, t *testing.T, cluster *Cluster, timeout time.Duration) {
+	t.Helper()
+	if err := cluster.awaitServing(ctx, editPolicy(ctx, t, cluster, timeout)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// editPolicy sets the timeout of the policy of the callers at the first daemon, and returns the
+// revision of the table.
+func editPolicy(ctx context.Context, t *testing.T, cluster *Cluster, timeout time.Duration) uint64 {
 	t.Helper()
 	row := policy.DefaultRow(policyName)
 	row.Wait.Timeout = policy.Duration(timeout)
@@ -159,7 +191,23 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := cluster.awaitServing(ctx, result.Change.Revision); err != nil {
-		t.Fatal(err)
+	return result.Change.Revision
+}
+
+func freezeAll(t *testing.T, daemons []*Process) {
+	t.Helper()
+	for _, daemon := range daemons {
+		if err := daemon.Freeze(); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func resumeAll(t *testing.T, daemons []*Process) {
+	t.Helper()
+	for _, daemon := range daemons {
+		if err := daemon.Resume(); err != nil {
+			t.Fatal(err)
+		}
 	}
 }
