An exceeded deadline is extended also if a pause interrupts the extension

elapsed.Conn read the paused time and then the clock. A pause in between was missing from the extension and part of the present time, so that the deadline passed for good: the caller's connection was closed with its request in the socket.

The order of the readings decides nothing now: a pause between them makes the extension longer. No test: none can stop the process between two lines.

--- a/internal/elapsed/conn.go
+++ b/internal/elapsed/conn.go
@@ -115,9 +115,10 @@
 func (d *deadline) extend(meter *Meter, apply func(time.Time) error) bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	now := time.Now() // read first: a pause after it only makes the extension longer
 	paused := meter.PausedTime()
 	extended := d.at.Add(paused - d.paused)
-	if d.at.IsZero() || !extended.After(time.Now()) {
+	if d.at.IsZero() || !extended.After(now) {
 		return false
 	}
 	d.at, d.paused = extended, paused
