Admission does not take pauses of the daemon for slow answers

After one pause of the daemon for longer than a policy's timeout, all queries of the policy were refused for up to half a minute: `deadline_unreachable: deadline of 1s is shorter than the fastest recent answer of 5.6s`.

Cause: admission refuses queries whose deadline is below the fastest answer of the last 15 to 30 s. An answer that was in flight during the pause counted with the pause. If the earlier answers had left the window, it was the fastest one, and as everything was refused no faster one could follow.

Fix: the duration that admission observes leaves out the pauses since the query's arrival. What callers have waited for stays in metrics and statistics.

--- a/internal/query/pause_virtual_test.go
+++ b/internal/query/pause_virtual_test.go
@@ -1,12 +1,14 @@
 package query_test
 
 import (
+	"context"
 	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/doorpond/doorpond/internal/backendapi"
+	"github.com/doorpond/doorpond/internal/policy"
 	"github.com/doorpond/doorpond/internal/query"
 )
 
@@ -99,3 +101,31 @@
 		})
 	}
 }
+
+// TestSearchAdmittedAfterPause guards against rejecting queries after a pause as too short for the
+// fastest recent answer, when the recent answers took long only for the pause.
+func TestSearchAdmittedAfterPause(t *testing.T) {
+	const timeout, pause, repliesAfter = time.Second, 5500 * time.Millisecond, 100 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, []replyFunc{replyAfter(repliesAfter)}, []replyFunc{replyAfter(repliesAfter)})
+		f.row.Wait.Timeout = policy.Duration(timeout)
+		f.publishPolicy()
+		paused := time.Duration(0)
+		pauseNext := true
+		f.options.PausedTime = func() time.Duration { return paused }
+		f.options.WaitFresh = func(context.Context, time.Duration) bool {
+			if pauseNext {
+				pauseNext = false
+				time.Sleep(pause)
+				paused += pause
+			}
+			return true
+		}
+		service := query.NewService(f.options)
+		for number := range 3 {
+			if _, err := service.Search(t.Context(), phraseQuery()); err != nil {
+				t.Errorf("query %d: %v", number, err)
+			}
+		}
+	})
+}
--- a/internal/query/service.go
+++ b/internal/query/service.go
@@ -246,7 +246,9 @@
 	took := s.options.Now().Sub(request.started)
 	answer.TookMicroseconds = took.Microseconds()
 	s.recordSearch(request, last, took, err)
-	ticket.Observe(s.options.Now(), last.admissionOutcome(took))
+	// Replicas have not caused the pauses of this process.
+	active := max(0, took-(s.pausedTime()-request.pausedAtStart))
+	ticket.Observe(s.options.Now(), last.admissionOutcome(active))
 	if err != nil {
 		return client.Answer{}, err
 	}
