Waits for the store's responses leave out pauses

Callers of calls that may not be repeated were refused with store_unavailable ("store did not confirm the claim in time") by a daemon that had been paused for longer than the store timeout (2 s), with a minute to spare and the store's response in the socket.

Cause: the wait for the claim (activecall.go), the batch's timeout (batcher.go) and the timeout of each request (etcd, unary) ran by the wall clock, and were over when the daemon resumed.

Fix: the three use Meter.WithTimeout, as the call's own wait does already. The meter now outlasts them.

At most once: these timers only ended waits. As the timeout and a response read after a pause were ready together, either could win, so that nothing rested on them. What decides is compared with the clock, pauses included, and is not changed: the deadline before the claim is sent and once it is confirmed (case "longer than the deadline": released, not run), NotAfterUnixMilliseconds, the fence before dispatch, and the lease's age before each batch.

Errors stay: the transport returns the context's cause, so that a timeout is still "deadline exceeded" and wraps ErrOutcomeUnknown (TestTimeoutExcludesPauses).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -129,9 +129,10 @@
 func (d *Daemon) assemble() {
 	place := topology.Place{Region: d.settings.Region, Zone: d.settings.Zone}
 	d.store = etcd.New(etcd.Options{
-		Endpoint: d.settings.Store.URL,
-		Client:   d.tls.storeHTTPClient(),
-		Timeout:  d.settings.Store.Timeout,
+		Endpoint:    d.settings.Store.URL,
+		Client:      d.tls.storeHTTPClient(),
+		Timeout:     d.settings.Store.Timeout,
+		WithTimeout: d.meter.WithTimeout,
 	})
 	d.assembleReplicas(place)
 	d.assembleMembership(place)
@@ -235,9 +236,13 @@
 func (d *Daemon) Run(ctx, abort context.Context) error {
 	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopBackground()
+	// The meter outlasts the rest, whose timeouts would otherwise never expire.
+	metering, stopMeter := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopMeter()
+	go func() { _ = d.meter.Run(metering) }()
 	group, groupContext := errgroup.WithContext(background)
 	for _, run := range []func(context.Context) error{
-		d.node.Run, d.tracker.Run, d.prober.Run, d.watcher.Run, d.fetcher.Run, d.calls.Run, d.meter.Run, d.monitor.Run, d.tls.reload(d.logger),
+		d.node.Run, d.tracker.Run, d.prober.Run, d.watcher.Run, d.fetcher.Run, d.calls.Run, d.monitor.Run, d.tls.reload(d.logger),
 	} {
 		group.Go(func() error { return ignoreCanceled(run(groupContext)) })
 	}
--- a/internal/daemon/shutdown_test.go
+++ b/internal/daemon/shutdown_test.go
@@ -8,10 +8,13 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/doorpond/doorpond/client"
 	"github.com/doorpond/doorpond/internal/backendapi"
 	"github.com/doorpond/doorpond/internal/failure"
 	"github.com/doorpond/doorpond/internal/peer"
+	"github.com/doorpond/doorpond/internal/settings"
 	"github.com/doorpond/doorpond/internal/standin/backend"
+	"github.com/doorpond/doorpond/internal/standin/kv"
 	"github.com/doorpond/doorpond/internal/standin/platform"
 )
 
@@ -93,3 +96,41 @@
 	}
 	return group.Wait()
 }
+
+// TestShutdownWithSilentStore guards against timeouts of store requests that never expire because
+// the meter that they use has stopped first.
+func TestShutdownWithSilentStore(t *testing.T) {
+	t.Parallel()
+	// The request to the store outlasts the drain.
+	const storeTimeout, stopTimeout = 3 * time.Second, time.Second
+	running := startPlatform(t)
+	daemon, shutdown := startDaemon(t, running, nil, func(config *settings.Settings) {
+		config.Store.Timeout, config.Stop.Timeout = storeTimeout, stopTimeout
+	})
+	if err := running.Store.SetFaults(kv.Faults{LatencyMilliseconds: time.Hour.Milliseconds()}); err != nil {
+		t.Fatal(err)
+	}
+	result := make(chan error, 1)
+	go func() {
+		_, err := client.New("http://"+daemon.Addresses().Callers, nil).Call(t.Context(), client.Call{
+			Group: "gate", Key: "silent", Service: platform.RefundService, Operation: "credit",
+		})
+		result <- err
+	}()
+	eventually(t, "the store has received the request for a lease", func() bool {
+		return running.Store.Counters()["/v3/lease/grant"].Requests > 0
+	})
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		shutdown()
+	}()
+	select {
+	case <-stopped:
+	case <-time.After(time.Minute):
+		t.Fatal("daemon has not stopped within a minute")
+	}
+	if err := <-result; err == nil {
+		t.Error("call ran without a claim")
+	}
+}
--- a/internal/once/activecall.go
+++ b/internal/once/activecall.go
@@ -72,8 +72,9 @@
 	deadlineCtx, cancel := c.service.options.WithTimeout(context.Background(), remaining)
 	defer cancel()
 	deadline := deadlineCtx.Done()
-	storeTimer := time.NewTimer(c.service.options.StoreTimeout)
-	defer storeTimer.Stop()
+	storeCtx, cancelStore := c.service.options.WithTimeout(context.Background(), c.service.options.StoreTimeout)
+	defer cancelStore()
+	storeTimeout := storeCtx.Done()
 	canceled := ctx.Done()
 	for {
 		select {
@@ -85,7 +86,8 @@
 		case <-deadline:
 			deadline = nil
 			c.step(Event{Kind: EventGiveUp, Reason: DeadlineExceeded})
-		case <-storeTimer.C:
+		case <-storeTimeout:
+			storeTimeout = nil
 			c.step(Event{Kind: EventGiveUp, Reason: StoreTimeout})
 		}
 	}
--- a/internal/once/batcher.go
+++ b/internal/once/batcher.go
@@ -47,9 +47,10 @@
 	leases    *leases
 	fence     *Fence
 	// onStatus is called after each commit or probe. It must not block.
-	onStatus func(FenceStatus)
-	timeout  time.Duration
-	metrics  *metrics
+	onStatus    func(FenceStatus)
+	timeout     time.Duration
+	withTimeout func(context.Context, time.Duration) (context.Context, context.CancelFunc)
+	metrics     *metrics
 
 	mutex   sync.Mutex
 	queue   []*queuedTransaction
@@ -57,15 +58,16 @@
 	wake    chan struct{}
 }
 
-func newBatcher(committer store.Committer, leases *leases, fence *Fence, timeout time.Duration, metrics *metrics) *batcher {
+func newBatcher(options Options, leases *leases, fence *Fence, metrics *metrics) *batcher {
 	return &batcher{
-		committer: committer,
-		leases:    leases,
-		fence:     fence,
-		onStatus:  func(FenceStatus) {},
-		timeout:   timeout,
-		metrics:   metrics,
-		wake:      make(chan struct{}, 1),
+		committer:   options.Store,
+		leases:      leases,
+		fence:       fence,
+		onStatus:    func(FenceStatus) {},
+		timeout:     options.StoreTimeout,
+		withTimeout: options.WithTimeout,
+		metrics:     metrics,
+		wake:        make(chan struct{}, 1),
 	}
 }
 
@@ -148,7 +150,7 @@
 // commit sends one batch. It is not canceled with ctx, as the outcome of a
 // canceled request is unknown.
 func (b *batcher) commit(ctx context.Context, batch []*queuedTransaction) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), b.timeout)
+	ctx, cancel := b.withTimeout(context.WithoutCancel(ctx), b.timeout)
 	defer cancel()
 	if b.fence.ProbeRequired() {
 		if err := b.probe(ctx); err != nil {
--- /dev/null
+++ b/internal/once/pause_test.go
@@ -0,0 +1,142 @@
+package once_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/doorpond/doorpond/internal/elapsed"
+	"github.com/doorpond/doorpond/internal/failure"
+	"github.com/doorpond/doorpond/internal/once"
+	"github.com/doorpond/doorpond/internal/store"
+)
+
+// pausableMeter is a running elapsed.Meter that is not read during pauses, like that of a
+// paused process.
+type pausableMeter struct {
+	*elapsed.Meter
+	stop context.CancelFunc
+}
+
+// startMeter starts a meter, which the test must stop within the synctest bubble.
+func startMeter() *pausableMeter {
+	start := time.Now()
+	m := &pausableMeter{Meter: elapsed.New(elapsed.Config{Now: func() time.Duration { return time.Since(start) }})}
+	m.run()
+	return m
+}
+
+func (m *pausableMeter) run() {
+	ctx, cancel := context.WithCancel(context.Background())
+	m.stop = cancel
+	go func() { _ = m.Run(ctx) }()
+}
+
+// pause lets time pass as in a paused process: timers expire, and nothing is received.
+func (m *pausableMeter) pause(duration time.Duration) {
+	m.stop()
+	time.Sleep(duration)
+	m.run()
+}
+
+// storeRequest is a kind of request to a store.
+type storeRequest int
+
+const (
+	requestCommit storeRequest = iota
+	requestGrant
+)
+
+// slowStore is a fakeStore that responds to the first request of one kind after a latency. A
+// request whose context ends first was applied all the same.
+type slowStore struct {
+	*fakeStore
+	slow      storeRequest
+	latency   time.Duration
+	responded atomic.Bool
+}
+
+func (s *slowStore) CommitAll(ctx context.Context, transactions []store.Transaction) ([]store.Outcome, error) {
+	outcomes, err := s.fakeStore.CommitAll(ctx, transactions)
+	if !s.respond(ctx, requestCommit) {
+		return nil, store.ErrOutcomeUnknown
+	}
+	return outcomes, err
+}
+
+func (s *slowStore) Grant(ctx context.Context, ttl time.Duration) (store.Lease, error) {
+	lease, err := s.fakeStore.Grant(ctx, ttl)
+	if !s.respond(ctx, requestGrant) {
+		return 0, store.ErrOutcomeUnknown
+	}
+	return lease, err
+}
+
+// respond waits for the latency. It returns false if ctx ends first.
+func (s *slowStore) respond(ctx context.Context, request storeRequest) bool {
+	if request != s.slow || s.responded.Swap(true) {
+		return true
+	}
+	timer := time.NewTimer(s.latency)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// TestPausesDuringClaim guards against refusing a call whose claim the store confirmed while the
+// process was paused, and against dispatching one whose deadline passed in a pause.
+func TestPausesDuringClaim(t *testing.T) {
+	const storeTimeout, active = 2 * time.Second, 10 * time.Millisecond
+	cases := []struct {
+		name              string
+		slow              storeRequest
+		pauses            []time.Duration
+		latency, deadline time.Duration
+		want              failure.Kind
+		wantRuns          int
+	}{
+		{"longer than the store timeout", requestCommit, []time.Duration{3 * time.Second}, 4 * time.Second, time.Minute, "", 1},
+		{"longer than the store timeout, while a lease is granted", requestGrant, []time.Duration{3 * time.Second}, 4 * time.Second, time.Minute, "", 1},
+		{"two in a row", requestCommit, []time.Duration{time.Second, 3 * time.Second}, 5 * time.Second, time.Minute, "", 1},
+		{"longer than the deadline", requestCommit, []time.Duration{3 * time.Second}, 4 * time.Second, storeTimeout, failure.StoreUnavailable, 0},
+		{"no pause, store too slow", requestCommit, nil, 3 * time.Second, time.Minute, failure.StoreUnavailable, 0},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				meter := startMeter()
+				defer func() { meter.stop() }() // that of the last run
+				memoryStore, backend := &slowStore{fakeStore: newFakeStore(), slow: test.slow, latency: test.latency}, newFakeBackend()
+				service, stop := startServiceWithOptions(once.Options{
+					Store: memoryStore, Dispatcher: backend, Holder: "a", StoreTimeout: storeTimeout, WithTimeout: meter.WithTimeout,
+				})
+				defer stop()
+				result := make(chan error, 1)
+				go func() {
+					call := refundCall("k")
+					call.DeadlineMilliseconds = test.deadline.Milliseconds()
+					_, err := service.Call(context.Background(), call)
+					result <- err
+				}()
+				for _, pause := range test.pauses {
+					time.Sleep(active)
+					meter.pause(pause)
+				}
+				checkError(t, <-result, test.want, true)
+				time.Sleep(2 * time.Minute) // synctest time
+				if got := backend.executionCount("k"); got != test.wantRuns {
+					t.Errorf("%d executions, want %d", got, test.wantRuns)
+				}
+				if _, _, keys := memoryStore.stats(); keys != test.wantRuns {
+					t.Errorf("%d keys in the store, want %d", keys, test.wantRuns)
+				}
+			})
+		})
+	}
+}
--- a/internal/once/service.go
+++ b/internal/once/service.go
@@ -62,10 +62,11 @@
 	// refused as not run. It is also the timeout of requests to the store. The
 	// default is 2 s.
 	StoreTimeout time.Duration
-	// WithTimeout limits how long a call waits for its response. The default is
-	// context.WithTimeout. That of an elapsed.Meter does not count the time for
-	// which the process was paused, so that a response received during a pause
-	// is not lost to the deadline.
+	// WithTimeout limits how long a call waits for its response, and the service
+	// for the store's. The default is context.WithTimeout. That of an
+	// elapsed.Meter does not count the time for which the process was paused, so
+	// that a response received during a pause is not lost to the deadline. A
+	// call's deadline, which does count it, is still checked before dispatch.
 	WithTimeout func(parent context.Context, lasting time.Duration) (context.Context, context.CancelFunc)
 	// MaxResultBytes is the maximum size of a result that is stored for repeated
 	// calls. A larger one is returned only to the first caller; repeated calls
@@ -123,7 +124,7 @@
 	service := &Service{
 		options:     options,
 		metrics:     serviceMetrics,
-		batcher:     newBatcher(options.Store, claimLeases, fence, options.StoreTimeout, serviceMetrics),
+		batcher:     newBatcher(options, claimLeases, fence, serviceMetrics),
 		activeCalls: newActiveCalls(),
 		fence:       fence,
 	}
--- a/internal/store/etcd/etcd.go
+++ b/internal/store/etcd/etcd.go
@@ -33,13 +33,18 @@
 	Client *http.Client
 	// Timeout bounds each request except watches. The default is 2 s.
 	Timeout time.Duration
+	// WithTimeout applies Timeout. The default is context.WithTimeout. That of an
+	// elapsed.Meter does not count the time for which the process was paused, so
+	// that a response received during a pause is not lost to the timeout.
+	WithTimeout func(parent context.Context, timeout time.Duration) (context.Context, context.CancelFunc)
 }
 
 // Store implements store.Store over the gateway. It is safe for concurrent use.
 type Store struct {
-	endpoint string
-	client   *http.Client
-	timeout  time.Duration
+	endpoint    string
+	client      *http.Client
+	timeout     time.Duration
+	withTimeout func(context.Context, time.Duration) (context.Context, context.CancelFunc)
 }
 
 var _ store.Store = (*Store)(nil)
@@ -55,7 +60,11 @@
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
-	return &Store{endpoint: options.Endpoint, client: &client, timeout: timeout}
+	withTimeout := options.WithTimeout
+	if withTimeout == nil {
+		withTimeout = context.WithTimeout
+	}
+	return &Store{endpoint: options.Endpoint, client: &client, timeout: timeout, withTimeout: withTimeout}
 }
 
 // Get returns one key. All errors wrap store.ErrUnavailable.
--- a/internal/store/etcd/etcd_test.go
+++ b/internal/store/etcd/etcd_test.go
@@ -10,12 +10,14 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/doorpond/doorpond/internal/elapsed"
 	"github.com/doorpond/doorpond/internal/store"
 	"github.com/doorpond/doorpond/internal/store/etcd"
 )
@@ -288,3 +290,47 @@
 		})
 	}
 }
+
+// TestTimeoutExcludesPauses guards against giving up a response that was received while the process
+// was paused.
+func TestTimeoutExcludesPauses(t *testing.T) {
+	const timeout, latency = 200 * time.Millisecond, 400 * time.Millisecond
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		time.Sleep(latency)
+		_, _ = io.WriteString(w, `{"header":{"revision":"1"},"succeeded":true}`)
+	}))
+	defer server.Close()
+	// A meter that does not run counts at most one reading as active.
+	paused := elapsed.New(elapsed.Config{})
+	running := elapsed.New(elapsed.Config{})
+	go func() { _ = running.Run(t.Context()) }()
+	cases := []struct {
+		name        string
+		withTimeout func(context.Context, time.Duration) (context.Context, context.CancelFunc)
+		wantErr     bool
+	}{
+		{"paused", paused.WithTimeout, false},
+		{"running", running.WithTimeout, true},
+		{"default", nil, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			client := etcd.New(etcd.Options{Endpoint: server.URL, Client: server.Client(), Timeout: timeout, WithTimeout: c.withTimeout})
+			_, err := client.Commit(t.Context(), store.Transaction{})
+			checkTimeout(t, err, c.wantErr, store.ErrOutcomeUnknown)
+			_, _, _, err = client.Get(t.Context(), "/a")
+			checkTimeout(t, err, c.wantErr, store.ErrUnavailable)
+		})
+	}
+}
+
+func checkTimeout(t *testing.T, err error, wantErr bool, want error) {
+	t.Helper()
+	if !wantErr && err != nil {
+		t.Error(err)
+	}
+	if wantErr && (!errors.Is(err, want) || !strings.Contains(err.Error(), "deadline exceeded")) {
+		t.Errorf("error %v, want %v and the reason", err, want)
+	}
+}
--- a/internal/store/etcd/transport.go
+++ b/internal/store/etcd/transport.go
@@ -111,7 +111,7 @@
 
 // unary sends a request and decodes its response into reply.
 func (s *Store) unary(ctx context.Context, path string, message, reply any) error {
-	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	ctx, cancel := s.withTimeout(ctx, s.timeout)
 	defer cancel()
 	response, err := s.post(ctx, path, message)
 	if err != nil {
