A daemon's wait for a peer's watermark leaves out pauses

A call that had run before a restore of the store ran again, at a daemon that was paused for longer than 1.5 s right after its start. Shown on a virtual clock only.

Cause: a daemon that has just started waits up to 1.5 s for a peer's watermark before its first commit, to notice that the store was restored. The wait ran by the wall clock: after a pause it was over before the peer's message was read.

Fix: the wait uses Meter.WithTimeout. Only longer waits can follow, so that the promise is not weaker anywhere; calls wait for their claims for 2 s of active time as before.

Before: TestPauseBeforePeerWatermark "2 executions, want 1" and "error <nil>, want kind store_regressed". After: passes (-race, 3 of 3).

--- a/internal/once/pause_test.go
+++ b/internal/once/pause_test.go
@@ -140,3 +140,42 @@
 		})
 	}
 }
+
+// TestPauseBeforePeerWatermark guards against a first commit without a peer's watermark because
+// the process was paused while it waited. It would run calls of a restored store again.
+func TestPauseBeforePeerWatermark(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memoryStore, backend := newFakeStore(), newFakeBackend()
+		announced := make(chan once.Watermark, 10)
+		peer, stopPeer := startServiceWithOptions(once.Options{
+			Store: memoryStore, Dispatcher: backend, Holder: "peer", Announce: func(watermark once.Watermark) { announced <- watermark },
+		})
+		defer stopPeer()
+		empty := memoryStore.takeSnapshot()
+		if _, err := peer.Call(t.Context(), refundCall("k")); err != nil {
+			t.Fatal(err)
+		}
+		watermark := <-announced
+		memoryStore.restore(empty)
+
+		meter := startMeter()
+		defer func() { meter.stop() }() // that of the last run
+		service, stop := startServiceWithOptions(once.Options{
+			Store: memoryStore, Dispatcher: backend, Holder: "a", WithTimeout: meter.WithTimeout, HasPeers: func() bool { return true },
+		})
+		defer stop()
+		result := make(chan error, 1)
+		go func() {
+			_, err := service.Call(t.Context(), refundCall("k"))
+			result <- err
+		}()
+		meter.pause(2 * once.PeerWatermarkTimeout)
+		time.Sleep(once.PeerWatermarkTimeout / 10)
+		service.MergeWatermark(watermark)
+		err := <-result
+		if got := backend.executionCount("k"); got != 1 {
+			t.Errorf("%d executions, want 1", got)
+		}
+		checkError(t, err, failure.StoreRegressed, true)
+	})
+}
--- a/internal/once/regression.go
+++ b/internal/once/regression.go
@@ -41,15 +41,13 @@
 // awaitPeerWatermark waits for a peer's watermark for at most
 // PeerWatermarkTimeout.
 func (s *Service) awaitPeerWatermark(ctx context.Context) {
-	timeout := time.NewTimer(PeerWatermarkTimeout)
-	defer timeout.Stop()
+	timeout, cancel := s.options.WithTimeout(ctx, PeerWatermarkTimeout)
+	defer cancel()
 	poll := time.NewTicker(peerWatermarkPollInterval)
 	defer poll.Stop()
 	for s.options.HasPeers() && !s.fence.HasPeerWatermark() {
 		select {
-		case <-ctx.Done():
-			return
-		case <-timeout.C:
+		case <-timeout.Done():
 			return
 		case <-poll.C:
 		}
