Releasing a claim survives a pause while the claim is read

Shown on a virtual clock only.

Cause: the daemon was paused for longer than it retries a release (1 minute) while it read the claim to release. The read's timeout ran by the wall clock, so that the store's response could be lost to it; the retries were over too.

Fix: the read's timeout is Meter.WithTimeout. The bound on retries stays by the clock: it also bounds how old a release can be. A release compares the claim's revision as before.

Before: TestPauseDuringRelease "outcome_unknown: key "k" was claimed by a, which recorded no outcome", "0 executions, want 1".

--- a/internal/once/pause_test.go
+++ b/internal/once/pause_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -47,15 +46,15 @@
 const (
 	requestCommit storeRequest = iota
 	requestGrant
+	requestGet
 )
 
-// slowStore is a fakeStore that responds to the first request of one kind after a latency. A
-// request whose context ends first was applied all the same.
+// slowStore is a fakeStore that does not respond to one kind of request before a time. A request
+// whose context ends first was applied all the same.
 type slowStore struct {
 	*fakeStore
-	slow      storeRequest
-	latency   time.Duration
-	responded atomic.Bool
+	slow         storeRequest
+	respondsFrom time.Time
 }
 
 func (s *slowStore) CommitAll(ctx context.Context, transactions []store.Transaction) ([]store.Outcome, error) {
@@ -74,12 +73,20 @@
 	return lease, err
 }
 
-// respond waits for the latency. It returns false if ctx ends first.
+func (s *slowStore) Get(ctx context.Context, key string) (store.KeyValue, bool, int64, error) {
+	value, found, revision, err := s.fakeStore.Get(ctx, key)
+	if !s.respond(ctx, requestGet) {
+		return store.KeyValue{}, false, 0, store.ErrUnavailable
+	}
+	return value, found, revision, err
+}
+
+// respond waits until the store responds. It returns false if ctx ends first.
 func (s *slowStore) respond(ctx context.Context, request storeRequest) bool {
-	if request != s.slow || s.responded.Swap(true) {
+	if request != s.slow {
 		return true
 	}
-	timer := time.NewTimer(s.latency)
+	timer := time.NewTimer(max(time.Until(s.respondsFrom), minTimerDuration))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -112,7 +119,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				meter := startMeter()
 				defer func() { meter.stop() }() // that of the last run
-				memoryStore, backend := &slowStore{fakeStore: newFakeStore(), slow: test.slow, latency: test.latency}, newFakeBackend()
+				memoryStore, backend := &slowStore{fakeStore: newFakeStore(), slow: test.slow, respondsFrom: time.Now().Add(test.latency)}, newFakeBackend()
 				service, stop := startServiceWithOptions(once.Options{
 					Store: memoryStore, Dispatcher: backend, Holder: "a", StoreTimeout: storeTimeout, WithTimeout: meter.WithTimeout,
 				})
@@ -179,3 +186,30 @@
 		checkError(t, err, failure.StoreRegressed, true)
 	})
 }
+
+// TestPauseDuringRelease guards against keeping the claim of a call that did not run because the
+// process was paused, for longer than it retries to release the claim, while it read the claim.
+func TestPauseDuringRelease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const storeTimeout, pause = 2 * time.Second, 2 * time.Minute
+		meter := startMeter()
+		defer func() { meter.stop() }() // that of the last run
+		backend := newFakeBackend()
+		memoryStore := &slowStore{fakeStore: newFakeStore(faultTimeoutApplied), slow: requestGet, respondsFrom: time.Now().Add(storeTimeout + pause + storeTimeout/2)}
+		service, stop := startServiceWithOptions(once.Options{
+			Store: memoryStore, Dispatcher: backend, Holder: "a", StoreTimeout: storeTimeout, WithTimeout: meter.WithTimeout,
+		})
+		defer stop()
+		_, err := service.Call(t.Context(), refundCall("k"))
+		checkError(t, err, failure.StoreUnavailable, true)
+		time.Sleep(storeTimeout / 10) // the claim is being read
+		meter.pause(pause)
+		time.Sleep(storeTimeout)
+		if _, err := service.Call(t.Context(), refundCall("k")); err != nil {
+			t.Error(err)
+		}
+		if got := backend.executionCount("k"); got != 1 {
+			t.Errorf("%d executions, want 1", got)
+		}
+	})
+}
--- a/internal/once/settle.go
+++ b/internal/once/settle.go
@@ -98,7 +98,7 @@
 // absent, the read is retried, since the write may still be applied.
 func (t *settling) findClaim() {
 	service := t.activeCall.service
-	ctx, cancel := context.WithTimeout(context.Background(), service.options.StoreTimeout)
+	ctx, cancel := service.options.WithTimeout(context.Background(), service.options.StoreTimeout)
 	defer cancel()
 	value, found, _, err := service.options.Store.Get(ctx, t.activeCall.storeKey)
 	if err != nil || !found {
