The drain of at-most-once calls leaves out pauses

A daemon paused for longer than 5 s while it stops discarded results that waited for the store: callers who repeated such a call were told call_in_progress, later outcome_unknown, though it had run. Shown on a virtual clock only.

Cause: the drain's timeout (5 s) ran by the wall clock. It was over when the daemon resumed, and what was queued behind the request under way was rejected.

Fix: the timeout is Meter.WithTimeout.

Before: TestPauseDuringDrain "second: error call_in_progress: key "second" is claimed by a, repeated false". After: passes (-race, 5 of 5).

--- a/internal/once/activecalls.go
+++ b/internal/once/activecalls.go
@@ -1,8 +1,8 @@
 package once
 
 import (
+	"context"
 	"sync"
-	"time"
 )
 
 // activeCalls counts active calls, so that shutdown can wait for them.
@@ -43,8 +43,8 @@
 	return a.draining
 }
 
-// drain rejects new calls and waits for active ones, at most for timeout.
-func (a *activeCalls) drain(timeout time.Duration) {
+// drain rejects new calls and waits for active ones until ctx is done.
+func (a *activeCalls) drain(ctx context.Context) {
 	a.mutex.Lock()
 	a.draining = true
 	hasCalls := a.count > 0
@@ -52,10 +52,8 @@
 	if !hasCalls {
 		return
 	}
-	timer := time.NewTimer(timeout)
-	defer timer.Stop()
 	select {
 	case <-a.idle:
-	case <-timer.C:
+	case <-ctx.Done():
 	}
 }
--- a/internal/once/pause_test.go
+++ b/internal/once/pause_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -54,7 +55,18 @@
 type slowStore struct {
 	*fakeStore
 	slow         storeRequest
-	respondsFrom time.Time
+	respondsFrom atomic.Pointer[time.Time]
+}
+
+func newSlowStore(fakeStore *fakeStore, slow storeRequest, silence time.Duration) *slowStore {
+	s := &slowStore{fakeStore: fakeStore, slow: slow}
+	s.beSilent(silence)
+	return s
+}
+
+func (s *slowStore) beSilent(duration time.Duration) {
+	respondsFrom := time.Now().Add(duration)
+	s.respondsFrom.Store(&respondsFrom)
 }
 
 func (s *slowStore) CommitAll(ctx context.Context, transactions []store.Transaction) ([]store.Outcome, error) {
@@ -86,7 +98,7 @@
 	if request != s.slow {
 		return true
 	}
-	timer := time.NewTimer(max(time.Until(s.respondsFrom), minTimerDuration))
+	timer := time.NewTimer(max(time.Until(*s.respondsFrom.Load()), minTimerDuration))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -104,7 +116,7 @@
 		name              string
 		slow              storeRequest
 		pauses            []time.Duration
-		latency, deadline time.Duration
+		silence, deadline time.Duration
 		want              failure.Kind
 		wantRuns          int
 	}{
@@ -119,7 +131,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				meter := startMeter()
 				defer func() { meter.stop() }() // that of the last run
-				memoryStore, backend := &slowStore{fakeStore: newFakeStore(), slow: test.slow, respondsFrom: time.Now().Add(test.latency)}, newFakeBackend()
+				memoryStore, backend := newSlowStore(newFakeStore(), test.slow, test.silence), newFakeBackend()
 				service, stop := startServiceWithOptions(once.Options{
 					Store: memoryStore, Dispatcher: backend, Holder: "a", StoreTimeout: storeTimeout, WithTimeout: meter.WithTimeout,
 				})
@@ -195,7 +207,7 @@
 		meter := startMeter()
 		defer func() { meter.stop() }() // that of the last run
 		backend := newFakeBackend()
-		memoryStore := &slowStore{fakeStore: newFakeStore(faultTimeoutApplied), slow: requestGet, respondsFrom: time.Now().Add(storeTimeout + pause + storeTimeout/2)}
+		memoryStore := newSlowStore(newFakeStore(faultTimeoutApplied), requestGet, storeTimeout+pause+storeTimeout/2)
 		service, stop := startServiceWithOptions(once.Options{
 			Store: memoryStore, Dispatcher: backend, Holder: "a", StoreTimeout: storeTimeout, WithTimeout: meter.WithTimeout,
 		})
@@ -213,3 +225,44 @@
 		}
 	})
 }
+
+// TestPauseDuringDrain guards against discarding a result that waits for the store when the
+// process is paused for longer than its drain timeout of 5 s.
+func TestPauseDuringDrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const reply, pause = 100 * time.Millisecond, 6 * time.Second
+		meter := startMeter()
+		defer func() { meter.stop() }() // that of the last run
+		backend := newFakeBackend()
+		backend.duration = reply
+		memoryStore := newSlowStore(newFakeStore(), requestCommit, 0)
+		service, stop := startServiceWithOptions(once.Options{
+			Store: memoryStore, Dispatcher: backend, Holder: "a", WithTimeout: meter.WithTimeout,
+		})
+		keys := []string{"first", "second"} // the second result waits until the first is recorded
+		for _, key := range keys {
+			go func() {
+				_, err := service.Call(context.Background(), refundCall(key))
+				checkError(t, err, "", false)
+			}()
+			time.Sleep(reply / 2)
+		}
+		memoryStore.beSilent(2*reply + pause)
+		time.Sleep(reply)
+		stopped := make(chan struct{})
+		go func() {
+			defer close(stopped)
+			stop()
+		}()
+		synctest.Wait()
+		meter.pause(pause)
+		<-stopped
+		restarted, stopRestarted := startService(memoryStore, backend, "b")
+		defer stopRestarted()
+		for _, key := range keys {
+			if result, err := restarted.Call(t.Context(), refundCall(key)); err != nil || !result.Repeated {
+				t.Errorf("%s: error %v, repeated %v", key, err, result.Repeated)
+			}
+		}
+	})
+}
--- a/internal/once/service.go
+++ b/internal/once/service.go
@@ -145,7 +145,9 @@
 		s.batcher.run(runCtx)
 	}()
 	s.maintainFence(ctx)
-	s.activeCalls.drain(drainTimeout)
+	drainCtx, cancelDrain := s.options.WithTimeout(runCtx, drainTimeout)
+	defer cancelDrain()
+	s.activeCalls.drain(drainCtx)
 	cancel()
 	<-stopped
 	return ctx.Err()
