Calls between daemons leave out pauses

A daemon that was paused for longer than the timeout of a fetch (0.7 s) or call (2 s) gave up the reply of a peer that lay in its socket. What this costs callers was not shown with real daemons; by the code, a confirmation of the table after a pause asks another peer or counts as failed (after three the table is used unconfirmed), a change waits for the next fetch.

Cause: both timeouts ran by the wall clock.

Fix: both use Meter.WithTimeout in the daemon. The context of a meter that has timed out is canceled, with the timeout as its cause; peer errors are classified by the cause, so that a timeout stays deadline_exceeded. Forwarded requests, whose contexts came from the meter before, were reported as canceled.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -164,7 +164,9 @@
 }
 
 func (d *Daemon) assembleReplicas(place topology.Place) {
-	d.peers = peer.NewClient(peer.ClientOptions{TLS: d.tls.peersClientConfig(), Registerer: d.registry})
+	d.peers = peer.NewClient(peer.ClientOptions{
+		TLS: d.tls.peersClientConfig(), Registerer: d.registry, WithTimeout: d.meter.WithTimeout,
+	})
 	d.seeds = newSeedLister(d.settings)
 	d.tracker = replica.NewTracker(replica.TrackerOptions{
 		Lister:     d.seeds,
@@ -209,6 +211,7 @@
 	d.register.AddAcceptor(document.Catalogue, policytable.CatalogueAcceptor(d.board))
 	d.fetcher = document.NewFetcher(document.FetcherOptions{
 		Source: d.peers, Register: d.register, Peers: d.otherPeers, Logger: d.logger,
+		WithTimeout: d.meter.WithTimeout,
 	})
 	d.watcher = document.NewStoreWatcher(document.StoreWatcherOptions{
 		Store:      d.store,
--- a/internal/document/fetcher.go
+++ b/internal/document/fetcher.go
@@ -22,6 +22,10 @@
 	// preference.
 	Peers  func() []string
 	Logger *slog.Logger
+	// WithTimeout bounds one fetch; nil means context.WithTimeout. That of an
+	// elapsed.Meter does not count the time for which the process was paused, so
+	// that a reply received during a pause is not lost to the timeout.
+	WithTimeout func(parent context.Context, timeout time.Duration) (context.Context, context.CancelFunc)
 }
 
 // The timing of a Fetcher. The simulation uses these values too.
@@ -61,6 +65,9 @@
 	if options.Logger == nil {
 		options.Logger = slog.New(slog.DiscardHandler)
 	}
+	if options.WithTimeout == nil {
+		options.WithTimeout = context.WithTimeout
+	}
 	return &Fetcher{options: options, pending: make(map[Name]announcement), wake: make(chan struct{}, 1)}
 }
 
@@ -150,7 +157,7 @@
 type fetchFunc func(ctx context.Context, address string, name Name) (Document, error)
 
 func (f *Fetcher) fetch(ctx context.Context, from fetchFunc, address string, name Name) bool {
-	ctx, cancel := context.WithTimeout(ctx, FetchTimeout)
+	ctx, cancel := f.options.WithTimeout(ctx, FetchTimeout)
 	defer cancel()
 	fetched, err := from(ctx, address, name)
 	if err != nil {
--- a/internal/document/fetcher_test.go
+++ b/internal/document/fetcher_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/doorpond/doorpond/internal/elapsed"
 )
 
 // fakeSource is a Source with a revision of the table per address. Fetches from an
@@ -79,3 +81,51 @@
 		})
 	}
 }
+
+// lateSource replies from a time on.
+type lateSource struct {
+	fakeSource
+	repliesFrom time.Time
+}
+
+func (s *lateSource) FetchDocument(ctx context.Context, address string, name Name) (Document, error) {
+	timer := time.NewTimer(time.Until(s.repliesFrom))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return Document{}, context.Cause(ctx)
+	case <-timer.C:
+		return s.fakeSource.FetchDocument(ctx, address, name)
+	}
+}
+
+// TestFetchExcludesPauses guards against giving up the reply of a peer that came while the process
+// was paused.
+func TestFetchExcludesPauses(t *testing.T) {
+	cases := []struct {
+		name             string
+		pause, repliesAt time.Duration
+		want             bool
+	}{
+		{"pause", 2 * FetchTimeout, 2*FetchTimeout + FetchTimeout/2, true},
+		{"no pause, late reply", 0, 2 * FetchTimeout, false},
+		{"no reply after a pause", 2 * FetchTimeout, 4 * FetchTimeout, false},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				start := time.Now()
+				meter := elapsed.New(elapsed.Config{Now: func() time.Duration { return time.Since(start) }})
+				source := &lateSource{fakeSource{revisions: map[string]uint64{"peer": 5}}, start.Add(test.repliesAt)}
+				fetcher := NewFetcher(FetcherOptions{Source: source, Register: NewRegister(), WithTimeout: meter.WithTimeout})
+				fetched := make(chan bool, 1)
+				go func() { fetched <- fetcher.FetchFrom(t.Context(), "peer", Table) }()
+				time.Sleep(test.pause)
+				go func() { _ = meter.Run(t.Context()) }()
+				if got := <-fetched; got != test.want {
+					t.Errorf("fetched %v, want %v", got, test.want)
+				}
+			})
+		})
+	}
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -25,6 +25,10 @@
 	// Timeout bounds a call whose context has no earlier deadline; the default
 	// is 2 s. It does not apply to Forward.
 	Timeout time.Duration
+	// WithTimeout applies Timeout; nil means context.WithTimeout. That of an
+	// elapsed.Meter does not count the time for which the process was paused, so
+	// that a reply received during a pause is not lost to the timeout.
+	WithTimeout func(parent context.Context, timeout time.Duration) (context.Context, context.CancelFunc)
 	// MaxIdleConnections bounds the idle connections kept for each protocol;
 	// the default is 16.
 	MaxIdleConnections int
@@ -58,6 +62,9 @@
 	if options.Timeout == 0 {
 		options.Timeout = defaultTimeout
 	}
+	if options.WithTimeout == nil {
+		options.WithTimeout = context.WithTimeout
+	}
 	if options.MaxIdleConnections == 0 {
 		options.MaxIdleConnections = defaultMaxIdleConnections
 	}
@@ -158,7 +165,7 @@
 
 // call is like send, but applies the client's timeout.
 func call[Reply any](ctx context.Context, c *Client, httpClient *http.Client, address, path string, request any) (Reply, error) {
-	callCtx, cancel := context.WithTimeout(ctx, c.options.Timeout)
+	callCtx, cancel := c.options.WithTimeout(ctx, c.options.Timeout)
 	defer cancel()
 	return send[Reply](callCtx, c, httpClient, address, path, request)
 }
@@ -214,10 +221,12 @@
 	detail := "request to peer " + address
 	var opErr *net.OpError
 	notSent := errors.As(err, &opErr) && opErr.Op == "dial"
+	// The cause, as an elapsed.Meter cancels a context whose timeout has passed.
+	cause := context.Cause(ctx)
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
+	case errors.Is(cause, context.Canceled):
 		return failure.Wrap(err, failure.Canceled, detail).WithNotRun(notSent)
-	case errors.Is(err, context.DeadlineExceeded):
+	case errors.Is(cause, context.DeadlineExceeded), errors.Is(err, context.DeadlineExceeded):
 		return failure.Wrap(err, failure.DeadlineExceeded, detail).WithNotRun(notSent)
 	default:
 		return failure.Wrap(err, failure.NoReplica, detail).WithNotRun(notSent)
