package client: dialing leaves out pauses

A program that uses package client got "dial tcp ...: i/o timeout" if it was paused for longer than 5 s while it dialed, though the daemon's system had accepted the connection.

Cause: the dialer's timeout runs by the wall clock. When the process resumes, it has passed, and it may win over the connection that is ready.

Fix: after such a timeout the transport dials again for the active time left; nothing has been sent. The dialer keeps a timeout, as it divides it among the addresses of a host. The time is measured by a timer while dialing only (internal/elapsed/operation, which has no dependencies: users' programs would otherwise link those of internal/elapsed). An error after the whole active time is the dialer's, as before.

Not changed: the timeout of TLS handshakes (10 s), which belongs to net/http.

--- a/client/transport.go
+++ b/client/transport.go
@@ -8,6 +8,8 @@
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
+
+	"github.com/doorpond/doorpond/internal/elapsed/operation"
 )
 
 const (
@@ -25,13 +27,14 @@
 // NewTransport returns a transport for the http.Client passed to New. Before it reuses a
 // connection, it checks that the daemon has not closed it, as a daemon does when it shuts down.
 // net/http notices this only once its reading goroutine has run, and may send the request first,
-// in particular after a pause of the caller's process.
+// in particular after a pause of the caller's process. Time in which that process is paused does not
+// count towards the transport's timeout for dialing.
 func NewTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
+	dial := operation.Dial(net.Dialer{KeepAlive: keepAlivePeriod}, dialTimeout)
 	return &http.Transport{
 		Proxy: http.ProxyFromEnvironment,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
+			conn, err := dial(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
