Operators' commands over TLS leave out pauses while they dial

A command whose process was paused for longer than 5 s while it dialed a daemon with TLS ended with "dial tcp ...: i/o timeout" (exit code 4), though the daemon's system had accepted the connection.

Not changed: the timeouts of requests and of dialing without TLS (30 s), which no test showed to harm.

--- a/internal/operator/transport.go
+++ b/internal/operator/transport.go
@@ -8,8 +8,10 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/doorpond/doorpond/internal/certificates"
+	"github.com/doorpond/doorpond/internal/elapsed/operation"
 )
 
+// dialTimeout limits dialing with TLS, not counting time in which the process is paused.
 const dialTimeout = 5 * time.Second
 
 // newTransport returns the transport configured by the TLS flags and the URL
@@ -31,6 +33,6 @@
 	if err != nil {
 		return transport, httpsScheme, usageError("%w", err)
 	}
-	transport.DialTLSContext = certificates.DialTLS(source.ClientConfig(), (&net.Dialer{Timeout: dialTimeout}).DialContext)
+	transport.DialTLSContext = certificates.DialTLS(source.ClientConfig(), certificates.DialFunc(operation.Dial(net.Dialer{}, dialTimeout)))
 	return transport, httpsScheme, nil
 }
