Dialing peers leaves out pauses

A daemon that was paused for longer than the dial timeout of peers (1 s) failed the call: no_replica or deadline_exceeded, "dial tcp ...: i/o timeout", though the peer's system had accepted the connection. What callers lose by it was not shown.

Cause and fix as in package client: operation.Dial.

The tests' listener now makes room in its backlog instead of being emptied: with the backlog of one, a connection given up could block the next one.

--- a/client/pause_linux_test.go
+++ b/client/pause_linux_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -15,12 +14,7 @@
 // for longer than the dial timeout while the daemon's system accepted the connection.
 func TestPauseWhileDialing(t *testing.T) {
 	const pause = dialTimeout + time.Second/2
-	listener := operationtest.ListenWithoutBacklog(t)
-	waiting, err := net.Dial("tcp", listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer waiting.Close()
+	listener, makeRoom := operationtest.ListenFull(t)
 	transport := NewTransport()
 	defer transport.CloseIdleConnections()
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
@@ -31,11 +25,7 @@
 		result <- err
 	}()
 	time.Sleep(time.Second / 4) // the first connection request is dropped
-	accepted, err := listener.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer accepted.Close()
+	makeRoom()
 	operationtest.PauseProcess(t, pause)
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "{}") })}
 	defer server.Close()
--- a/internal/elapsed/operation/operationtest/operationtest_linux.go
+++ b/internal/elapsed/operation/operationtest/operationtest_linux.go
@@ -21,26 +21,38 @@
 	}
 }
 
-// ListenWithoutBacklog returns a listener that drops connection requests while one connection waits
-// to be accepted. The system of the caller repeats them after a second.
-func ListenWithoutBacklog(t *testing.T) net.Listener {
+// backlog is the number of connections that may wait to be accepted.
+const backlog = 128
+
+// ListenFull returns a listener whose backlog is full until makeRoom is called. Till then it drops
+// connection requests, which the system of the caller repeats after a second.
+func ListenFull(t *testing.T) (listener net.Listener, makeRoom func()) {
 	t.Helper()
 	descriptor, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
 	file := os.NewFile(uintptr(descriptor), "listener")
-	defer file.Close() // net.FileListener duplicates it
+	t.Cleanup(func() { _ = file.Close() })
 	if err := syscall.Bind(descriptor, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
 		t.Fatal(err)
 	}
 	if err := syscall.Listen(descriptor, 0); err != nil {
 		t.Fatal(err)
 	}
-	listener, err := net.FileListener(file)
+	listener, err = net.FileListener(file)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = listener.Close() })
-	return listener
+	waiting, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = waiting.Close() })
+	return listener, func() {
+		if err := syscall.Listen(descriptor, backlog); err != nil {
+			t.Error(err)
+		}
+	}
 }
--- a/internal/operator/pause_linux_test.go
+++ b/internal/operator/pause_linux_test.go
@@ -29,13 +29,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	listener := operationtest.ListenWithoutBacklog(t)
+	listener, makeRoom := operationtest.ListenFull(t)
 	address := listener.Addr().String()
-	waiting, err := net.Dial("tcp", address)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer waiting.Close()
 	var out bytes.Buffer
 	code := make(chan int, 1)
 	go func() {
@@ -44,11 +39,7 @@
 		code <- ExitCode(command.Run(t.Context(), line), &out)
 	}()
 	time.Sleep(time.Second / 2) // the first connection request is dropped
-	accepted, err := listener.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer accepted.Close()
+	makeRoom()
 	operationtest.PauseProcess(t, pause)
 	server := &http.Server{Handler: (&daemon{}).handler(), TLSConfig: source.ServerConfig("http/1.1")}
 	defer server.Close()
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/doorpond/doorpond/internal/certificates"
 	"github.com/doorpond/doorpond/internal/document"
+	"github.com/doorpond/doorpond/internal/elapsed/operation"
 	"github.com/doorpond/doorpond/internal/failure"
 	"github.com/doorpond/doorpond/internal/membership"
 )
@@ -94,9 +95,9 @@
 }
 
 func (c *Client) newHTTPClient(protocols *http.Protocols, idle time.Duration) *http.Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dial := operation.Dial(net.Dialer{}, dialTimeout)
 	transport := &http.Transport{
-		DialContext:           dialer.DialContext,
+		DialContext:           dial,
 		Protocols:             protocols,
 		MaxIdleConns:          c.options.MaxIdleConnections,
 		MaxIdleConnsPerHost:   1,
@@ -105,7 +106,7 @@
 		ResponseHeaderTimeout: maxForwardTimeout,
 	}
 	if c.options.TLS != nil {
-		transport.DialTLSContext = certificates.DialTLS(c.options.TLS, dialer.DialContext, applicationProtocol(protocols))
+		transport.DialTLSContext = certificates.DialTLS(c.options.TLS, certificates.DialFunc(dial), applicationProtocol(protocols))
 	}
 	return &http.Client{Transport: transport}
 }
