Dialing the store with TLS leaves out pauses

A daemon that was paused for longer than 2 s while it dialed its store with TLS failed the request as not applied, though the store's system had accepted the connection. By the code, a call whose claim needs that connection is refused with store_unavailable; shown for the HTTP client only.

Cause and fix as in package client: operation.Dial. Nothing is sent before the connection is there, so that a request is still sent at most once.

--- a/internal/daemon/tls.go
+++ b/internal/daemon/tls.go
@@ -12,13 +12,14 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/doorpond/doorpond/internal/certificates"
+	"github.com/doorpond/doorpond/internal/elapsed/operation"
 	"github.com/doorpond/doorpond/internal/replica"
 	"github.com/doorpond/doorpond/internal/settings"
 )
 
 const reloadInterval = 10 * time.Second
 
-// storeDialTimeout limits dialing the store.
+// storeDialTimeout limits dialing the store, not counting time in which the process is paused.
 const storeDialTimeout = 2 * time.Second
 
 // The ALPN protocol IDs.
@@ -91,7 +92,7 @@
 		return nil
 	}
 	transport := http.DefaultTransport.(*http.Transport).Clone()
-	transport.DialTLSContext = certificates.DialTLS(s.storeSource.ClientConfig(), (&net.Dialer{Timeout: storeDialTimeout}).DialContext, protocolHTTP1)
+	transport.DialTLSContext = certificates.DialTLS(s.storeSource.ClientConfig(), certificates.DialFunc(operation.Dial(net.Dialer{}, storeDialTimeout)), protocolHTTP1)
 	return &http.Client{Transport: transport}
 }
 
