Operators' status and comparison leave out pauses

An operator was told that peers are unreachable, and a comparison left out their statistics, if the daemon asked was paused for longer than 2 s while their replies came. Shown on a virtual clock only.

Cause: the timeout of the request to a peer ran by the wall clock.

Fix: Meter.WithTimeout. The wait that an operator asks for ("--wait") stays by the clock.

Before: TestPeersReachableAfterPause, both cases: "1 daemons, unreachable [{{b b { } 0 0} context deadline exceeded} {{c c { } 0 0} context deadline exceeded}]; want 3 daemons, none unreachable". After: passes (-race, 2 of 2).

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -70,6 +70,10 @@
 	Registerer prometheus.Registerer
 	// MaxBodyBytes bounds the size of a request body; 0 means 2 MiB.
 	MaxBodyBytes int64
+	// WithTimeout bounds the request to one peer; nil means context.WithTimeout.
+	// That of an elapsed.Meter does not count the time for which the process was
+	// paused, so that a reply received during a pause is not lost to the timeout.
+	WithTimeout func(parent context.Context, timeout time.Duration) (context.Context, context.CancelFunc)
 	// ExtraRoutes are served in addition to those of this package.
 	ExtraRoutes []Route
 }
@@ -99,6 +103,9 @@
 	if options.Gatherer == nil {
 		options.Gatherer = prometheus.DefaultGatherer
 	}
+	if options.WithTimeout == nil {
+		options.WithTimeout = context.WithTimeout
+	}
 	h := &handler{options: options, metrics: newMetrics(options.Registerer)}
 	mux := http.NewServeMux()
 	h.registerMonitoring(mux)
--- a/internal/admin/compare.go
+++ b/internal/admin/compare.go
@@ -83,7 +83,7 @@
 }
 
 func (h *handler) queryStatistics(ctx context.Context, member topology.Member, since time.Duration) ([]statistics.PolicyStatistics, error) {
-	queryCtx, cancel := context.WithTimeout(ctx, peerTimeout)
+	queryCtx, cancel := h.options.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	source := peer.StatisticsSource(func(since time.Duration) ([]byte, error) {
 		return h.options.Peers.Statistics(queryCtx, member.PeerAddress, since)
--- a/internal/admin/status.go
+++ b/internal/admin/status.go
@@ -107,7 +107,7 @@
 	if member.ID == own.Member.ID {
 		return answer{state: own}
 	}
-	queryCtx, cancel := context.WithTimeout(ctx, peerTimeout)
+	queryCtx, cancel := h.options.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	state, err := h.options.Peers.State(queryCtx, member.PeerAddress)
 	if err == nil && state.Member.ID != member.ID {
