Changes of the policy table leave out pauses

An operator was told outcome_unknown ("may have been written; apply it again with the same id") for a change that was written, if the daemon was paused for longer than the change's timeout (15 s) while the store responded. Shown on a virtual clock only.

Cause: the timeout of a change ran by the wall clock.

Fix: Meter.WithTimeout.

Before: TestApplyExcludesPauses "outcome_unknown: change c may have been written; apply it again with the same id: store write outcome unknown".

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -222,7 +222,7 @@
 		Registerer: d.registry,
 	})
 	d.editor = policytable.NewEditor(policytable.Options{
-		Store: d.store, Register: d.register, Board: d.board, Logger: d.logger,
+		Store: d.store, Register: d.register, Board: d.board, Logger: d.logger, WithTimeout: d.meter.WithTimeout,
 	})
 	d.monitor = freshness.New(freshness.Options{Confirm: d.confirm, Meter: d.meter, Logger: d.logger, Registerer: d.registry})
 }
--- a/internal/policytable/commit.go
+++ b/internal/policytable/commit.go
@@ -86,7 +86,7 @@
 // changed, it repeats the compare-and-swap; only one of the writes can succeed. If
 // the table has changed, the earlier write can no longer take effect.
 func (e *Editor) change(ctx context.Context, id string, build func(context.Context, *storedTable) (*policy.Table, error)) (policy.Change, error) {
-	ctx, cancel := context.WithTimeout(ctx, e.timeout)
+	ctx, cancel := e.withTimeout(ctx, e.timeout)
 	defer cancel()
 	a := &attempt{editor: e, id: id, build: build}
 	for {
--- a/internal/policytable/editor.go
+++ b/internal/policytable/editor.go
@@ -44,6 +44,10 @@
 	Pause func(ctx context.Context, limit time.Duration) bool
 	// ChangeTimeout bounds a change including its retries; 0 means 15 s.
 	ChangeTimeout time.Duration
+	// WithTimeout applies ChangeTimeout; nil means context.WithTimeout. That of an
+	// elapsed.Meter does not count the time for which the process was paused, so
+	// that a response received during a pause is not lost to the timeout.
+	WithTimeout func(parent context.Context, timeout time.Duration) (context.Context, context.CancelFunc)
 }
 
 // Editor changes the policy table in the store. It is safe for concurrent use, and
@@ -57,6 +61,8 @@
 	newID    func() string
 	pause    func(ctx context.Context, limit time.Duration) bool
 	timeout  time.Duration
+
+	withTimeout func(context.Context, time.Duration) (context.Context, context.CancelFunc)
 }
 
 // NewEditor returns an Editor.
@@ -70,6 +76,8 @@
 		newID:    options.NewID,
 		pause:    options.Pause,
 		timeout:  options.ChangeTimeout,
+
+		withTimeout: options.WithTimeout,
 	}
 	if editor.newID == nil {
 		editor.newID = func() string { return ulid.Make().String() }
@@ -80,6 +88,9 @@
 	if editor.timeout <= 0 {
 		editor.timeout = changeTimeout
 	}
+	if editor.withTimeout == nil {
+		editor.withTimeout = context.WithTimeout
+	}
 	if editor.now == nil {
 		editor.now = time.Now
 	}
--- a/internal/policytable/editor_test.go
+++ b/internal/policytable/editor_test.go
@@ -1,6 +1,7 @@
 package policytable_test
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"sync"
@@ -12,9 +13,11 @@
 
 	"github.com/doorpond/doorpond/internal/blackboard"
 	"github.com/doorpond/doorpond/internal/document"
+	"github.com/doorpond/doorpond/internal/elapsed"
 	"github.com/doorpond/doorpond/internal/failure"
 	"github.com/doorpond/doorpond/internal/policy"
 	"github.com/doorpond/doorpond/internal/policytable"
+	"github.com/doorpond/doorpond/internal/store"
 )
 
 // daemon is an Editor with the register and blackboard of its daemon.
@@ -350,3 +353,46 @@
 		}
 	})
 }
+
+// lateStore responds to commits, which it has applied, from a time on.
+type lateStore struct {
+	*fakeStore
+	respondsFrom time.Time
+}
+
+func (s *lateStore) Commit(ctx context.Context, transaction store.Transaction) (store.Outcome, error) {
+	outcome, err := s.fakeStore.Commit(ctx, transaction)
+	timer := time.NewTimer(time.Until(s.respondsFrom))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return store.Outcome{}, store.ErrOutcomeUnknown
+	case <-timer.C:
+		return outcome, err
+	}
+}
+
+// TestApplyExcludesPauses guards against telling an operator that the outcome of a change is unknown
+// because the process was paused while the store responded.
+func TestApplyExcludesPauses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const timeout, pause = 5 * time.Second, 10 * time.Second
+		start := time.Now()
+		// A meter that does not run yet is that of a paused process.
+		meter := elapsed.New(elapsed.Config{Now: func() time.Duration { return time.Since(start) }})
+		editor := policytable.NewEditor(policytable.Options{
+			Store: &lateStore{newFakeStore(), start.Add(pause + timeout/2)}, Register: document.NewRegister(), Board: &blackboard.Board{},
+			ChangeTimeout: timeout, WithTimeout: meter.WithTimeout,
+		})
+		result := make(chan error, 1)
+		go func() {
+			_, err := editor.Apply(t.Context(), setHits("c", "p", 10))
+			result <- err
+		}()
+		time.Sleep(pause)
+		go func() { _ = meter.Run(t.Context()) }()
+		if err := <-result; err != nil {
+			t.Error(err)
+		}
+	})
+}
