A confirmation asks the next peer soon, and the store while peers are silent

A daemon that resumed while its peers were still paused refused queries with stale_table though the store would have confirmed its table in milliseconds.

Cause: a confirmation asked up to three peers one after another, each for up to 0.7 s, within an attempt of 1 s. With two silent peers the store was never asked, until the membership took one for failed.

Fix: freshness.Ask asks the next source after 50 ms without an answer, or at once if one has failed; the store is the last. With a peer that answers, as before, one request a pause. Weighed: all at once (three times the traffic after each pause), a shorter timeout a peer (loses answers of slow ones).

--- a/internal/daemon/gossip.go
+++ b/internal/daemon/gossip.go
@@ -5,8 +5,10 @@
 	"math/rand/v2"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/doorpond/doorpond/internal/document"
+	"github.com/doorpond/doorpond/internal/freshness"
 	"github.com/doorpond/doorpond/internal/machines"
 	"github.com/doorpond/doorpond/internal/machines/httpsd"
 	"github.com/doorpond/doorpond/internal/membership"
@@ -77,17 +79,27 @@
 	return addresses
 }
 
+// confirmDelay is how long the next peer, or the store, waits to be asked while the one before it has
+// not answered. It is above the round trip between regions, and a small part of a query's wait.
+const confirmDelay = 50 * time.Millisecond
+
 // confirm fetches the latest documents from a peer that knows that its own are current, or from the
 // store if there is none. Peers that were paused together must not confirm each other's tables. It
 // reports whether one of them answered.
 func (d *Daemon) confirm(ctx context.Context) bool {
+	var sources []freshness.Source
 	for _, address := range d.otherPeers() {
-		if d.fetcher.ConfirmFrom(ctx, address, document.Table) {
-			d.fetcher.ConfirmFrom(ctx, address, document.Catalogue)
-			return true
-		}
+		sources = append(sources, func(ctx context.Context) bool { return d.confirmFromPeer(ctx, address) })
+	}
+	return freshness.Ask(ctx, append(sources, d.confirmFromStore), confirmDelay)
+}
+
+func (d *Daemon) confirmFromPeer(ctx context.Context, address string) bool {
+	if !d.fetcher.ConfirmFrom(ctx, address, document.Table) {
+		return false
 	}
-	return d.confirmFromStore(ctx)
+	d.fetcher.ConfirmFrom(ctx, address, document.Catalogue)
+	return true
 }
 
 func (d *Daemon) confirmFromStore(ctx context.Context) bool {
