A pause before sub-requests are written takes no time from their replicas

Callers got "deadline_exceeded: no shard answered before the deadline" for a query whose timeout of 1 s had not passed, not counting pauses: TestPauseFailsNoRequest.

Cause: after a pause that uses up its deadline, a query goes on for 250 ms. That is enough to read what replicas have answered in the meantime, but a query that was paused before its sub-requests were written (before its run, while it waited for its table, or with its goroutines not yet run) has sent nothing. 250 ms of its 1 s was all that its replicas got.

Evidence, with each attempt's times logged: all daemons stopped for 0.15 to 1.8 s, 0.1 to 8 ms later for 1.3 or 3 s, and the replicas silent for 0.45 s from the resumption on (load 23 to 84). All 29 failed queries of the seven red plays had nothing written before the resumption and ended 0.25 to 0.28 s after it; those with all sub-requests written before were answered. Such queries occur with no stops but the test's own: 10 in 7 plays (load to 91), answered within 118 ms. That the recorded failure was one is likely, not shown.

Fix: the write of each sub-request of a search is recorded. If some shard waits only for sub-requests that had not been written when the pause began, the pause is excluded as far as the query's timeout needs it. Otherwise 250 ms remain, as before. Without pauses nothing changes: an answer comes within half a second of the timeout.

TestSearchPauseBeforeSubRequestsAreWritten before:

before_the_run: 0 of 2 shards answered after 3.25s, want 2; error deadline_exceeded: no shard answered before the deadline before_the_wait_for_the_table: 0 of 2 shards answered after 3.45s, want 2; error deadline_exceeded: no shard answered before the deadline before_all_writes: 0 of 2 shards answered after 3.25s, want 2; error deadline_exceeded: no shard answered before the deadline before_the_last_write: 1 of 2 shards answered after 3.25s, want 2; error <nil>

It fails as well with the record of writes or the rule for unsent shards taken out.

--- a/internal/query/driver.go
+++ b/internal/query/driver.go
@@ -22,8 +22,8 @@
 	NewInbox(capacity int) Inbox
 }
 
-// Inbox is the event queue of one run. Only Deliver may be called from outside the
-// run.
+// Inbox is the event queue of one run. Only Elapsed and Deliver may be called from
+// outside the run.
 type Inbox interface {
 	// Elapsed returns the time since the run's start.
 	Elapsed() time.Duration
--- a/internal/query/pause_compensation.go
+++ b/internal/query/pause_compensation.go
@@ -27,12 +27,17 @@
 // update extends excluded after a pause and returns the length of the pause, or 0 if there was
 // none. paused is the process's total paused time, elapsed the time since the run's start.
 func (p *pauseCompensation) update(paused, elapsed, deadline time.Duration) time.Duration {
+	return p.updateLeaving(minTimeAfterPause, paused, elapsed, deadline)
+}
+
+// updateLeaving is like update, with left instead of minTimeAfterPause.
+func (p *pauseCompensation) updateLeaving(left, paused, elapsed, deadline time.Duration) time.Duration {
 	pause := paused - p.lastPaused
 	if pause < minPause {
 		return 0
 	}
 	p.lastPaused = paused
-	shortfall := elapsed - p.excluded + minTimeAfterPause - deadline
+	shortfall := elapsed - p.excluded + left - deadline
 	p.excluded += max(0, min(pause, shortfall))
 	return pause
 }
--- a/internal/query/run.go
+++ b/internal/query/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/doorpond/doorpond/client"
@@ -58,6 +59,9 @@
 	// abandoned is true once the caller no longer waits for an answer.
 	abandoned bool
 	pauses    pauseCompensation
+	// timeout is the timeout of the whole query. A pause takes none of it before all shards have
+	// been sent a sub-request. 0 disables this.
+	timeout time.Duration
 }
 
 // runCounts counts the sub-requests of a run.
@@ -122,6 +126,9 @@
 	canary bool
 	// proof is nil if crashes are not detected.
 	proof *replica.Proof
+	// writtenAt is when the attempt was written, as measured by the inbox, and unwritten until
+	// then; nil if this is not recorded.
+	writtenAt *atomic.Int64
 }
 
 // canaryProcess returns the process that executed a canary, or "" if the attempt
@@ -154,7 +161,7 @@
 		paused := r.service.pausedTime()
 		elapsed := r.inbox.Elapsed()
 		if r.service.pausedTime()-paused < minPause {
-			pause := r.pauses.update(paused, elapsed, r.plan.Deadline)
+			pause := r.pauses.updateLeaving(r.timeAfterPause(paused, elapsed), paused, elapsed, r.plan.Deadline)
 			now := elapsed - r.pauses.excluded
 			if pause > 0 {
 				r.core.Resume(now, pause, min(pause, minTimeAfterPause))
@@ -332,12 +339,13 @@
 			Outcome: decision.NoReplica, Busy: acquired.Busy,
 		})
 	}
-	attemptContext, cancel := r.service.options.Driver.WithCancel(r.context)
+	cancelable, cancel := r.service.options.Driver.WithCancel(r.context)
+	attemptContext, writtenAt := r.recordWrite(cancelable)
 	shard.tried = append(shard.tried, handle)
 	proof := r.newProof(handle)
 	shard.attempts = append(shard.attempts, attempt{
 		handle: handle, cancel: cancel, cause: action.Cause, canary: action.Canary, proof: proof,
-		sentAt: r.elapsed(), outcome: outcomeInFlight,
+		sentAt: r.elapsed(), outcome: outcomeInFlight, writtenAt: writtenAt,
 	})
 	r.counts.dispatched++
 	if action.Cause == decision.CauseHedge {
--- a/internal/query/search.go
+++ b/internal/query/search.go
@@ -29,6 +29,7 @@
 	search := &searchRun{request: request, snapshot: snapshot, selected: selected}
 	search.run = s.newRun(plan, search)
 	search.pauses.lastPaused = request.pausedAtStart // the deadline counts from the request's start
+	search.timeout = request.deadline
 	return search
 }
 
