Timeouts of the follower's calls to the store leave out pauses

What callers saw: a node that was paused twice in a row answered requests by a configuration that had been replaced longer ago than the time to apply (3 s), also where the store's answer lay ready unread.

When the process was paused in the middle, the timeout and the answer were due at once, the timeout won, and the call counted as an attempt that reached nobody: the node took itself for isolated and used its state for another validity.

Both calls now count active time (elapsed.Meter.WithTimeout), so that the answer is read. The ages of what is known stay on elapsed time: an answer counts from the moment of the call, pauses included.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -202,7 +202,7 @@
 			HTTP: relayClient(), Wait: relayPollTimeout, ResponseMargin: relayResponseMargin,
 			OnSuspicions: func(found []relay.Suspicion) { n.follower.Suspect(found) },
 		}),
-		Unreachable: n.liveness.Unreachable, Now: elapsed.Time, RanWithoutPause: n.meter.RanWithoutPause,
+		Unreachable: n.liveness.Unreachable, Now: elapsed.Time, RanWithoutPause: n.meter.RanWithoutPause, WithTimeout: n.meter.WithTimeout,
 		VanishedRetention: time.Duration(removedReplicaShare * float64(n.settings.Bounds.Drain)),
 		ColdRateLimit:     decision.ColdRateLimit{Overage: n.settings.Bounds.ColdOverage, Slack: n.settings.Bounds.ColdSlack},
 	})
--- a/internal/edge/pause_test.go
+++ b/internal/edge/pause_test.go
@@ -108,3 +108,37 @@
 		})
 	}
 }
+
+// A process that is paused again while requests wait for the store's answer must handle them with
+// what the answer says: the answer and the timeout of the call are due at once when it resumes.
+func TestConfigurationInForceAfterPauseDuringCheck(t *testing.T) {
+	const (
+		apply        = 3 * time.Second
+		storeLatency = 100 * time.Millisecond
+		requests     = 8
+	)
+	for _, again := range []time.Duration{400 * time.Millisecond, 500 * time.Millisecond} {
+		t.Run(again.String(), func(t *testing.T) {
+			s := startSystem(t, nil)
+			if err := s.Store.SetFaults(kv.Faults{FreezeWatches: true, LatencyMilliseconds: storeLatency.Milliseconds()}); err != nil {
+				t.Fatal(err)
+			}
+			if err := s.Configure(shards - 1); err != nil {
+				t.Fatal(err)
+			}
+			pauseProcess(t, apply)
+			var sending sync.WaitGroup
+			for range requests {
+				sending.Go(func() {
+					id, response, err := s.send(standin.ScatteredPath)
+					if err != nil || len(response.Parts) != shards-1 {
+						t.Errorf("request %s: status %d, %d parts, error %v", id, response.Status, len(response.Parts), err)
+					}
+				})
+			}
+			time.Sleep(storeLatency / 3)
+			pauseProcess(t, again)
+			sending.Wait()
+		})
+	}
+}
--- a/internal/follower/fakes_test.go
+++ b/internal/follower/fakes_test.go
@@ -101,8 +101,10 @@
 	watchDelay   time.Duration
 	stalled      bool
 	unresponsive bool
-	lists        int
-	staleLists   int
+	// held is closed to release answers that are held back; nil if none are.
+	held       chan struct{}
+	lists      int
+	staleLists int
 	// compactedWatches is the number of watches still to be rejected as compacted.
 	compactedWatches int
 	gets             int
@@ -166,8 +168,15 @@
 func (s *fakeStore) call(ctx context.Context, count *int) error {
 	s.mutex.Lock()
 	*count++
-	unresponsive := s.unresponsive
+	unresponsive, held := s.unresponsive, s.held
 	s.mutex.Unlock()
+	if held != nil {
+		select {
+		case <-held:
+		case <-ctx.Done():
+			unresponsive = true
+		}
+	}
 	if unresponsive {
 		<-ctx.Done()
 		return fmt.Errorf("%w: %w", store.ErrUnavailable, ctx.Err())
@@ -175,6 +184,23 @@
 	return nil
 }
 
+// holdAnswers holds back the answers to further calls until release is called. Calls that wait for
+// an earlier release still do.
+func (s *fakeStore) holdAnswers() (release func()) {
+	held := make(chan struct{})
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.held = held
+	return func() {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		if s.held == held {
+			s.held = nil
+		}
+		close(held)
+	}
+}
+
 func (s *fakeStore) Get(ctx context.Context, _ string) (store.KeyValue, bool, int64, error) {
 	if err := s.call(ctx, &s.gets); err != nil {
 		return store.KeyValue{}, false, 0, err
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -109,6 +109,9 @@
 	// RanWithoutPause reports whether the process has run without a pause for the given time. It
 	// defaults to always true.
 	RanWithoutPause func(lasting time.Duration) bool
+	// WithTimeout returns a context whose timeout leaves out pauses of the process. It defaults to
+	// context.WithTimeout.
+	WithTimeout func(parent context.Context, timeout time.Duration) (context.Context, context.CancelFunc)
 }
 
 // Fractions of Options.MaxStaleness. Together they must fit into validityFraction.
@@ -224,6 +227,9 @@
 	if options.RanWithoutPause == nil {
 		options.RanWithoutPause = func(time.Duration) bool { return true }
 	}
+	if options.WithTimeout == nil {
+		options.WithTimeout = context.WithTimeout
+	}
 	if options.Quarantine == nil {
 		options.Quarantine = noQuarantine{}
 	}
@@ -354,7 +360,7 @@
 
 // listWithTimeout calls list with the current list timeout.
 func (f *Follower) listWithTimeout(ctx context.Context, list listFunc) ([]store.KeyValue, int64, error) {
-	bounded, cancel := context.WithTimeout(ctx, f.listTimeout)
+	bounded, cancel := f.options.WithTimeout(ctx, f.listTimeout)
 	defer cancel()
 	var values []store.KeyValue
 	var revision int64
--- a/internal/follower/watch.go
+++ b/internal/follower/watch.go
@@ -198,7 +198,7 @@
 
 // checkRevision queries the store's revision and announces it to peers.
 func (f *Follower) checkRevision(ctx context.Context) error {
-	bounded, cancel := context.WithTimeout(ctx, f.options.fraction(callTimeoutFraction))
+	bounded, cancel := f.options.WithTimeout(ctx, f.options.fraction(callTimeoutFraction))
 	defer cancel()
 	calledAt := f.options.Now()
 	var revision int64
