A request's wait for confirmation leaves out pauses

What callers saw: 503 (stale_table: routing table not confirmed since the process was paused) with 1.4 s and more left, after two pauses in a row.

Cause: WaitUntilFresh bounded the wait by 0.3 of MaxStaleness of wall clock. A pause of 0.9 s or more within it used it up, and the request was refused at the moment at which the confirmation could be read.

Evidence: TestConfigurationInForceAfterPauseDuringCheck with a second pause of 2.5 s (real nodes, SIGSTOP): 8 of 8 requests refused before. In virtual time, TestPauseDuringCheck and TestPauseDuringListing with pauses of 1 s to an hour and in series: 14 of 14 refused before. All pass now.

The wait counts active time. Nothing is handled by an older state for it: a request goes on only when the state's age, in elapsed time, allows for it, and asks again if a confirmation has become too old in a further pause.

--- a/internal/edge/pause_test.go
+++ b/internal/edge/pause_test.go
@@ -117,7 +117,7 @@
 		storeLatency = 100 * time.Millisecond
 		requests     = 8
 	)
-	for _, again := range []time.Duration{400 * time.Millisecond, 500 * time.Millisecond} {
+	for _, again := range []time.Duration{400 * time.Millisecond, 500 * time.Millisecond, 1200 * time.Millisecond, 2500 * time.Millisecond} {
 		t.Run(again.String(), func(t *testing.T) {
 			s := startSystem(t, nil)
 			if err := s.Store.SetFaults(kv.Faults{FreezeWatches: true, LatencyMilliseconds: storeLatency.Milliseconds()}); err != nil {
--- a/internal/follower/pause_test.go
+++ b/internal/follower/pause_test.go
@@ -70,6 +70,8 @@
 // pauseSeries are pauses with a gap of pauseGap after each.
 var pauseSeries = [][]time.Duration{
 	{500 * time.Millisecond}, {800 * time.Millisecond}, {400 * time.Millisecond, 400 * time.Millisecond},
+	{time.Second}, {1400 * time.Millisecond}, {2800 * time.Millisecond}, {3500 * time.Millisecond}, {time.Hour},
+	{time.Second, time.Second}, {1400 * time.Millisecond, 3500 * time.Millisecond, time.Second},
 }
 
 const pauseGap = 5 * time.Millisecond
--- a/internal/follower/validity.go
+++ b/internal/follower/validity.go
@@ -23,8 +23,9 @@
 	// as just sent; before that, it may have waited unread in a socket. It must exceed
 	// batchFraction, by which watch events are delayed.
 	noPauseFraction = 0.2
-	// waitFraction is how long a request waits for the state to be confirmed. That takes a call or
-	// two, and an unresponsive store is given up after callTimeoutFraction.
+	// waitFraction is how long a request waits for the state to be confirmed, not counting pauses of
+	// the process. That takes a call or two, and an unresponsive store is given up after
+	// callTimeoutFraction.
 	waitFraction = 0.3
 )
 
@@ -124,7 +125,7 @@
 		return true
 	}
 	f.waits.Add(1)
-	bounded, cancel := context.WithTimeout(ctx, f.options.fraction(waitFraction))
+	bounded, cancel := f.options.WithTimeout(ctx, f.options.fraction(waitFraction))
 	defer cancel()
 	for {
 		select {
