A call that failed across a pause does not count as reaching nobody

What callers could get: in a series of short pauses (0.2 s and more, 0.1 s apart), requests handled by a configuration that had been replaced longer ago than the time to apply.

Cause: a failed call to the store counts as an attempt that reached nobody, after which the node uses its state for another validity. Each pause costs a timeout of active time up to 0.12 s, so that a series of pauses uses it up although the process could hardly read the answer.

Not shown on real nodes.

An attempt now counts only if the process was not paused since it began, as it is already for calls without an answer (recordUnanswered). A pause that ended before does not matter: it is noticed up to 0.1 s late, and TestIsolatedNodeServesAfterPause holds that down (it failed without pauseNoticeDelay). An isolated node that is paused in each of its attempts refuses what comes after its validity has ended.

--- a/internal/follower/pause_test.go
+++ b/internal/follower/pause_test.go
@@ -156,3 +156,44 @@
 		t.Errorf("request waited %v for an answer that was there", took)
 	}
 }
+
+// TestPausesUseUpTimeout tests that a call that was given up in a series of pauses, in which its
+// answer could hardly be read, does not count as an attempt that reached nobody.
+func TestPausesUseUpTimeout(t *testing.T) {
+	const readingGap = 105 * time.Millisecond // the meter reads its clock once in it
+	for _, lasting := range []time.Duration{210 * time.Millisecond, 300 * time.Millisecond, 400 * time.Millisecond} {
+		for _, count := range []int{4, 5, 6, 8} {
+			t.Run(fmt.Sprintf("%d times %v", count, lasting), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					s := startOutdated(t)
+					release := s.store.holdAnswers()
+					outcomes := s.request(t)
+					for range count {
+						s.pause(t.Context(), lasting)
+						time.Sleep(readingGap)
+					}
+					release()
+					if got := <-outcomes; got.fresh && !got.current {
+						t.Error("request handled with the old configuration")
+					}
+				})
+			})
+		}
+	}
+}
+
+// TestIsolatedNodeServesAfterPause tests that a pause that ended before an attempt does not keep it
+// from counting.
+func TestIsolatedNodeServesAfterPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startPausable(t)
+		s.store.setFaults(true, true)
+		for i := range 30 {
+			time.Sleep(time.Duration(i) * 33 * time.Millisecond) // before the meter's reading by a varying time
+			s.suspend(testMaxStaleness)
+			if !s.WaitUntilFresh(t.Context()) {
+				t.Errorf("request %d refused by an isolated node", i)
+			}
+		}
+	})
+}
--- a/internal/follower/validity.go
+++ b/internal/follower/validity.go
@@ -29,6 +29,10 @@
 	waitFraction = 0.3
 )
 
+// pauseNoticeDelay is how long after its end a pause may be noticed (Options.RanWithoutPause). It is
+// shorter than any pause that is noticed.
+const pauseNoticeDelay = 100 * time.Millisecond
+
 // maxPendingObservations bounds the pending observations; later ones are dropped.
 const maxPendingObservations = 16
 
@@ -178,9 +182,12 @@
 	f.validity.markApplied(f.staleness.applied)
 }
 
-// recordUnreachable records a failed attempt to reach the store.
+// recordUnreachable records a failed attempt to reach the store. If the process was paused during
+// the attempt, an answer may have been there without being read, so nothing is recorded then.
 func (f *Follower) recordUnreachable(startedAt time.Time) {
-	f.validity.recordFailedAttempt(startedAt)
+	if f.options.RanWithoutPause(f.options.Now().Sub(startedAt) - pauseNoticeDelay) {
+		f.validity.recordFailedAttempt(startedAt)
+	}
 	f.publishWindow()
 }
 
