A relay's answer is awaited without pauses of the process

What callers saw: after a pause of 1.5 s or more of a node's process, its directory left out the healthy node that it watches, for up to five seconds, and so did the directories of the nodes that watch it.

Cause: a poll of the relay was bounded by 1.5 s of wall clock. After a pause the timeout won against the answer that lay ready, which counts as no response; the node then suspects its relay, tells others, and watches the store in its place.

The poll counts active time (elapsed.Meter), so the answer is read first. A relay that does not respond to a running node is given up as before.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -199,7 +199,7 @@
 		Announcer: n.announcer, MaxStaleness: n.settings.Bounds.MaxStaleness(),
 		PeerSnapshots: handover.New(handover.Config{HTTP: stateClient(), Nodes: n.board.Nodes.Load, Seeds: n.settings.Seeds}),
 		RelayClient: relay.New(relay.Config{
-			HTTP: relayClient(), Wait: relayPollTimeout, ResponseMargin: relayResponseMargin,
+			HTTP: relayClient(), Wait: relayPollTimeout, ResponseMargin: relayResponseMargin, Meter: n.meter,
 			OnSuspicions: func(found []relay.Suspicion) { n.follower.Suspect(found) },
 		}),
 		Unreachable: n.liveness.Unreachable, Now: elapsed.Time, RanWithoutPause: n.meter.RanWithoutPause, WithTimeout: n.meter.WithTimeout,
--- a/internal/edge/pause_test.go
+++ b/internal/edge/pause_test.go
@@ -142,3 +142,27 @@
 		})
 	}
 }
+
+// A node whose process was paused while it watched another node must not suspect that node, whose
+// answer lies ready: the directory would leave it out for seconds.
+func TestRelayNotSuspectedAfterPause(t *testing.T) {
+	s := startSystem(t, nil)
+	directory := s.caller.Directories[1] // of the node that watches the zone's other one
+	resolved := func() int {
+		client := &standin.Client{Directories: []string{directory}, Region: "region-a", Zone: "a", HTTP: s.caller.HTTP}
+		addresses, err := client.Resolve(t.Context())
+		if err != nil {
+			t.Error(err)
+		}
+		return len(addresses)
+	}
+	time.Sleep(2 * time.Second) // until the node watches the other one
+	for _, lasting := range []time.Duration{2 * time.Second, 3 * time.Second, 1700 * time.Millisecond} {
+		pauseProcess(t, lasting)
+		for began := time.Now(); time.Since(began) < time.Second; time.Sleep(20 * time.Millisecond) {
+			if got := resolved(); got != 2 {
+				t.Fatalf("%d addresses %v after a pause of %v, want 2", got, time.Since(began), lasting)
+			}
+		}
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -20,6 +20,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/doorpond/doorpond/internal/elapsed"
 	"github.com/doorpond/doorpond/internal/store"
 )
 
@@ -292,6 +293,9 @@
 	// Wait is the time for which one request waits for a change. The response
 	// must arrive within Wait plus ResponseMargin.
 	Wait, ResponseMargin time.Duration
+	// Meter measures that time; nil counts all time. With a Meter, time in which the process is
+	// paused does not count, as a response that arrives then is not yet read.
+	Meter *elapsed.Meter
 	// OnSuspicions is called with the suspicions in a response, if there are any;
 	// it may be nil.
 	OnSuspicions func(suspicions []Suspicion)
@@ -322,7 +326,7 @@
 
 // poll makes one request for the changes after a revision.
 func (c *Client) poll(ctx context.Context, node netip.AddrPort, after int64) (store.WatchBatch, error) {
-	bounded, cancel := context.WithTimeout(ctx, c.config.Wait+c.config.ResponseMargin)
+	bounded, cancel := c.config.Meter.WithTimeout(ctx, c.config.Wait+c.config.ResponseMargin)
 	defer cancel()
 	query := url.Values{"after": {strconv.FormatInt(after, 10)}, "wait": {c.config.Wait.String()}}
 	request, err := http.NewRequestWithContext(bounded, http.MethodGet, "http://"+node.String()+Path+"?"+query.Encode(), nil)
