A stop reads what came in a pause before it closes connections

What callers saw when a node was paused during its planned stop: requests sent on open connections ended with EOF or a reset, and requests whose replicas had answered got 504, or 503, though they had time.

Cause: the end of the wait for requests in flight is a mark of the wall clock, and connections count as idle until their request is read.

Before requests are cancelled and connections closed, the node now waits until it has run for 0.1 s without a pause and looks again. A stop without a pause takes as long as before.

--- a/internal/edge/shutdown.go
+++ b/internal/edge/shutdown.go
@@ -25,6 +25,10 @@
 	// idleShare is how long the remaining connections must have been idle before they are
 	// closed.
 	idleShare = 0.15
+	// readTime is how long a process that was paused must have run before requests are answered
+	// with what is available and connections are closed: what came meanwhile lies unread.
+	readTime         = 100 * time.Millisecond
+	readPollInterval = 10 * time.Millisecond
 	// deregisterTimeout bounds the removal of the node's entry.
 	deregisterTimeout = 500 * time.Millisecond
 )
@@ -46,7 +50,8 @@
 	n.deregister()
 	n.acceptFor(until(acceptShare))
 	n.setPhase(blackboard.PhaseClosing)
-	drained := n.connections.WaitIdle(answering, scaleDuration(idleShare, grace)) == nil
+	drained := false
+	n.repeatAfterPause(func() { drained = n.connections.WaitIdle(answering, scaleDuration(idleShare, grace)) == nil })
 	ending, cancelEnding := n.meter.WithTimeout(context.Background(), scaleDuration(writeShare, grace))
 	defer cancelEnding()
 	if !drained {
@@ -73,12 +78,22 @@
 	}
 }
 
+// repeatAfterPause calls wait, and again while the process was paused within readTime. Requests and
+// replicas' responses that came in the pause may not be read yet, so that connections seem idle and
+// requests unanswered.
+func (n *Node) repeatAfterPause(wait func()) {
+	for wait(); !n.meter.RanWithoutPause(readTime); wait() {
+		time.Sleep(readPollInterval)
+	}
+}
+
 // answerPending makes the requests in flight answer now, and waits until the answers are written
 // or ctx is done. Connections are closed after it returns and not at a fixed time, as a process
 // that was suspended past both times would close them before the answers are written.
 func (n *Node) answerPending(ctx context.Context) {
 	n.cancelRequests(query.ErrShuttingDown)
-	_ = n.connections.WaitInactive(ctx) // closeConnections reports those that are left
+	// closeConnections reports those that are left
+	n.repeatAfterPause(func() { _ = n.connections.WaitInactive(ctx) })
 }
 
 // closeConnections closes all connections. When ctx is done it aborts those with a request in
