--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -123,3 +123,29 @@
 		t.Errorf("Serve returned %v; want %v", err, net.ErrClosed)
 	}
 }
+
+// TestDrainAcceptsConnectionsOfPause tests that connections that arrive while the process is paused,
+// beyond the end of the drain period, are accepted when it resumes.
+func TestDrainAcceptsConnectionsOfPause(t *testing.T) {
+	listener, err := Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	drained := make(chan error, 1)
+	go func() { drained <- listener.Drain() }()
+	time.Sleep(2 * drainPeriod) // no goroutine accepts, as in a paused process
+	const queued = 50
+	for range queued {
+		connection, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer connection.Close()
+	}
+	if got := acceptAll(listener); got != queued {
+		t.Errorf("accepted %d connections; want %d", got, queued)
+	}
+	if err := <-drained; err != nil {
+		t.Error(err)
+	}
+}
