A stop's wait for what came in a pause is bounded

Found by reading the change before: on a machine whose process is paused again and again, a stop would not have ended until the platform killed the process, and every request in flight would have been cut off. The wait is bounded by half a second of active time.

--- a/internal/edge/shutdown.go
+++ b/internal/edge/shutdown.go
@@ -29,6 +29,8 @@
 	// with what is available and connections are closed: what came meanwhile lies unread.
 	readTime         = 100 * time.Millisecond
 	readPollInterval = 10 * time.Millisecond
+	// maxReadTime bounds the active time spent on that by a process that is paused all the time.
+	maxReadTime = 500 * time.Millisecond
 	// deregisterTimeout bounds the removal of the node's entry.
 	deregisterTimeout = 500 * time.Millisecond
 )
@@ -78,11 +80,13 @@
 	}
 }
 
-// repeatAfterPause calls wait, and again while the process was paused within readTime. Requests and
-// replicas' responses that came in the pause may not be read yet, so that connections seem idle and
-// requests unanswered.
+// repeatAfterPause calls wait, and again while the process was paused within readTime, for up to
+// maxReadTime. Requests and replicas' responses that came in the pause may not be read yet, so that
+// connections seem idle and requests unanswered.
 func (n *Node) repeatAfterPause(wait func()) {
-	for wait(); !n.meter.RanWithoutPause(readTime); wait() {
+	reading, cancel := n.meter.WithTimeout(context.Background(), maxReadTime)
+	defer cancel()
+	for wait(); !n.meter.RanWithoutPause(readTime) && reading.Err() == nil; wait() {
 		time.Sleep(readPollInterval)
 	}
 }
