--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -25,6 +25,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/doorpond/doorpond/internal/blackboard"
+	"github.com/doorpond/doorpond/internal/elapsed"
 	"github.com/doorpond/doorpond/internal/peer"
 	"github.com/doorpond/doorpond/internal/policy"
 	"github.com/doorpond/doorpond/internal/policytable"
@@ -71,9 +72,7 @@
 	// MaxBodyBytes bounds the size of a request body; 0 means 2 MiB.
 	MaxBodyBytes int64
 	// WithTimeout bounds the request to one peer; nil means context.WithTimeout.
-	// That of an elapsed.Meter does not count the time for which the process was
-	// paused, so that a reply received during a pause is not lost to the timeout.
-	WithTimeout func(parent context.Context, timeout time.Duration) (context.Context, context.CancelFunc)
+	WithTimeout elapsed.TimeoutFunc
 	// ExtraRoutes are served in addition to those of this package.
 	ExtraRoutes []Route
 }
--- a/internal/document/fetcher.go
+++ b/internal/document/fetcher.go
@@ -5,6 +5,8 @@
 	"log/slog"
 	"sync"
 	"time"
+
+	"github.com/doorpond/doorpond/internal/elapsed"
 )
 
 // Source fetches a document from a peer; peer.Client implements it.
@@ -22,10 +24,8 @@
 	// preference.
 	Peers  func() []string
 	Logger *slog.Logger
-	// WithTimeout bounds one fetch; nil means context.WithTimeout. That of an
-	// elapsed.Meter does not count the time for which the process was paused, so
-	// that a reply received during a pause is not lost to the timeout.
-	WithTimeout func(parent context.Context, timeout time.Duration) (context.Context, context.CancelFunc)
+	// WithTimeout bounds one fetch; nil means context.WithTimeout.
+	WithTimeout elapsed.TimeoutFunc
 }
 
 // The timing of a Fetcher. The simulation uses these values too.
--- a/internal/elapsed/elapsed.go
+++ b/internal/elapsed/elapsed.go
@@ -188,7 +188,12 @@
 	return current.at-current.uninterruptedSince >= duration
 }
 
-// WithTimeout is like context.WithTimeout, but the timeout counts active time only.
+// TimeoutFunc bounds an operation, as context.WithTimeout does.
+type TimeoutFunc func(parent context.Context, timeout time.Duration) (context.Context, context.CancelFunc)
+
+// WithTimeout is like context.WithTimeout, but the timeout counts active time only: what arrives
+// while the process is paused is not lost to it. When it passes, the context is canceled, with
+// context.DeadlineExceeded as its cause. It does not pass while Run is not running.
 func (m *Meter) WithTimeout(parent context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
 	if m == nil {
 		return context.WithTimeout(parent, timeout)
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -18,6 +18,7 @@
 	"github.com/doorpond/doorpond/internal/announce"
 	"github.com/doorpond/doorpond/internal/blackboard"
 	"github.com/doorpond/doorpond/internal/decision"
+	"github.com/doorpond/doorpond/internal/elapsed"
 	"github.com/doorpond/doorpond/internal/handover"
 	"github.com/doorpond/doorpond/internal/relay"
 	"github.com/doorpond/doorpond/internal/routing"
@@ -109,9 +110,8 @@
 	// RanWithoutPause reports whether the process has run without a pause for the given time. It
 	// defaults to always true.
 	RanWithoutPause func(lasting time.Duration) bool
-	// WithTimeout returns a context whose timeout leaves out pauses of the process. It defaults to
-	// context.WithTimeout.
-	WithTimeout func(parent context.Context, timeout time.Duration) (context.Context, context.CancelFunc)
+	// WithTimeout bounds calls to the store and waits for them. It defaults to context.WithTimeout.
+	WithTimeout elapsed.TimeoutFunc
 }
 
 // Fractions of Options.MaxStaleness. Together they must fit into validityFraction.
--- a/internal/once/batcher.go
+++ b/internal/once/batcher.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/doorpond/doorpond/internal/elapsed"
 	"github.com/doorpond/doorpond/internal/store"
 )
 
@@ -49,7 +50,7 @@
 	// onStatus is called after each commit or probe. It must not block.
 	onStatus    func(FenceStatus)
 	timeout     time.Duration
-	withTimeout func(context.Context, time.Duration) (context.Context, context.CancelFunc)
+	withTimeout elapsed.TimeoutFunc
 	metrics     *metrics
 
 	mutex   sync.Mutex
--- a/internal/once/service.go
+++ b/internal/once/service.go
@@ -15,6 +15,7 @@
 
 	"github.com/doorpond/doorpond/client"
 	"github.com/doorpond/doorpond/internal/backendapi"
+	"github.com/doorpond/doorpond/internal/elapsed"
 	"github.com/doorpond/doorpond/internal/failure"
 	"github.com/doorpond/doorpond/internal/store"
 )
@@ -63,11 +64,9 @@
 	// default is 2 s.
 	StoreTimeout time.Duration
 	// WithTimeout limits how long a call waits for its response, and the service
-	// for the store's. The default is context.WithTimeout. That of an
-	// elapsed.Meter does not count the time for which the process was paused, so
-	// that a response received during a pause is not lost to the deadline. A
-	// call's deadline, which does count it, is still checked before dispatch.
-	WithTimeout func(parent context.Context, lasting time.Duration) (context.Context, context.CancelFunc)
+	// for the store's. The default is context.WithTimeout. A call's deadline,
+	// which counts pauses of the process, is still checked before dispatch.
+	WithTimeout elapsed.TimeoutFunc
 	// MaxResultBytes is the maximum size of a result that is stored for repeated
 	// calls. A larger one is returned only to the first caller; repeated calls
 	// fail with Conflict. The default is 64 KiB.
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/doorpond/doorpond/internal/certificates"
 	"github.com/doorpond/doorpond/internal/document"
+	"github.com/doorpond/doorpond/internal/elapsed"
 	"github.com/doorpond/doorpond/internal/elapsed/operation"
 	"github.com/doorpond/doorpond/internal/failure"
 	"github.com/doorpond/doorpond/internal/membership"
@@ -26,10 +27,8 @@
 	// Timeout bounds a call whose context has no earlier deadline; the default
 	// is 2 s. It does not apply to Forward.
 	Timeout time.Duration
-	// WithTimeout applies Timeout; nil means context.WithTimeout. That of an
-	// elapsed.Meter does not count the time for which the process was paused, so
-	// that a reply received during a pause is not lost to the timeout.
-	WithTimeout func(parent context.Context, timeout time.Duration) (context.Context, context.CancelFunc)
+	// WithTimeout applies Timeout; nil means context.WithTimeout.
+	WithTimeout elapsed.TimeoutFunc
 	// MaxIdleConnections bounds the idle connections kept for each protocol;
 	// the default is 16.
 	MaxIdleConnections int
--- a/internal/peer/pause_test.go
+++ b/internal/peer/pause_test.go
@@ -31,7 +31,7 @@
 	}
 	cases := []struct {
 		name        string
-		withTimeout func(context.Context, time.Duration) (context.Context, context.CancelFunc)
+		withTimeout elapsed.TimeoutFunc
 		want        failure.Kind
 	}{
 		{"paused", paused.WithTimeout, ""},
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/doorpond/doorpond/internal/document"
+	"github.com/doorpond/doorpond/internal/elapsed"
 	"github.com/doorpond/doorpond/internal/failure"
 	"github.com/doorpond/doorpond/internal/membership"
 )
@@ -38,10 +39,8 @@
 	State      func() NodeState
 	Statistics StatisticsSource
 	Forwarder  Forwarder
-	// WithTimeout bounds a forwarded sub-request; nil means
-	// context.WithTimeout. The method of elapsed.Meter does not count the time
-	// for which the process was suspended.
-	WithTimeout func(parent context.Context, timeout time.Duration) (context.Context, context.CancelFunc)
+	// WithTimeout bounds a forwarded sub-request; nil means context.WithTimeout.
+	WithTimeout elapsed.TimeoutFunc
 	// MaxBodyBytes bounds the body of a request; 0 means DefaultMaxBodyBytes.
 	MaxBodyBytes int64
 	Registerer   prometheus.Registerer
--- a/internal/policytable/editor.go
+++ b/internal/policytable/editor.go
@@ -9,6 +9,7 @@
 
 	"github.com/doorpond/doorpond/internal/blackboard"
 	"github.com/doorpond/doorpond/internal/document"
+	"github.com/doorpond/doorpond/internal/elapsed"
 	"github.com/doorpond/doorpond/internal/failure"
 	"github.com/doorpond/doorpond/internal/policy"
 	"github.com/doorpond/doorpond/internal/store"
@@ -44,10 +45,8 @@
 	Pause func(ctx context.Context, limit time.Duration) bool
 	// ChangeTimeout bounds a change including its retries; 0 means 15 s.
 	ChangeTimeout time.Duration
-	// WithTimeout applies ChangeTimeout; nil means context.WithTimeout. That of an
-	// elapsed.Meter does not count the time for which the process was paused, so
-	// that a response received during a pause is not lost to the timeout.
-	WithTimeout func(parent context.Context, timeout time.Duration) (context.Context, context.CancelFunc)
+	// WithTimeout applies ChangeTimeout; nil means context.WithTimeout.
+	WithTimeout elapsed.TimeoutFunc
 }
 
 // Editor changes the policy table in the store. It is safe for concurrent use, and
@@ -62,7 +61,7 @@
 	pause    func(ctx context.Context, limit time.Duration) bool
 	timeout  time.Duration
 
-	withTimeout func(context.Context, time.Duration) (context.Context, context.CancelFunc)
+	withTimeout elapsed.TimeoutFunc
 }
 
 // NewEditor returns an Editor.
--- a/internal/store/etcd/etcd.go
+++ b/internal/store/etcd/etcd.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/doorpond/doorpond/internal/elapsed"
 	"github.com/doorpond/doorpond/internal/store"
 )
 
@@ -33,10 +34,8 @@
 	Client *http.Client
 	// Timeout bounds each request except watches. The default is 2 s.
 	Timeout time.Duration
-	// WithTimeout applies Timeout. The default is context.WithTimeout. That of an
-	// elapsed.Meter does not count the time for which the process was paused, so
-	// that a response received during a pause is not lost to the timeout.
-	WithTimeout func(parent context.Context, timeout time.Duration) (context.Context, context.CancelFunc)
+	// WithTimeout applies Timeout. The default is context.WithTimeout.
+	WithTimeout elapsed.TimeoutFunc
 }
 
 // Store implements store.Store over the gateway. It is safe for concurrent use.
@@ -44,7 +43,7 @@
 	endpoint    string
 	client      *http.Client
 	timeout     time.Duration
-	withTimeout func(context.Context, time.Duration) (context.Context, context.CancelFunc)
+	withTimeout elapsed.TimeoutFunc
 }
 
 var _ store.Store = (*Store)(nil)
--- a/internal/store/etcd/etcd_test.go
+++ b/internal/store/etcd/etcd_test.go
@@ -307,7 +307,7 @@
 	go func() { _ = running.Run(t.Context()) }()
 	cases := []struct {
 		name        string
-		withTimeout func(context.Context, time.Duration) (context.Context, context.CancelFunc)
+		withTimeout elapsed.TimeoutFunc
 		wantErr     bool
 	}{
 		{"paused", paused.WithTimeout, false},
