Admission of forwarded requests leaves out pauses as well

The duration that admission is told stays as callers saw it, with the time for which the process was paused beside it: only the fastest recent answer leaves pauses out.

Before: TestForwardAdmittedAfterPause, 2 of 3 requests refused ("fastest recent answer of 3.107s"). TestSearchAdmittedAfterPause passes as before.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -114,7 +114,7 @@
 // Observe records the outcome of the query. It must be called before Release.
 func (t Ticket) Observe(now time.Time, outcome Outcome) {
 	if outcome.complete() {
-		t.policy.minLatency.observe(now, outcome.Duration)
+		t.policy.minLatency.observe(now, max(0, outcome.Duration-outcome.Paused))
 	}
 	t.controller.limit.observe(now, t.controller.inFlight.Load(), &outcome)
 }
--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -91,6 +91,8 @@
 // Outcome describes how an admitted query ended.
 type Outcome struct {
 	Duration time.Duration
+	// Paused is the part of Duration for which this process was paused.
+	Paused time.Duration
 	// Queried and Answered are numbers of shards. Refused is the number of shards
 	// whose replicas all rejected the request for load.
 	Queried  int
--- a/internal/query/forward.go
+++ b/internal/query/forward.go
@@ -104,12 +104,15 @@
 	*run
 	request  *ForwardRequest
 	criteria replica.SelectionCriteria
+	// pausedAtStart is the process's total paused time when the request arrived here.
+	pausedAtStart time.Duration
 }
 
 // Forward sends a request to one replica of a service, or to one replica of each shard.
 // Errors are *failure.Error; NotRun is true only if no replica executed any part of the
 // request.
 func (s *Service) Forward(ctx context.Context, request *ForwardRequest) (ForwardResult, error) {
+	paused := s.pausedTime()
 	started := s.options.Now()
 	if errors.Is(context.Cause(ctx), ErrShuttingDown) {
 		err := failure.New(failure.Draining, "node is shutting down")
@@ -143,6 +146,7 @@
 	}
 	defer ticket.Release()
 	current := s.newForwardRun(request, groups, criteria, deadline, controller.Overloaded(started), suspicion.Evidence)
+	current.pausedAtStart = paused
 	current.execute(ctx, deadline)
 	current.reportOutcome()
 	answer, err := current.buildResult()
@@ -360,7 +364,9 @@
 	if errors.As(err, &failed) && failed.Kind == failure.Canceled {
 		return
 	}
-	ticket.Observe(s.options.Now(), current.forwardOutcome(took))
+	outcome := current.forwardOutcome(took)
+	outcome.Paused = s.pausedTime() - current.pausedAtStart
+	ticket.Observe(s.options.Now(), outcome)
 }
 
 // forwardOutcome returns what the run reports to admission control. A request is congested
--- a/internal/query/forward_virtual_test.go
+++ b/internal/query/forward_virtual_test.go
@@ -55,6 +55,8 @@
 	slowdown map[string]float64
 	arrivals map[string]int // by shard
 	shards   map[string]string
+	// pausedUntil is when a pause of the node ends that begins with the network.
+	pausedUntil time.Time
 	// resetUntil is when replicas stop resetting new connections: after a restart of the
 	// node, its old connections still count towards their limit.
 	resetUntil time.Time
@@ -77,6 +79,7 @@
 func (resetConnection) Read([]byte) (int, error) { return 0, syscall.ECONNRESET }
 
 func (v *virtualNetwork) dial(_ context.Context, address string) (net.Conn, error) {
+	time.Sleep(time.Until(v.pausedUntil))
 	clientConn, serverConn := net.Pipe()
 	if time.Now().Before(v.resetUntil) && float64(v.randomUint64()%1000)/1000 < resetFraction {
 		go func() { _, _ = io.Copy(io.Discard, serverConn) }()
@@ -86,6 +89,11 @@
 	return memoryConnection{clientConn}, nil
 }
 
+// pausedTime returns for how long the node was paused.
+func (v *virtualNetwork) pausedTime() time.Duration {
+	return max(0, min(time.Since(v.started), v.pausedUntil.Sub(v.started)))
+}
+
 func (v *virtualNetwork) serve(conn net.Conn, address string) {
 	defer conn.Close()
 	request, err := http.ReadRequest(bufio.NewReader(conn))
@@ -153,7 +161,7 @@
 			DialUpstream: network.dial, Random: network.randomUint64,
 			GroupRetryBudget: func(group string) decision.Budget { return budgets[group] },
 		})
-		service := query.NewService(query.Options{Board: board, Pool: pool})
+		service := query.NewService(query.Options{Board: board, Pool: pool, PausedTime: network.pausedTime})
 		result = test(network, service, route)
 		pool.Close()
 	})
@@ -275,6 +283,23 @@
 	}
 }
 
+// TestForwardAdmittedAfterPause guards against rejecting requests after a pause of the node as too
+// short for the fastest recent answer, when that took long only for the pause.
+func TestForwardAdmittedAfterPause(t *testing.T) {
+	withVirtualService(t, 1, 2, func(network *virtualNetwork, service *query.Service, route *routing.Route) virtualResult {
+		network.pausedUntil = network.started.Add(3 * time.Second)
+		for number := range 3 {
+			message := &upstream.Request{ID: fmt.Sprint("q", number), Method: http.MethodGet, Target: "/", Host: "h"}
+			_, err := service.Forward(context.Background(), &query.ForwardRequest{Message: message, Route: route, CallerTimeout: 2 * time.Second})
+			if err != nil {
+				t.Errorf("request %d: %v", number, err)
+			}
+		}
+		time.Sleep(time.Second) // lingering attempts end
+		return virtualResult{}
+	})
+}
+
 // restartBacklog is the number of requests that wait for a node that has just started,
 // resetDuration how long replicas then reset new connections.
 const (
--- a/internal/query/service.go
+++ b/internal/query/service.go
@@ -246,9 +246,9 @@
 	took := s.options.Now().Sub(request.started)
 	answer.TookMicroseconds = took.Microseconds()
 	s.recordSearch(request, last, took, err)
-	// Replicas have not caused the pauses of this process.
-	active := max(0, took-(s.pausedTime()-request.pausedAtStart))
-	ticket.Observe(s.options.Now(), last.admissionOutcome(active))
+	outcome := last.admissionOutcome(took)
+	outcome.Paused = s.pausedTime() - request.pausedAtStart
+	ticket.Observe(s.options.Now(), outcome)
 	if err != nil {
 		return client.Answer{}, err
 	}
