A pause before a call is dispatched takes no time from its replica

Cause: the response of a dispatched call was awaited for the time left by the clock. If the process was paused between the arrival of a call and its dispatch, that is what the pause left of the deadline, and may be less than the replica needs. A caller's wait that began after a pause lost that pause, too. Pauses after the dispatch were excluded.

Fix: pauses since the arrival are excluded from the time for which the response is awaited, by the daemon and by a peer that forwards the call. Whether a call may start is decided as before, by the clock: before the claim, before the dispatch, and at the replica, whose request carries the same deadline and the same time left. Refusing such a call at once instead was not chosen: the daemon does not know how long an operation takes, so it would refuse calls that can still be answered, and callers would have to repeat them. Without pauses nothing changes.

TestPauseBeforeDispatch before:

pause_on_arrival: outcome_unknown: dispatch call: context canceled pause_while_claiming: outcome_unknown: dispatch call: context canceled two_pauses_while_claiming: outcome_unknown: dispatch call: context canceled both: outcome_unknown: dispatch call: context canceled pause,_replica_too_slow: took 3.1s, want 5.98s, at most 150ms less

It fails as well with the rule taken out of the caller's wait or of the dispatch, or without the limit for suspensions. TestForwardedCallTimeout without the change of forwardCall: "forwarded with a timeout of 1000 ms, want 3000".

--- a/internal/backendapi/backendapi.go
+++ b/internal/backendapi/backendapi.go
@@ -13,6 +13,7 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"github.com/doorpond/doorpond/client"
 )
@@ -82,6 +83,9 @@
 	// refuse the request, so that a request from a sender that was suspended
 	// is not executed late.
 	NotAfterUnixMilliseconds int64 `json:"not_after_unix_ms"`
+	// ResponseTimeout is how long the sender waits for the reply. It is not sent
+	// to back ends. It exceeds TimeoutMilliseconds if the sender was paused.
+	ResponseTimeout time.Duration `json:"-"`
 }
 
 // CallReply is the result of an executed operation.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -148,6 +148,7 @@
 		StoreUnhealthy: d.storeUnreachable,
 		Announce:       d.announceWatermark,
 		WithTimeout:    d.meter.WithTimeout,
+		PausedTime:     d.meter.PausedTime,
 	})
 	d.queries = query.NewService(query.Options{
 		Board:      d.board,
--- a/internal/once/activecall.go
+++ b/internal/once/activecall.go
@@ -18,12 +18,15 @@
 
 // activeCall drives the Machine of one call.
 type activeCall struct {
-	service   *Service
-	call      client.Call
-	storeKey  string
-	record    Record
-	deadline  time.Time
-	responses chan Action
+	service  *Service
+	call     client.Call
+	storeKey string
+	record   Record
+	timeout  time.Duration
+	deadline time.Time
+	// pausedBefore is the process's paused time before the call arrived.
+	pausedBefore time.Duration
+	responses    chan Action
 
 	mutex   sync.Mutex
 	machine *Machine
@@ -69,7 +72,7 @@
 // done or a timeout expires.
 func (c *activeCall) await(ctx context.Context) Action {
 	remaining := c.deadline.Sub(c.service.options.Now())
-	deadlineCtx, cancel := c.service.options.WithTimeout(context.Background(), remaining)
+	deadlineCtx, cancel := c.service.options.WithTimeout(context.Background(), c.responseTimeout(remaining))
 	defer cancel()
 	deadline := deadlineCtx.Done()
 	storeCtx, cancelStore := c.service.options.WithTimeout(context.Background(), c.service.options.StoreTimeout)
@@ -93,6 +96,15 @@
 	}
 }
 
+// responseTimeout returns how long to wait for the response of a call. A pause since the call
+// arrived has shortened the time remaining before its deadline, but its replica needs as long as
+// without a pause. The paused time may include a suspension of the machine that remaining does not
+// count, hence the limit.
+func (c *activeCall) responseTimeout(remaining time.Duration) time.Duration {
+	paused := c.service.options.PausedTime() - c.pausedBefore
+	return min(remaining+paused, c.timeout)
+}
+
 func giveUpReason(ctx context.Context) GiveUpReason {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return DeadlineExceeded
@@ -147,7 +159,8 @@
 		c.step(Event{Kind: EventRefused, Failure: rejection})
 		return
 	}
-	ctx, cancel := c.service.options.WithTimeout(context.Background(), remaining)
+	responseTimeout := c.responseTimeout(remaining)
+	ctx, cancel := c.service.options.WithTimeout(context.Background(), responseTimeout)
 	defer cancel()
 	reply, err := c.service.options.Dispatcher.Call(ctx, c.call.Service, backendapi.CallRequest{
 		Key:                      c.call.Key,
@@ -155,6 +168,7 @@
 		Payload:                  c.call.Payload,
 		TimeoutMilliseconds:      remaining.Milliseconds(),
 		NotAfterUnixMilliseconds: c.record.NotAfterUnixMilliseconds,
+		ResponseTimeout:          responseTimeout,
 	})
 	c.step(DispatchEvent(c.call.Key, reply, err))
 }
--- a/internal/once/pause_test.go
+++ b/internal/once/pause_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -160,6 +161,93 @@
 	}
 }
 
+// TestPauseBeforeDispatch guards against giving a replica only what a pause left of the deadline,
+// and so losing the outcome of a call that ran.
+func TestPauseBeforeDispatch(t *testing.T) {
+	const (
+		deadline = 3 * time.Second
+		left     = 20 * time.Millisecond // until the deadline, at dispatch
+		runs     = 700 * time.Millisecond
+		active   = 10 * time.Millisecond
+		// meterLoss is what a timeout can lose with each pause.
+		meterLoss = 150 * time.Millisecond
+	)
+	cases := []struct {
+		name           string
+		pauseOnArrival time.Duration
+		pauses         []time.Duration // while the key is claimed, each after active
+		// suspended is paused time on arrival for which package time's clock stands still.
+		suspended time.Duration
+		runs      time.Duration
+		want      failure.Kind
+		wantTook  time.Duration
+	}{
+		{"pause on arrival", deadline - left - active, nil, 0, runs, "", deadline - left + runs},
+		{"pause while claiming", 0, []time.Duration{deadline - left - active}, 0, runs, "", deadline - left + runs},
+		{"two pauses while claiming", 0, []time.Duration{time.Second, deadline - left - time.Second - 2*active}, 0, runs, "", deadline - left + runs},
+		{"both", time.Second, []time.Duration{deadline - left - time.Second - active}, 0, runs, "", deadline - left + runs},
+		{"pause, replica too slow", 0, []time.Duration{deadline - left - active}, 0, 2 * deadline, failure.OutcomeUnknown, 2*deadline - left},
+		{"suspension, replica too slow", 0, nil, time.Hour, 2 * deadline, failure.OutcomeUnknown, deadline},
+		{"no pause, store slow", 0, nil, 0, runs, failure.OutcomeUnknown, deadline},
+		{"no pause, store slow, replica fast", 0, nil, 0, left / 2, "", deadline - left/2},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				meter := startMeter()
+				defer func() { meter.stop() }() // that of the last run
+				backend := newFakeBackend()
+				backend.duration = test.runs
+				arrival, arrived := time.Now(), make(chan struct{})
+				var firstReading sync.Once
+				var suspended atomic.Int64
+				service, stop := startServiceWithOptions(once.Options{
+					Store: newSlowStore(newFakeStore(), requestCommit, deadline-left), Dispatcher: backend, Holder: "a",
+					StoreTimeout: time.Minute, WithTimeout: meter.WithTimeout,
+					PausedTime: func() time.Duration { return meter.PausedTime() + time.Duration(suspended.Load()) },
+					Now: func() time.Time {
+						now := time.Now()
+						firstReading.Do(func() {
+							meter.pause(test.pauseOnArrival)
+							suspended.Store(int64(test.suspended))
+							close(arrived)
+						})
+						return now
+					},
+				})
+				defer stop()
+				result := make(chan error, 1)
+				go func() {
+					call := refundCall("k")
+					call.DeadlineMilliseconds = deadline.Milliseconds()
+					_, err := service.Call(context.Background(), call)
+					result <- err
+				}()
+				<-arrived
+				for _, pause := range test.pauses {
+					time.Sleep(active)
+					meter.pause(pause)
+				}
+				checkError(t, <-result, test.want, false)
+				took, loss := time.Since(arrival), time.Duration(0)
+				if test.want != "" {
+					loss = meterLoss * time.Duration(len(test.pauses))
+				}
+				if took > test.wantTook || took < test.wantTook-loss {
+					t.Errorf("took %v, want %v, at most %v less", took, test.wantTook, loss)
+				}
+				if got := backend.executionCount("k"); got != 1 {
+					t.Errorf("%d executions, want 1", got)
+				}
+				request := backend.lastRequest
+				if want := arrival.Add(deadline).UnixMilli(); request.NotAfterUnixMilliseconds != want || request.TimeoutMilliseconds != left.Milliseconds() {
+					t.Errorf("may start until %d and within %d ms, want %d and %v", request.NotAfterUnixMilliseconds, request.TimeoutMilliseconds, want, left)
+				}
+			})
+		})
+	}
+}
+
 // TestPauseBeforePeerWatermark guards against a first commit without a peer's watermark because
 // the process was paused while it waited. It would run calls of a restored store again.
 func TestPauseBeforePeerWatermark(t *testing.T) {
--- a/internal/once/service.go
+++ b/internal/once/service.go
@@ -67,6 +67,10 @@
 	// for the store's. The default is context.WithTimeout. A call's deadline,
 	// which counts pauses of the process, is still checked before dispatch.
 	WithTimeout elapsed.TimeoutFunc
+	// PausedTime returns for how long the process has been paused, which is not
+	// taken from the time for which a call waits for its response. If nil, pauses
+	// before WithTimeout is called count.
+	PausedTime func() time.Duration
 	// MaxResultBytes is the maximum size of a result that is stored for repeated
 	// calls. A larger one is returned only to the first caller; repeated calls
 	// fail with Conflict. The default is 64 KiB.
@@ -110,6 +114,9 @@
 	if options.WithTimeout == nil {
 		options.WithTimeout = context.WithTimeout
 	}
+	if options.PausedTime == nil {
+		options.PausedTime = func() time.Duration { return 0 }
+	}
 	if options.HasPeers == nil {
 		options.HasPeers = func() bool { return false }
 	}
@@ -156,8 +163,9 @@
 // Errors are *failure.Error, with NotRun set only if this request certainly did
 // not run the call.
 func (s *Service) Call(ctx context.Context, call client.Call) (client.CallResult, error) {
+	pausedBefore := s.options.PausedTime() // read first, so that it includes no later pause
 	arrival := s.options.Now()
-	response, err := s.call(ctx, call, arrival)
+	response, err := s.call(ctx, call, arrival, pausedBefore)
 	s.metrics.observeCall(response, err)
 	if err != nil {
 		return client.CallResult{}, err
@@ -170,7 +178,7 @@
 	}, nil
 }
 
-func (s *Service) call(ctx context.Context, call client.Call, arrival time.Time) (Action, error) {
+func (s *Service) call(ctx context.Context, call client.Call, arrival time.Time, pausedBefore time.Duration) (Action, error) {
 	if err := validate(call); err != nil {
 		return Action{}, err
 	}
@@ -180,7 +188,7 @@
 	if !s.activeCalls.begin() {
 		return Action{}, failure.New(failure.Draining, "daemon is stopping")
 	}
-	active := s.newActiveCall(call, arrival)
+	active := s.newActiveCall(call, arrival, pausedBefore)
 	s.queueClaim(active)
 	response := active.await(ctx)
 	if response.Failure != nil {
@@ -206,7 +214,7 @@
 	}
 }
 
-func (s *Service) newActiveCall(call client.Call, arrival time.Time) *activeCall {
+func (s *Service) newActiveCall(call client.Call, arrival time.Time, pausedBefore time.Duration) *activeCall {
 	timeout := defaultDeadline
 	if call.DeadlineMilliseconds > 0 {
 		timeout = time.Duration(call.DeadlineMilliseconds) * time.Millisecond
@@ -224,13 +232,15 @@
 		TimeUnixMilliseconds:     arrival.UnixMilli(),
 	}
 	return &activeCall{
-		service:   s,
-		call:      call,
-		storeKey:  StoreKey(call.Key),
-		record:    record,
-		deadline:  deadline,
-		machine:   NewMachine(record.ClaimID, record.Fingerprint, deadline),
-		responses: make(chan Action, 1),
+		service:      s,
+		call:         call,
+		storeKey:     StoreKey(call.Key),
+		record:       record,
+		timeout:      timeout,
+		deadline:     deadline,
+		pausedBefore: pausedBefore,
+		machine:      NewMachine(record.ClaimID, record.Fingerprint, deadline),
+		responses:    make(chan Action, 1),
 	}
 }
 
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -105,7 +105,7 @@
 type ForwardRequest struct {
 	// Group is the name of the replica group.
 	Group string `msgpack:"g"`
-	// TimeoutMilliseconds is the time left before the caller's deadline.
+	// TimeoutMilliseconds is how long the sender waits for the reply.
 	TimeoutMilliseconds int64                    `msgpack:"t"`
 	Search              backendapi.SearchRequest `msgpack:"s"`
 	// Call, if set, is a call that must not be retried; Search is then ignored.
--- a/internal/replica/forward.go
+++ b/internal/replica/forward.go
@@ -162,7 +162,9 @@
 func (p *Pool) forwardCall(ctx context.Context, handle *Handle, request backendapi.CallRequest) (backendapi.CallReply, *failure.Error) {
 	p.metrics.forwarded.Inc()
 	forwarded, err := p.options.Peers.Forward(ctx, handle.replica.Address, peer.ForwardRequest{
-		Group: handle.replica.Group, TimeoutMilliseconds: request.TimeoutMilliseconds, Call: &request,
+		Group:               handle.replica.Group,
+		TimeoutMilliseconds: max(request.TimeoutMilliseconds, request.ResponseTimeout.Milliseconds()),
+		Call:                &request,
 	})
 	if err != nil {
 		return backendapi.CallReply{}, forwardedCallFailure(err)
--- a/internal/replica/forward_test.go
+++ b/internal/replica/forward_test.go
@@ -7,7 +7,9 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/doorpond/doorpond/internal/backendapi"
 	"github.com/doorpond/doorpond/internal/blackboard"
@@ -164,6 +166,43 @@
 	}
 }
 
+// timeoutForwarder records for how long the sender of a call waits.
+type timeoutForwarder struct{ milliseconds atomic.Int64 }
+
+func (f *timeoutForwarder) Forward(_ context.Context, request peer.ForwardRequest) (peer.ForwardReply, error) {
+	f.milliseconds.Store(request.TimeoutMilliseconds)
+	return peer.ForwardReply{Call: &backendapi.CallReply{Key: request.Call.Key}}, nil
+}
+
+// TestForwardedCallTimeout guards against a peer that gives up a call before its sender, which
+// was paused, does.
+func TestForwardedCallTimeout(t *testing.T) {
+	cases := []struct {
+		name            string
+		responseTimeout time.Duration
+		want            int64
+	}{
+		{"paused", 3 * time.Second, 3000},
+		{"not paused", time.Second + time.Microsecond, 1000},
+		{"not set", 0, 1000},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			forwarder := &timeoutForwarder{}
+			address := startPeer(t, peer.NewServer(peer.ServerOptions{Forwarder: forwarder}))
+			pool := newForwardingPool(t, address, unusedAddress(t))
+			request := callRequest()
+			request.ResponseTimeout = test.responseTimeout
+			if _, err := pool.Call(t.Context(), testGroup, request); err != nil {
+				t.Fatal(err)
+			}
+			if got := forwarder.milliseconds.Load(); got != test.want {
+				t.Errorf("forwarded with a timeout of %d ms, want %d", got, test.want)
+			}
+		})
+	}
+}
+
 func TestForwardServerAwaitIdle(t *testing.T) {
 	arrived, release := make(chan struct{}), make(chan struct{})
 	backend := newBackend(t, func(w http.ResponseWriter, r *http.Request) {
