A pause during a confirmation is never lost, and attempts take their time

After a pause a daemon could use its policy table without having confirmed it:

- A reading compared one reading of the clock and stored another: a pause in between was not noticed.
- A pause that was noticed between a confirmation's last look at the clock and its end started no new one.
- Attempts that failed at once, at peers that were paused as well and a store that resets connections, followed each other without a delay: the table was used unconfirmed after some milliseconds in place of 3 s.

The clock is read once, a reading and the end of a confirmation exclude each other, and a confirmation is tried for 3 s of active time, 0.1 s apart. A wait whose limit passes at the moment of the confirmation is not refused any more (it was one time in two).

--- a/internal/elapsed/elapsed_test.go
+++ b/internal/elapsed/elapsed_test.go
@@ -136,6 +136,23 @@
 	}
 }
 
+// TestEarlierPausedTimeAtEachPhase tests that a pause is not part of the earlier paused time until one
+// second of active time has passed, whenever it falls between two marks.
+func TestEarlierPausedTimeAtEachPhase(t *testing.T) {
+	for phase := time.Duration(0); phase < 2*markInterval; phase += readInterval {
+		synctest.Test(t, func(t *testing.T) {
+			meter, clock := startMeter(t)
+			time.Sleep(5*markInterval + readInterval/2 + phase)
+			before := meter.PausedTime()
+			clock.pause(time.Minute)
+			time.Sleep(markInterval - 2*readInterval)
+			if earlier := meter.EarlierPausedTime(); earlier != before {
+				t.Errorf("pause %v after a mark: earlier paused time %v, want %v", phase, earlier, before)
+			}
+		})
+	}
+}
+
 func TestNilMeter(t *testing.T) {
 	var meter *Meter
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,9 +25,11 @@
 	pauseThreshold = 1500 * time.Millisecond
 	// confirmTimeout bounds the active time of one confirmation attempt.
 	confirmTimeout = time.Second
-	// confirmAttempts is the number of attempts after which the table is used
-	// unconfirmed: a node without peers and store cannot learn of changes.
-	confirmAttempts = 3
+	// confirmLimit is the active time after which the table is used unconfirmed: a node whose
+	// peers and store do not answer cannot learn of changes.
+	confirmLimit = 3 * time.Second
+	// confirmRetryDelay is the time between a failed attempt and the next one.
+	confirmRetryDelay = 100 * time.Millisecond
 )
 
 // Options configures a Monitor.
@@ -51,8 +54,11 @@
 	// lastReading is the last reading of Now in nanoseconds.
 	lastReading atomic.Int64
 	confirming  atomic.Bool
-	// pauses counts the pauses seen.
-	pauses atomic.Int64
+	// mutex makes a reading and the end of a confirmation exclude each other: a pause that is
+	// noticed in between must not be taken for one that is confirmed.
+	mutex sync.Mutex
+	// pauses counts the pauses seen. It requires the mutex.
+	pauses int
 	// confirmed is closed and replaced at the end of each confirmation.
 	confirmed atomic.Pointer[chan struct{}]
 	// readRequested makes Run read the clock at once.
@@ -117,11 +123,13 @@
 			m.waits.WithLabelValues(waitConfirmed).Inc()
 			return true
 		}
+		if bounded.Err() != nil {
+			m.waits.WithLabelValues(waitExpired).Inc()
+			return false
+		}
 		m.requestReading()
 		select {
 		case <-bounded.Done():
-			m.waits.WithLabelValues(waitExpired).Inc()
-			return false
 		case <-confirmed:
 		}
 	}
@@ -152,33 +160,73 @@
 // read stores a new reading and starts a confirmation after a pause, unless one is running. It
 // sets confirming before storing the reading, so that Fresh does not return true in between.
 func (m *Monitor) read(ctx context.Context) {
-	if m.paused() {
-		m.pauses.Add(1)
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	now := m.options.Now()
+	if now-time.Duration(m.lastReading.Load()) > pauseThreshold {
+		m.pauses++
 		if m.confirming.CompareAndSwap(false, true) {
 			m.options.Logger.Warn("process was paused; confirming the policy table before using it")
 			go m.confirm(ctx)
 		}
 	}
-	m.lastReading.Store(int64(m.options.Now()))
+	m.lastReading.Store(int64(now))
 }
 
+// confirm confirms the table until that has succeeded after the latest pause, or confirmLimit has
+// passed.
 func (m *Monitor) confirm(ctx context.Context) {
-	defer m.replaceConfirmed()
-	defer m.confirming.Store(false)
-	for failed := 0; failed < confirmAttempts && ctx.Err() == nil; {
-		pauses := m.pauses.Load()
-		attemptCtx, cancel := m.options.Meter.WithTimeout(ctx, confirmTimeout)
-		confirmed := m.options.Confirm(attemptCtx)
-		cancel()
-		if m.paused() || m.pauses.Load() != pauses {
-			m.read(ctx)
-			continue // the answer may be from before another pause
+	limited, cancel := m.options.Meter.WithTimeout(ctx, confirmLimit)
+	defer cancel()
+	for limited.Err() == nil {
+		m.read(ctx)
+		pauses := m.pauseCount()
+		if !m.attempt(limited) {
+			sleep(limited, confirmRetryDelay)
+			continue
 		}
-		if confirmed {
+		m.read(ctx)
+		if m.finish(pauses) { // otherwise the answer may be from before another pause
 			m.options.Logger.Info("policy table confirmed after the pause")
 			return
 		}
-		failed++
 	}
+	m.confirming.Store(false)
+	m.replaceConfirmed()
 	m.options.Logger.Warn("policy table not confirmed by any peer or the store; using it unconfirmed")
 }
+
+// attempt makes one attempt to confirm the table.
+func (m *Monitor) attempt(ctx context.Context) bool {
+	bounded, cancel := m.options.Meter.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	return m.options.Confirm(bounded)
+}
+
+func (m *Monitor) pauseCount() int {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.pauses
+}
+
+// finish ends the confirmation if no pause was noticed since there were the given number.
+func (m *Monitor) finish(pauses int) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.pauses != pauses {
+		return false
+	}
+	m.confirming.Store(false)
+	m.replaceConfirmed()
+	return true
+}
+
+// sleep waits for the given time or until ctx ends.
+func sleep(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -193,3 +193,61 @@
 		synctest.Wait()
 	})
 }
+
+// TestPauseWithinReading guards against missing a pause that falls between the two readings of the
+// clock within read.
+func TestPauseWithinReading(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		var skipped atomic.Int64
+		var confirmations atomic.Int32
+		monitor := New(Options{
+			Now: func() time.Duration {
+				return time.Since(start) + time.Duration(skipped.Load())
+			},
+			Confirm: func(context.Context) bool { confirmations.Add(1); return true },
+		})
+		calls := 0
+		monitor.options.Now = func() time.Duration {
+			calls++
+			if calls == 2 {
+				skipped.Add(int64(time.Minute)) // the process is stopped after paused()
+			}
+			return time.Since(start) + time.Duration(skipped.Load())
+		}
+		monitor.read(t.Context())
+		synctest.Wait()
+		if monitor.Fresh() && confirmations.Load() == 0 {
+			t.Error("fresh without a confirmation after a pause of a minute")
+		}
+	})
+}
+
+// TestAttemptsThatFailAtOnce guards against using the table unconfirmed within milliseconds, as all
+// attempts fail at once: peers that were paused too refuse, and the store's connection is reset.
+func TestAttemptsThatFailAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		var skipped atomic.Int64
+		var resumedAt atomic.Int64
+		monitor := New(Options{
+			Now: func() time.Duration { return time.Since(start) + time.Duration(skipped.Load()) },
+			Confirm: func(context.Context) bool {
+				// the store answers 100 ms after the pause
+				return time.Since(start)-time.Duration(resumedAt.Load()) >= 100*time.Millisecond
+			},
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = monitor.Run(ctx) }()
+		time.Sleep(readInterval + time.Millisecond)
+		skipped.Add(int64(time.Minute))
+		resumedAt.Store(int64(time.Since(start)))
+		began := time.Now()
+		monitor.WaitFresh(ctx, 5*time.Second)
+		if waited := time.Since(began); waited < 100*time.Millisecond {
+			t.Errorf("table used %v after the pause, before the store could be asked", waited)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
