A slow answer does not lock a policy's callers out

The fastest recent answer counts for one second without another answer. After that one query a second is admitted to see whether it still holds; its caller has at worst waited for its deadline once. While queries are answered, slowly, nothing changes.

Test: TestAdmitProbesUnreachableDeadline.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -72,6 +72,20 @@
 type policyState struct {
 	inFlight   atomic.Int64
 	minLatency windowedMin
+	// evidenceAt is when a query was last answered completely, or admitted to see whether one can
+	// be, in Unix nanoseconds.
+	evidenceAt atomic.Int64
+}
+
+// evidenceLifetime is how long the fastest recent answer counts without another answer. A query
+// whose deadline is shorter is then admitted to see whether that still holds: if all are refused,
+// no faster answer can come.
+const evidenceLifetime = time.Second
+
+// probeDue reports whether the caller must admit a query for lack of recent evidence.
+func (s *policyState) probeDue(now time.Time) bool {
+	last := s.evidenceAt.Load()
+	return now.UnixNano()-last >= int64(evidenceLifetime) && s.evidenceAt.CompareAndSwap(last, now.UnixNano())
 }
 
 // New returns a Controller and registers its metrics.
@@ -114,6 +128,7 @@
 // Observe records the outcome of the query. It must be called before Release.
 func (t Ticket) Observe(now time.Time, outcome Outcome) {
 	if outcome.complete() {
+		t.policy.evidenceAt.Store(now.UnixNano())
 		t.policy.minLatency.observe(now, max(0, outcome.Duration-outcome.Paused))
 	}
 	t.controller.limit.observe(now, t.controller.inFlight.Load(), &outcome)
@@ -123,7 +138,7 @@
 // Overloaded or DeadlineUnreachable, and have NotRun set and a retry delay.
 func (c *Controller) Admit(row *policy.Row, priority client.Priority, now time.Time, deadline time.Duration) (Ticket, error) {
 	state := c.state(row.Name)
-	if minLatency := state.minLatency.value(now); deadline < minLatency {
+	if minLatency := state.minLatency.value(now); deadline < minLatency && !state.probeDue(now) {
 		return Ticket{}, c.refuse("deadline", failure.DeadlineUnreachable,
 			fmt.Sprintf("deadline of %v is shorter than the fastest recent answer of %v", deadline, minLatency))
 	}
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -28,6 +28,44 @@
 	}
 }
 
+// TestAdmitProbesUnreachableDeadline guards against refusing all queries of a policy for as long as the
+// window of the fastest answer lasts, after one slow answer.
+func TestAdmitProbesUnreachableDeadline(t *testing.T) {
+	controller := New(Options{})
+	row := &policy.Row{Name: "test", Limits: policy.Limits{Concurrency: 100}}
+	now := time.Unix(1000, 0)
+	admit := func(after time.Duration) (Ticket, bool) {
+		ticket, err := controller.Admit(row, client.PriorityNormal, now.Add(after), time.Second)
+		return ticket, err == nil
+	}
+	first, _ := admit(0)
+	first.Observe(now, Outcome{Duration: 5 * time.Second, Queried: 1, Answered: 1})
+	steps := []struct {
+		after    time.Duration
+		admitted bool
+	}{
+		{evidenceLifetime / 2, false},
+		{evidenceLifetime, true},
+		{evidenceLifetime + time.Millisecond, false},
+		{2*evidenceLifetime - time.Millisecond, false},
+		{2 * evidenceLifetime, true},
+	}
+	var probe Ticket
+	for _, step := range steps {
+		ticket, admitted := admit(step.after)
+		if admitted != step.admitted {
+			t.Errorf("admitted %v %v after the slow answer, want %v", admitted, step.after, step.admitted)
+		}
+		if admitted {
+			probe = ticket
+		}
+	}
+	probe.Observe(now.Add(2*evidenceLifetime), Outcome{Duration: 50 * time.Millisecond, Queried: 1, Answered: 1})
+	if _, admitted := admit(2*evidenceLifetime + time.Millisecond); !admitted {
+		t.Error("refused after a fast answer")
+	}
+}
+
 func TestAdmitByDeadline(t *testing.T) {
 	controller := New(Options{})
 	row := &policy.Row{Name: "test", Limits: policy.Limits{Concurrency: 100}}
