--- a/internal/elapsed/conn.go
+++ b/internal/elapsed/conn.go
@@ -102,7 +102,6 @@
 // set applies a deadline. Its caller may have computed it before a pause that has just ended, as
 // net/http does, and a time does not tell from when its timeout counts. Recent pauses are
 // therefore treated like later ones.
-
 func (d *deadline) set(at time.Time, meter *Meter, apply func(time.Time) error) error {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
--- a/internal/query/pause_virtual_test.go
+++ b/internal/query/pause_virtual_test.go
@@ -129,3 +129,59 @@
 		}
 	})
 }
+
+// TestSearchPausesWhileWaitingForTable guards against counting pauses in the wait for the policy
+// table towards the deadline of the query, of which nothing was left for the replicas.
+func TestSearchPausesWhileWaitingForTable(t *testing.T) {
+	const pause, between = 5500 * time.Millisecond, 30 * time.Millisecond
+	for _, pauses := range []int{1, 4, 20} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(t, []replyFunc{replyAfter(between)}, []replyFunc{replyAfter(between)})
+			f.row.Wait.Timeout = policy.Duration(20 * time.Second)
+			f.publishPolicy()
+			paused := time.Duration(0)
+			f.options.PausedTime = func() time.Duration { return paused }
+			f.options.WaitFresh = func(context.Context, time.Duration) bool {
+				for range pauses {
+					time.Sleep(pause)
+					paused += pause
+					time.Sleep(between)
+				}
+				return true
+			}
+			answer, err := query.NewService(f.options).Search(t.Context(), phraseQuery())
+			if err != nil || answer.Coverage.Answered != 2 {
+				t.Errorf("%d pauses: answered %d, error %v", pauses, answer.Coverage.Answered, err)
+			}
+		})
+	}
+}
+
+// TestSearchSeriesOfPauses guards against losing replies that are about to come in a series of
+// pauses with little time in between, at the end of which the deadline has passed.
+func TestSearchSeriesOfPauses(t *testing.T) {
+	const pause, repliesAfter = 5500 * time.Millisecond, 100 * time.Millisecond
+	for _, between := range []time.Duration{30 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond} {
+		t.Run(between.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const pauses = 6
+				cycle := pause + between
+				// the replicas are paused as well: they need repliesAfter of active time
+				repliesAt := (repliesAfter/between+1)*pause + repliesAfter
+				f := newFixture(t, []replyFunc{replyAfter(repliesAt)}, []replyFunc{replyAfter(repliesAt)})
+				f.row.Wait.Timeout = policy.Duration(20 * time.Second)
+				f.publishPolicy()
+				began := time.Now()
+				f.options.PausedTime = func() time.Duration {
+					since := time.Since(began)
+					whole := since / cycle
+					return min(whole*pause+min(since-whole*cycle, pause), pauses*pause)
+				}
+				answer, err := query.NewService(f.options).Search(t.Context(), phraseQuery())
+				if err != nil || answer.Coverage.Answered != 2 {
+					t.Errorf("answered %d after %v, error %v", answer.Coverage.Answered, time.Since(began), err)
+				}
+			})
+		})
+	}
+}
