The daemon's grace period leaves out pauses; a stop reports no error for closed listeners

Cause: the period and the announcement to peers were bounded by the wall clock. Both count active time now.

Comments of the changes before are reworded.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -82,7 +82,8 @@
 // no faster answer can come.
 const evidenceLifetime = time.Second
 
-// probeDue reports whether the caller must admit a query for lack of recent evidence.
+// probeDue reports whether to admit a query although its deadline is too short. It does so once in an
+// evidenceLifetime.
 func (s *policyState) probeDue(now time.Time) bool {
 	last := s.evidenceAt.Load()
 	return now.UnixNano()-last >= int64(evidenceLifetime) && s.evidenceAt.CompareAndSwap(last, now.UnixNano())
--- a/internal/daemon/gossip.go
+++ b/internal/daemon/gossip.go
@@ -79,8 +79,8 @@
 	return addresses
 }
 
-// confirmDelay is how long the next peer, or the store, waits to be asked while the one before it has
-// not answered. It is above the round trip between regions, and a small part of a query's wait.
+// confirmDelay is how long a peer may take to answer before the next one, or the store, is asked as
+// well. It is above the round trip between regions, and a small part of a query's wait.
 const confirmDelay = 50 * time.Millisecond
 
 // confirm fetches the latest documents from a peer that knows that its own are current, or from the
--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
-	"time"
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
@@ -14,24 +14,19 @@
 )
 
 // shutdown stops the daemon gracefully, in this order: it announces the shutdown to peers and
-// keeps accepting connections for the grace period; it closes the listeners and answers
-// requests on the remaining connections with "Connection: close"; it closes connections that
-// have been idle for the grace period and waits for requests in flight, including those that
-// peers have forwarded.
+// keeps accepting connections for the grace period, not counting pauses of the process; it
+// closes the listeners and answers requests on the remaining connections with "Connection:
+// close"; it closes connections that have been idle for the grace period and waits for requests
+// in flight, including those that peers have forwarded.
 func (d *Daemon) shutdown(abort context.Context) {
 	d.logger.Info("draining", "grace", d.settings.Stop.Grace, "timeout", d.settings.Stop.Timeout)
 	d.setPhase(blackboard.PhaseDraining)
-	graceTimer := time.NewTimer(d.settings.Stop.Grace)
-	defer graceTimer.Stop()
-	leaveCtx, cancel := context.WithTimeout(abort, d.settings.Stop.Grace)
+	grace, cancel := d.meter.WithTimeout(abort, d.settings.Stop.Grace)
 	defer cancel()
-	if err := d.node.Leave(leaveCtx); err != nil {
+	if err := d.node.Leave(grace); err != nil {
 		d.logger.Warn("failed to announce the shutdown to all peers", "error", err)
 	}
-	select {
-	case <-graceTimer.C:
-	case <-abort.Done():
-	}
+	<-grace.Done()
 	d.drain(abort)
 }
 
@@ -84,5 +79,9 @@
 	idleCtx, cancel := d.meter.WithTimeout(ctx, d.settings.Stop.Timeout/2)
 	defer cancel()
 	_ = connections.WaitIdle(idleCtx, d.settings.Stop.Grace) // Shutdown waits for the rest
-	return server.Shutdown(ctx)
+	err := server.Shutdown(ctx)
+	if errors.Is(err, net.ErrClosed) {
+		return nil // the listener has closed itself before the server did
+	}
+	return err
 }
--- a/internal/elapsed/usage_test.go
+++ b/internal/elapsed/usage_test.go
@@ -27,7 +27,6 @@
 // context.WithDeadline, which count pauses of the process, with the reason why they may.
 var wallClockTimeouts = map[string]string{
 	"internal/admin/status.go awaitRevision":         "the operator has set the time",
-	"internal/daemon/shutdown.go shutdown":           "leaving the membership is best effort",
 	"internal/edge/resolve.go resolve":               "nodes that were not checked in time are included",
 	"internal/edge/shutdown.go deregister":           "the entry's lease ends in any case",
 	"internal/edge/shutdown.go shutdown":             "the platform kills the process by the wall clock; what a pause left unread is read after it",
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -57,7 +57,7 @@
 	// mutex makes a reading and the end of a confirmation exclude each other: a pause that is
 	// noticed in between must not be taken for one that is confirmed.
 	mutex sync.Mutex
-	// pauses counts the pauses seen. It requires the mutex.
+	// pauses counts the pauses noticed. It is guarded by mutex.
 	pauses int
 	// confirmed is closed and replaced at the end of each confirmation.
 	confirmed atomic.Pointer[chan struct{}]
@@ -100,8 +100,8 @@
 }
 
 // Fresh reports whether the policy table may be used. It is cheap enough to call for each
-// query. After a pause it becomes true again once the table is confirmed or all attempts
-// to confirm it have failed.
+// query. After a pause it becomes true again once the table is confirmed or confirmLimit has
+// passed.
 func (m *Monitor) Fresh() bool { return !m.confirming.Load() && !m.paused() }
 
 func (m *Monitor) paused() bool {
--- a/internal/proofs/pause_order_test.go
+++ b/internal/proofs/pause_order_test.go
@@ -274,3 +274,21 @@
 	t.Parallel()
 	checkPausedEdit(t, 16*time.Second, 1)
 }
+
+// TestDaemonPausedInGrace guards against closing the listener at once after a pause within the grace
+// period of a shutdown: callers that still know the daemon are refused.
+func TestDaemonPausedInGrace(t *testing.T) {
+	t.Parallel()
+	const grace, pause = 3 * time.Second, 4 * time.Second
+	ctx, cluster := startCluster(t, "--stop-grace", grace.String())
+	daemon := cluster.Alive()[0]
+	if err := daemon.Stop(); err != nil {
+		t.Fatal(err)
+	}
+	sleep(ctx, 500*time.Millisecond)
+	freezeFor(ctx, t, daemon, pause, func() {})
+	sleep(ctx, 300*time.Millisecond) // 0.8 s of the grace period have passed
+	if err := <-startQueries(ctx, daemon, 1); err != nil {
+		t.Errorf("0.8 s of active time into a grace period of %v: %v", grace, err)
+	}
+}
