--- a/internal/elapsed/usage_test.go
+++ b/internal/elapsed/usage_test.go
@@ -38,7 +38,6 @@
 	"internal/liveness/liveness.go check":            "one late check counts as one of two failures",
 	"internal/membership/node.go completeLeave":      "leaving the membership is best effort",
 	"internal/membership/node.go exchange":           "a member is suspected after several failures, and the core notices pauses",
-	"internal/operator/adminclient.go do":            "30 s and more, longer than an operator waits for a paused command",
 	"internal/operator/complete.go completeNames":    "completion of names in a shell",
 	"internal/registry/registry.go waitReady":        "the node is registered as not ready then",
 	"internal/replica/probe.go Run":                  "probes are repeated",
--- a/internal/operator/adminclient.go
+++ b/internal/operator/adminclient.go
@@ -17,6 +17,7 @@
 	"github.com/doorpond/doorpond/client"
 	"github.com/doorpond/doorpond/internal/admin"
 	"github.com/doorpond/doorpond/internal/comparison"
+	"github.com/doorpond/doorpond/internal/elapsed/operation"
 	"github.com/doorpond/doorpond/internal/inspect"
 	"github.com/doorpond/doorpond/internal/policy"
 	"github.com/doorpond/doorpond/internal/policytable"
@@ -33,7 +34,8 @@
 }
 
 const (
-	// requestTimeout limits a request, in addition to any wait it asks for.
+	// requestTimeout limits a request, in addition to any wait it asks for, not counting time in
+	// which the process is paused.
 	requestTimeout   = 30 * time.Second
 	maxResponseBytes = 64 << 20
 )
@@ -138,7 +140,7 @@
 	if a.configErr != nil {
 		return a.configErr
 	}
-	timeoutCtx, cancel := context.WithTimeout(ctx, timeout)
+	timeoutCtx, cancel := operation.WithTimeout(ctx, timeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(timeoutCtx, method, a.base+path, bytes.NewReader(body))
 	if err != nil {
