Authenticate tenants by API key, and pass their name to replicas

Cause: routes of a configuration with tenants were served to anyone, the caller's key and a tenant name that it made up reached the replicas, and keys that no configuration holds were accepted.

Requests on routes that are not public need a key, or get 401. The replica receives the tenant's name in place of the caller's headers. A tenant's regions apply besides those of its route. The quarantine distinguishes requests by tenant, since the key is no longer part of the message.

--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -15,8 +15,12 @@
 
 // All error kinds. Each has exactly one entry in responses.
 const (
-	InvalidRequest       Kind = "invalid_request"
-	Unauthorized         Kind = "unauthorized"
+	InvalidRequest Kind = "invalid_request"
+	Unauthorized   Kind = "unauthorized"
+	// Unauthenticated means that the caller sent no API key, or one that no tenant holds.
+	Unauthenticated Kind = "unauthenticated"
+	// QuotaExceeded means that the tenant's requests are over its rate limit.
+	QuotaExceeded        Kind = "quota_exceeded"
 	NotFound             Kind = "not_found"
 	TooLarge             Kind = "too_large"
 	Conflict             Kind = "conflict"
--- a/internal/failure/responses.go
+++ b/internal/failure/responses.go
@@ -28,6 +28,8 @@
 var responses = map[Kind]Response{
 	InvalidRequest:       {http.StatusBadRequest, "The request is not valid", true, 0},
 	Unauthorized:         {http.StatusUnauthorized, "The operator's token is missing or wrong", true, 0},
+	Unauthenticated:      {http.StatusUnauthorized, "The API key is missing or unknown", true, 0},
+	QuotaExceeded:        {http.StatusTooManyRequests, "The tenant is over its rate limit", true, shortRetryDelay},
 	NotFound:             {http.StatusNotFound, "There is no such thing", true, 0},
 	TooLarge:             {http.StatusRequestEntityTooLarge, "The request is over a size limit", true, 0},
 	Conflict:             {http.StatusConflict, "Another change came first", true, 0},
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -26,6 +26,11 @@
 	// ReadRequest returns a request's ID and its caller's timeout, and removes the protocol's
 	// fields from header.
 	ReadRequest(header http.Header) (id string, timeout time.Duration)
+	// ReadCredential returns a request's API key, or "" if it has none, and removes the fields
+	// that identify a caller or a tenant from header.
+	ReadCredential(header http.Header) string
+	// WriteChallenge sets the field that tells a caller how to authenticate.
+	WriteChallenge(header http.Header)
 	// WriteParts sets the fields that describe a merged answer: the signatures of its parts
 	// and the number of missing shards.
 	WriteParts(header http.Header, signatures []string, missing int)
@@ -38,11 +43,20 @@
 	Forward(ctx context.Context, request *query.ForwardRequest) (query.ForwardResult, error)
 }
 
+// Quota limits the requests of tenants.
+type Quota interface {
+	// Admit counts a request against its tenant's limit, or returns an error of kind
+	// failure.QuotaExceeded. refund takes the request off the count again.
+	Admit(ctx context.Context, tenant *routing.Tenant) (refund func(), err error)
+}
+
 // Options configure a Handler.
 type Options struct {
 	Board     *blackboard.Board
 	Codec     Codec
 	Forwarder Forwarder
+	// Quota is nil if tenants are not limited.
+	Quota Quota
 	// WaitFresh waits until the routing table is up to date or ctx ends, and reports whether
 	// it is. If nil, the table is always considered up to date.
 	WaitFresh func(ctx context.Context) bool
@@ -117,6 +131,10 @@
 	if route == nil {
 		return nil, query.ForwardResult{}, failure.New(failure.NotFound, "no route matches host and path")
 	}
+	tenant, err := h.authenticate(r, table, route)
+	if err != nil {
+		return route, query.ForwardResult{}, err
+	}
 	body, err := readBody(r, table.Limits.BodyBytes)
 	if err != nil {
 		return route, query.ForwardResult{}, err
@@ -124,10 +142,48 @@
 	message := &upstream.Request{
 		ID: id, Caller: callerAddress(r), Method: r.Method, Target: target, Host: r.Host, Header: removeHopByHop(r.Header), Body: body,
 	}
-	answer, err := h.options.Forwarder.Forward(r.Context(), &query.ForwardRequest{Message: message, Route: route, CallerTimeout: timeout, Elapsed: waited})
+	request := &query.ForwardRequest{Message: message, Route: route, Tenant: tenant, CallerTimeout: timeout, Elapsed: waited}
+	if tenant == nil {
+		answer, err := h.options.Forwarder.Forward(r.Context(), request)
+		return route, answer, err
+	}
+	message.Tenant = tenant.Name
+	answer, err := h.forwardWithinQuota(r.Context(), request)
 	return route, answer, err
 }
 
+// forwardWithinQuota forwards a tenant's request if that is within the tenant's limit. A request
+// that no replica has run does not count.
+func (h *Handler) forwardWithinQuota(ctx context.Context, request *query.ForwardRequest) (query.ForwardResult, error) {
+	if h.options.Quota == nil || request.Tenant.Limit.Unlimited() {
+		return h.options.Forwarder.Forward(ctx, request)
+	}
+	waitStart := time.Now()
+	refund, err := h.options.Quota.Admit(ctx, request.Tenant)
+	if err != nil {
+		return query.ForwardResult{}, err
+	}
+	request.Elapsed += time.Since(waitStart)
+	answer, err := h.options.Forwarder.Forward(ctx, request)
+	if err != nil && failure.From(err).NotRun {
+		refund()
+	}
+	return answer, err
+}
+
+// authenticate returns the tenant that a request belongs to; nil if there is none. It removes the
+// caller's credential from the header if the configuration has tenants.
+func (h *Handler) authenticate(r *http.Request, table *routing.Table, route *routing.Route) (*routing.Tenant, error) {
+	if !table.HasTenants() {
+		return nil, nil
+	}
+	tenant := table.Authenticate(h.options.Codec.ReadCredential(r.Header))
+	if tenant == nil && !route.Public {
+		return nil, failure.New(failure.Unauthenticated, "no tenant holds the request's API key")
+	}
+	return tenant, nil
+}
+
 // callerAddress returns the remote address of a request, or the zero value if it is unknown.
 func callerAddress(r *http.Request) netip.Addr {
 	remote, err := netip.ParseAddrPort(r.RemoteAddr)
@@ -194,6 +250,9 @@
 	if known.NotRun && known.RetryAfter > 0 {
 		h.options.Codec.WriteRetryAfter(w.Header(), known.RetryAfter)
 	}
+	if known.Kind == failure.Unauthenticated {
+		h.options.Codec.WriteChallenge(w.Header())
+	}
 	w.Header()["Content-Length"] = []string{"0"}
 	w.WriteHeader(status)
 }
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -30,6 +30,15 @@
 	return id, 2 * time.Second
 }
 
+func (testCodec) ReadCredential(header http.Header) string {
+	key := header.Get("Key")
+	header.Del("Key")
+	header.Del("Tenant")
+	return key
+}
+
+func (testCodec) WriteChallenge(header http.Header) { header.Set("Challenge", "Key") }
+
 func (testCodec) WriteParts(header http.Header, signatures []string, missing int) {
 	header.Set("Parts", strings.Join(signatures, ","))
 	header.Set("Missing", strings.Repeat("x", missing))
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -32,7 +32,7 @@
 const suspectTTL = time.Minute
 
 // Identity identifies a request by a hash of what replicas see of it: method, host, path, query,
-// the caller's credentials and the body. The request ID, other headers and the caller's address
+// the caller's credentials or its tenant, and the body. The request ID, other headers and the caller's address
 // are left out, as they may differ between tries of the same request. When the address was part
 // of it, a request that came from another one each time crashed 12 replicas with each try.
 type Identity [sha256.Size]byte
@@ -40,7 +40,11 @@
 // IdentityOf returns the identity of a request.
 func IdentityOf(message *upstream.Request) Identity {
 	digest := sha256.New()
-	for _, field := range []string{message.Method, message.Host, message.Target, message.Header.Get("Authorization")} {
+	credentials := message.Header.Get("Authorization")
+	if message.Tenant != "" {
+		credentials = message.Tenant
+	}
+	for _, field := range []string{message.Method, message.Host, message.Target, credentials} {
 		writeField(digest, field)
 	}
 	_, _ = digest.Write(message.Body) // never fails
--- a/internal/query/forward.go
+++ b/internal/query/forward.go
@@ -42,6 +42,8 @@
 	Message *upstream.Request
 	// Route is pinned for the whole request.
 	Route *routing.Route
+	// Tenant is the tenant that the request belongs to; nil if there is none.
+	Tenant *routing.Tenant
 	// CallerTimeout is how long the caller waits, from the request's arrival; 0 means
 	// unspecified.
 	CallerTimeout time.Duration
@@ -132,8 +134,14 @@
 		s.metrics.observe(s.options.Now().Sub(started), err)
 		return ForwardResult{}, err
 	}
+	regions, ok := request.Route.RegionsFor(request.Tenant)
+	if !ok {
+		err := failure.New(failure.NoReplica, "the regions of the route and of the tenant have none in common")
+		s.metrics.observe(s.options.Now().Sub(started), err)
+		return ForwardResult{}, err
+	}
 	groups := s.replicaGroups(request.Route)
-	criteria := s.selectionCriteria(request.Route)
+	criteria := s.selectionCriteria(request.Route, regions)
 	if err := s.checkServable(request.Route, groups, criteria); err != nil {
 		s.metrics.observe(s.options.Now().Sub(started), err)
 		return ForwardResult{}, err
@@ -171,13 +179,14 @@
 	return []string{s.splitter.Pick(route)}
 }
 
-// selectionCriteria returns the criteria for choosing replicas for a route's requests.
-func (s *Service) selectionCriteria(route *routing.Route) replica.SelectionCriteria {
+// selectionCriteria returns the criteria for choosing replicas in the given regions for a route's
+// requests.
+func (s *Service) selectionCriteria(route *routing.Route, regions []string) replica.SelectionCriteria {
 	return replica.SelectionCriteria{
 		Weights:   route.Policy.Replicas,
 		Baseline:  s.baselines.Of(route.Name),
 		LateAfter: time.Duration(defaultLateFraction * float64(route.Objective)),
-		Regions:   route.Regions,
+		Regions:   regions,
 	}
 }
 
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -44,6 +44,8 @@
 	TopRecords int
 	// MinShards is the minimum number of shards that an answer needs.
 	MinShards int
+	// Public is true if callers need no API key.
+	Public bool
 }
 
 // AllowsRegion reports whether replicas of a region may receive the route's requests.
@@ -86,6 +88,8 @@
 	byHost map[string][]*Route
 	// hostRegions holds the hosts with at least one region-restricted route.
 	hostRegions map[string][]string
+	// tenants is nil if the configuration has none.
+	tenants *tenantIndex
 }
 
 // NewTable returns a Table that indexes routes by host, longest path prefix first.
--- a/internal/upstream/message.go
+++ b/internal/upstream/message.go
@@ -23,6 +23,8 @@
 	// Header holds the end-to-end headers. It is shared and must not be modified.
 	Header http.Header
 	Body   []byte
+	// Tenant is the name of the tenant that the request belongs to; empty if there is none.
+	Tenant string
 }
 
 // Response is the complete response of a replica.
