Confirm tenants after waits, and report keys and conflicts

Cause: a key was checked once, before the body was read. The listener has no time-out for bodies, so a request whose key was revoked seconds before could still run, or run as a tenant that no longer held the key. A list of tenants without a usable one left all routes open. A tenant's name with a line break is sent as that of another tenant. Nothing told operators who was refused, and why.

Change: a request authenticates again if the table was replaced while its body arrived or while it was queued; it gets 401, or the limit and regions of the tenant that holds the key by then. A list that is not empty requires keys. Names that are not sent unchanged are ignored. Log lines, metrics and the operators' state have tenants, keys, conflicts and the reasons of refusals; keys appear nowhere, their labels do.

--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -49,9 +49,13 @@
 
 // initServers creates the server of each listener.
 func (n *Node) initServers() {
-	n.server = n.newServer(ingress.New(ingress.Options{
+	options := ingress.Options{
 		Board: n.board, Codec: n.platform.Codec, Forwarder: n.queries, WaitFresh: n.follower.WaitUntilFresh, Logger: n.logger,
-	}))
+	}
+	if n.metrics != nil {
+		options.Registerer = n.metrics
+	}
+	n.server = n.newServer(ingress.New(options))
 	n.connections.Track(n.server)
 	requests, cancelRequests := context.WithCancelCause(context.Background())
 	n.server.BaseContext = func(net.Listener) context.Context { return requests }
--- a/internal/follower/fakes_test.go
+++ b/internal/follower/fakes_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -25,6 +26,8 @@
 type testTable struct {
 	Version uint64
 	Limit   int
+	// Tenants maps the names of tenants to one key each.
+	Tenants map[string]string
 }
 
 func (testDecoder) Routes(value []byte) (*routing.Table, error) {
@@ -35,7 +38,11 @@
 	services := map[string]routing.Service{"g": {
 		Name: "g", ConnectionLimit: read.Limit, ColdDuration: testColdTime, ColdRate: testColdRate,
 	}}
-	return routing.NewTable(read.Version, nil, services, routing.Limits{}), nil
+	var tenants []routing.TenantSpec
+	for _, name := range slices.Sorted(maps.Keys(read.Tenants)) {
+		tenants = append(tenants, routing.TenantSpec{Tenant: routing.Tenant{Name: name}, Keys: []string{read.Tenants[name]}})
+	}
+	return routing.NewTable(read.Version, nil, services, routing.Limits{}).WithTenants(tenants), nil
 }
 
 func (testDecoder) Replica(key string, value []byte) (topology.Replica, error) {
--- a/internal/follower/state.go
+++ b/internal/follower/state.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/doorpond/doorpond/internal/directory"
+	"github.com/doorpond/doorpond/internal/routing"
 	"github.com/doorpond/doorpond/internal/store"
 	"github.com/doorpond/doorpond/internal/topology"
 )
@@ -279,9 +280,10 @@
 	s.expire(now)
 	s.replicasChanged = s.hasWarmedUp(now) || s.replicasChanged
 	if s.activation.activate(now, s.hasReplica) {
-		table := s.activation.active
+		table, previous := s.activation.active, s.options.Board.Routes.Load()
 		s.options.Board.Routes.Publish(table)
 		s.options.Logger.Info("configuration in force", "version", table.Version, "routes", len(table.Routes))
+		s.logTenants(previous, table)
 		s.replicasChanged = true // connection limits depend on the configuration
 	}
 	if s.replicasChanged {
@@ -297,6 +299,23 @@
 	s.replicasChanged, s.nodesChanged = false, false
 }
 
+// maxLoggedConflicts limits the conflicts in a log line, so that it fits in one packet.
+const maxLoggedConflicts = 10
+
+// logTenants logs how the tenants of a table differ from those of the previous one, which may be
+// nil, and the conflicts among them.
+func (s *state) logTenants(previous, table *routing.Table) {
+	if changes := routing.CompareTenants(previous, table); changes != (routing.TenantChanges{}) {
+		s.options.Logger.Info("tenants changed", "version", table.Version, "tenants", table.TenantCount(), "keys", table.KeyCount(),
+			"added", changes.Added, "removed", changes.Removed,
+			"keys_added", changes.KeysAdded, "keys_revoked", changes.KeysRevoked, "keys_moved", changes.KeysMoved)
+	}
+	if conflicts := table.TenantConflicts(); len(conflicts) > 0 {
+		s.options.Logger.Warn("conflicting tenants in the configuration; the first of each is used", "version", table.Version,
+			"conflicts", len(conflicts), "first", conflicts[:min(len(conflicts), maxLoggedConflicts)])
+	}
+}
+
 // maxReplicaLogLines is the number of replicas up to which each is logged on its own line. A
 // reshard affects hundreds at once, which are logged as one line.
 const maxReplicaLogLines = 4
--- a/internal/follower/state_test.go
+++ b/internal/follower/state_test.go
@@ -12,6 +12,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/doorpond/doorpond/internal/blackboard"
+	"github.com/doorpond/doorpond/internal/routing"
 	"github.com/doorpond/doorpond/internal/store"
 	"github.com/doorpond/doorpond/internal/topology"
 )
@@ -219,3 +220,42 @@
 		}
 	}
 }
+
+// Guards against changes of tenants and conflicts among them that are not logged, that are logged
+// with each publication, or whose lines contain a key.
+func TestTenantsAreLoggedOncePerVersion(t *testing.T) {
+	state, _ := newTestState(t)
+	var output bytes.Buffer
+	state.options.Logger = slog.New(slog.NewTextHandler(&output, nil))
+	steps := []struct {
+		value                string
+		changed, conflicting string
+	}{
+		{`{"Version":1}`, "", ""},
+		{`{"Version":2,"Tenants":{"a":"k-one","b":"k-two"}}`, "version=2 tenants=2 keys=2 added=2 removed=0 keys_added=2 keys_revoked=0 keys_moved=0", ""},
+		{`{"Version":3,"Tenants":{"a":"k-one","b":"k-two"}}`, "", ""},
+		{`{"Version":4,"Tenants":{"a":"k-two","b":"k-two"}}`, "version=4 tenants=2 keys=1 added=0 removed=0 keys_added=0 keys_revoked=1 keys_moved=1", "version=4 conflicts=1 first=[" + routing.KeyLabel("k-two") + "]"},
+		{`{"Version":5,"Tenants":{"a":"k-two","b":"k-two"}}`, "", "version=5 conflicts=1"},
+		{`{"Version":6}`, "version=6 tenants=0 keys=0 added=0 removed=2 keys_added=0 keys_revoked=1 keys_moved=0", ""},
+	}
+	for revision, step := range steps {
+		output.Reset()
+		state.put(store.KeyValue{Key: "table", Value: []byte(step.value), ModRevision: int64(revision + 1)})
+		for range 3 {
+			state.publish(start)
+		}
+		lines := output.String()
+		for message, want := range map[string]string{"tenants changed": step.changed, "conflicting tenants": step.conflicting} {
+			count := 0
+			if want != "" {
+				count = 1
+			}
+			if strings.Count(lines, message) != count || !strings.Contains(lines, want) {
+				t.Errorf("%s: %d lines with %q, want %q, in\n%s", step.value, strings.Count(lines, message), message, want, lines)
+			}
+		}
+		if strings.Contains(lines, "k-") {
+			t.Errorf("a line contains a key:\n%s", lines)
+		}
+	}
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -14,6 +14,8 @@
 	"strings"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/doorpond/doorpond/internal/blackboard"
 	"github.com/doorpond/doorpond/internal/failure"
 	"github.com/doorpond/doorpond/internal/query"
@@ -60,13 +62,17 @@
 	// WaitFresh waits until the routing table is up to date or ctx ends, and reports whether
 	// it is. If nil, the table is always considered up to date.
 	WaitFresh func(ctx context.Context) bool
-	Logger    *slog.Logger
+	// Registerer is nil if there are no metrics.
+	Registerer prometheus.Registerer
+	Logger     *slog.Logger
 }
 
 // Handler forwards callers' requests to replicas.
 type Handler struct {
 	options Options
 	log     *requestLog
+	// refused counts the requests that got 401, by reason.
+	refused *prometheus.CounterVec
 }
 
 // New returns a Handler.
@@ -77,7 +83,9 @@
 	if options.Logger == nil {
 		options.Logger = slog.New(slog.DiscardHandler)
 	}
-	return &Handler{options: options, log: newRequestLog(options.Logger, options.Board)}
+	return &Handler{
+		options: options, log: newRequestLog(options.Logger, options.Board), refused: newMetrics(options.Registerer, options.Board),
+	}
 }
 
 // defaultMaxBodyBytes applies if the routing table sets no limit.
@@ -91,13 +99,15 @@
 	defer h.recoverPanic(w, r)
 	startedAt := time.Now()
 	id, timeout := h.options.Codec.ReadRequest(r.Header)
-	route, answer, err := h.forward(r, id, timeout)
+	entry := logEntry{request: r, id: id}
+	answer, err := h.forward(r, timeout, &entry)
 	if err != nil {
 		h.writeError(w, err)
 	} else {
 		h.writeAnswer(w, answer)
 	}
-	h.log.write(logEntry{request: r, id: id, route: route, answer: &answer, err: err, duration: time.Since(startedAt)})
+	entry.answer, entry.err, entry.duration = &answer, err, time.Since(startedAt)
+	h.log.write(entry)
 }
 
 // recoverPanic answers a request whose handler panicked: net/http would close the connection
@@ -111,15 +121,16 @@
 	h.writeError(w, failure.New(failure.Internal, "internal error"))
 }
 
-func (h *Handler) forward(r *http.Request, id string, timeout time.Duration) (*routing.Route, query.ForwardResult, error) {
+// forward forwards a request, and sets the route and the identity of its log entry.
+func (h *Handler) forward(r *http.Request, timeout time.Duration, entry *logEntry) (query.ForwardResult, error) {
 	if h.options.Board.Routes.Load() == nil {
-		return nil, query.ForwardResult{}, failure.New(failure.NoTable, "no routing table loaded yet")
+		return query.ForwardResult{}, failure.New(failure.NoTable, "no routing table loaded yet")
 	}
 	waitStart := time.Now()
 	fresh := h.options.WaitFresh(r.Context())
 	waited := time.Since(waitStart) // counts towards the caller's timeout
 	if !fresh {
-		return nil, query.ForwardResult{}, failure.New(failure.StaleTable, "routing table not confirmed since the process was paused")
+		return query.ForwardResult{}, failure.New(failure.StaleTable, "routing table not confirmed since the process was paused")
 	}
 	table := h.options.Board.Routes.Load() // loaded again, as it may have changed during the wait
 	target := r.RequestURI
@@ -127,63 +138,53 @@
 		target = r.URL.RequestURI()
 	}
 	path, _, _ := strings.Cut(target, "?")
-	route := table.Match(r.Host, path)
-	if route == nil {
-		return nil, query.ForwardResult{}, failure.New(failure.NotFound, "no route matches host and path")
+	entry.route = table.Match(r.Host, path)
+	if entry.route == nil {
+		return query.ForwardResult{}, failure.New(failure.NotFound, "no route matches host and path")
 	}
-	tenant, err := h.authenticate(r, table, route)
-	if err != nil {
-		return route, query.ForwardResult{}, err
+	caller := &identity{handler: h, header: r.Header, route: entry.route}
+	entry.identity = caller
+	if err := caller.authenticate(table); err != nil {
+		return query.ForwardResult{}, err
 	}
 	body, err := readBody(r, table.Limits.BodyBytes)
 	if err != nil {
-		return route, query.ForwardResult{}, err
+		return query.ForwardResult{}, err
+	}
+	// Reading the body may take as long as the caller likes, and a key may be revoked meanwhile.
+	if err := caller.confirm(r.Context()); err != nil {
+		return query.ForwardResult{}, err
 	}
 	message := &upstream.Request{
-		ID: id, Caller: callerAddress(r), Method: r.Method, Target: target, Host: r.Host, Header: removeHopByHop(r.Header), Body: body,
+		ID: entry.id, Caller: callerAddress(r), Method: r.Method, Target: target, Host: r.Host, Header: removeHopByHop(r.Header), Body: body,
 	}
-	request := &query.ForwardRequest{Message: message, Route: route, Tenant: tenant, CallerTimeout: timeout, Elapsed: waited}
-	if tenant == nil {
-		answer, err := h.options.Forwarder.Forward(r.Context(), request)
-		return route, answer, err
+	request := &query.ForwardRequest{Message: message, Route: entry.route, CallerTimeout: timeout, Elapsed: waited}
+	caller.setTenant(request)
+	request.Confirm = func(ctx context.Context) error {
+		if err := caller.confirm(ctx); err != nil {
+			return err
+		}
+		caller.setTenant(request)
+		return nil
 	}
-	message.Tenant = tenant.Name
-	answer, err := h.forwardWithinQuota(r.Context(), request)
-	return route, answer, err
+	return h.forwardWithinQuota(r.Context(), request, caller)
 }
 
-// forwardWithinQuota forwards a tenant's request if that is within the tenant's limit. A request
-// that no replica has run does not count.
-func (h *Handler) forwardWithinQuota(ctx context.Context, request *query.ForwardRequest) (query.ForwardResult, error) {
-	if h.options.Quota == nil || request.Tenant.Limit.Unlimited() {
-		return h.options.Forwarder.Forward(ctx, request)
-	}
+// forwardWithinQuota forwards a request if that is within its tenant's limit. A request that no
+// replica has run does not count.
+func (h *Handler) forwardWithinQuota(ctx context.Context, request *query.ForwardRequest, caller *identity) (query.ForwardResult, error) {
 	waitStart := time.Now()
-	refund, err := h.options.Quota.Admit(ctx, request.Tenant)
-	if err != nil {
+	if err := caller.charge(ctx); err != nil {
 		return query.ForwardResult{}, err
 	}
 	request.Elapsed += time.Since(waitStart)
 	answer, err := h.options.Forwarder.Forward(ctx, request)
 	if err != nil && failure.From(err).NotRun {
-		refund()
+		caller.refund()
 	}
 	return answer, err
 }
 
-// authenticate returns the tenant that a request belongs to; nil if there is none. It removes the
-// caller's credential from the header if the configuration has tenants.
-func (h *Handler) authenticate(r *http.Request, table *routing.Table, route *routing.Route) (*routing.Tenant, error) {
-	if !table.HasTenants() {
-		return nil, nil
-	}
-	tenant := table.Authenticate(h.options.Codec.ReadCredential(r.Header))
-	if tenant == nil && !route.Public {
-		return nil, failure.New(failure.Unauthenticated, "no tenant holds the request's API key")
-	}
-	return tenant, nil
-}
-
 // callerAddress returns the remote address of a request, or the zero value if it is unknown.
 func callerAddress(r *http.Request) netip.Addr {
 	remote, err := netip.ParseAddrPort(r.RemoteAddr)
--- a/internal/ingress/log.go
+++ b/internal/ingress/log.go
@@ -37,8 +37,9 @@
 type logEntry struct {
 	request *http.Request
 	id      string
-	// route is nil if none matched.
+	// route is nil if none matched. identity is nil if the request was not authenticated.
 	route    *routing.Route
+	identity *identity
 	answer   *query.ForwardResult
 	err      error
 	duration time.Duration
@@ -113,6 +114,7 @@
 	} else {
 		attributes = append(attributes, "host", entry.request.Host)
 	}
+	attributes = append(attributes, entry.identity.attributes()...)
 	if entry.answer.MissingShards > 0 {
 		attributes = append(attributes, "missing", entry.answer.MissingShards)
 	}
@@ -130,3 +132,17 @@
 	}
 	return attributes
 }
+
+// attributes returns the tenant, or the label of a key that no tenant holds.
+func (i *identity) attributes() []any {
+	switch {
+	case i == nil:
+		return nil
+	case i.tenant != nil:
+		return []any{"tenant", i.tenant.Name}
+	case i.key != "":
+		return []any{"unknown_key", routing.KeyLabel(i.key)}
+	default:
+		return nil
+	}
+}
--- a/internal/inspect/inspect.go
+++ b/internal/inspect/inspect.go
@@ -54,6 +54,12 @@
 	Entry bool `json:"entry"`
 	// Version is the version of the active configuration, or 0 if there is none.
 	Version uint64 `json:"version"`
+	// Tenants and TenantKeys count the tenants of that configuration and their API keys,
+	// TenantConflicts the names and keys that are not used because they occur twice or are
+	// invalid.
+	Tenants         int `json:"tenants"`
+	TenantKeys      int `json:"tenant_keys"`
+	TenantConflicts int `json:"tenant_conflicts"`
 	// StoreReachable reports whether the store answers; it last changed at StoreSince.
 	StoreReachable bool      `json:"store_reachable"`
 	StoreSince     time.Time `json:"store_since"`
@@ -161,6 +167,7 @@
 	}
 	if table := h.config.Board.Routes.Load(); table != nil {
 		state.Version = table.Version
+		state.Tenants, state.TenantKeys, state.TenantConflicts = table.TenantCount(), table.KeyCount(), len(table.TenantConflicts())
 	}
 	if status := h.config.Board.Store.Load(); status != nil {
 		state.StoreReachable, state.StoreSince = status.Reachable, status.Since
--- a/internal/quarantine/list_test.go
+++ b/internal/quarantine/list_test.go
@@ -45,6 +45,7 @@
 		"query":       func(m *upstream.Request) { m.Target = "/p?q=2" },
 		"body":        func(m *upstream.Request) { m.Body = []byte("bodz") },
 		"credentials": func(m *upstream.Request) { m.Header = http.Header{"Authorization": {"x"}} },
+		"tenant":      func(m *upstream.Request) { m.Tenant = "acme" },
 		"host and path with the same concatenation": func(m *upstream.Request) {
 			m.Host, m.Target = "h/p", "?q=1"
 		},
--- a/internal/query/forward.go
+++ b/internal/query/forward.go
@@ -44,6 +44,10 @@
 	Route *routing.Route
 	// Tenant is the tenant that the request belongs to; nil if there is none.
 	Tenant *routing.Tenant
+	// Confirm, if not nil, is called after admission and before the first sub-request is sent.
+	// If the routing table has changed since, it sets Tenant and the tenant of Message anew; it
+	// returns an error, which guarantees that nothing ran, if the request may not be sent.
+	Confirm func(ctx context.Context) error
 	// CallerTimeout is how long the caller waits, from the request's arrival; 0 means
 	// unspecified.
 	CallerTimeout time.Duration
@@ -134,15 +138,9 @@
 		s.metrics.observe(s.options.Now().Sub(started), err)
 		return ForwardResult{}, err
 	}
-	regions, ok := request.Route.RegionsFor(request.Tenant)
-	if !ok {
-		err := failure.New(failure.NoReplica, "the regions of the route and of the tenant have none in common")
-		s.metrics.observe(s.options.Now().Sub(started), err)
-		return ForwardResult{}, err
-	}
 	groups := s.replicaGroups(request.Route)
-	criteria := s.selectionCriteria(request.Route, regions)
-	if err := s.checkServable(request.Route, groups, criteria); err != nil {
+	criteria := s.selectionCriteria(request.Route)
+	if err := s.restrictToTenant(request, groups, &criteria); err != nil {
 		s.metrics.observe(s.options.Now().Sub(started), err)
 		return ForwardResult{}, err
 	}
@@ -153,6 +151,10 @@
 		return ForwardResult{}, err
 	}
 	defer ticket.Release()
+	if err := s.confirmTenant(ctx, request, groups, &criteria); err != nil {
+		s.metrics.observe(s.options.Now().Sub(started), err)
+		return ForwardResult{}, err
+	}
 	current := s.newForwardRun(request, groups, criteria, deadline, controller.Overloaded(started), suspicion.Evidence)
 	current.pausedAtStart = paused
 	current.execute(ctx, deadline)
@@ -179,15 +181,38 @@
 	return []string{s.splitter.Pick(route)}
 }
 
-// selectionCriteria returns the criteria for choosing replicas in the given regions for a route's
-// requests.
-func (s *Service) selectionCriteria(route *routing.Route, regions []string) replica.SelectionCriteria {
+// selectionCriteria returns the criteria for choosing replicas for a route's requests.
+func (s *Service) selectionCriteria(route *routing.Route) replica.SelectionCriteria {
 	return replica.SelectionCriteria{
 		Weights:   route.Policy.Replicas,
 		Baseline:  s.baselines.Of(route.Name),
 		LateAfter: time.Duration(defaultLateFraction * float64(route.Objective)),
-		Regions:   regions,
+		Regions:   route.Regions,
+	}
+}
+
+// restrictToTenant restricts criteria to the regions that the request's route and tenant allow. It
+// returns an error if too few shards have a replica there.
+func (s *Service) restrictToTenant(request *ForwardRequest, groups []string, criteria *replica.SelectionCriteria) error {
+	regions, ok := request.Route.RegionsFor(request.Tenant)
+	if !ok {
+		return failure.New(failure.NoReplica, "the regions of the route and of the tenant have none in common")
+	}
+	criteria.Regions = regions
+	return s.checkServable(request.Route, groups, *criteria)
+}
+
+// confirmTenant confirms the tenant of a request that has been admitted, and restricts criteria
+// anew if it has changed.
+func (s *Service) confirmTenant(ctx context.Context, request *ForwardRequest, groups []string, criteria *replica.SelectionCriteria) error {
+	if request.Confirm == nil {
+		return nil
+	}
+	tenant := request.Tenant
+	if err := request.Confirm(ctx); err != nil || request.Tenant == tenant {
+		return err
 	}
+	return s.restrictToTenant(request, groups, criteria)
 }
 
 // checkServable rejects a request for which too few shards have an eligible replica.
--- a/internal/query/forward_virtual_test.go
+++ b/internal/query/forward_virtual_test.go
@@ -54,6 +54,7 @@
 	delays   map[string]time.Duration
 	slowdown map[string]float64
 	arrivals map[string]int // by shard
+	received map[string]int // by address
 	shards   map[string]string
 	// pausedUntil is when a pause of the node ends that begins with the network.
 	pausedUntil time.Time
@@ -114,6 +115,7 @@
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
 	v.arrivals[v.shards[address]]++
+	v.received[address]++
 	factor := math.Exp(serviceTimeSpread * v.random.NormFloat64())
 	took := time.Duration(float64(serviceTime) * factor * max(1, v.slowdown[address]))
 	cyclePosition := (time.Since(v.started) + v.phases[address]) % pauseInterval
@@ -148,7 +150,7 @@
 		network := &virtualNetwork{
 			random: rand.New(rand.NewPCG(seed, 1)), started: time.Now(),
 			phases: map[string]time.Duration{}, delays: map[string]time.Duration{}, slowdown: map[string]float64{},
-			arrivals: map[string]int{}, shards: map[string]string{},
+			arrivals: map[string]int{}, received: map[string]int{}, shards: map[string]string{},
 		}
 		board := &blackboard.Board{}
 		route := newVirtualRoute(board, network, attempts)
--- a/internal/routing/tenant.go
+++ b/internal/routing/tenant.go
@@ -4,6 +4,8 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"slices"
+	"strconv"
+	"strings"
 )
 
 // Tenant is a customer whose callers share API keys, a priority and a rate limit.
@@ -51,15 +53,21 @@
 type tenantIndex struct {
 	byKey  map[keyDigest]*Tenant
 	byName map[string]*Tenant
-	// conflicts are the labels of keys that several tenants hold, and the names that
-	// several tenants have.
+	// conflicts are the labels of keys that several tenants hold, the names that several
+	// tenants have, and the names that cannot be sent, quoted.
 	conflicts []string
 }
 
 // WithTenants returns a copy of the table with the given tenants. Of several tenants with the
-// same name or key, the first one has it. Empty names and keys are ignored.
+// same name or key, the first one has it. Empty names and keys are ignored, and so are tenants
+// whose names cannot be sent. If specs is not empty, callers must authenticate even if none of
+// the tenants is usable: a faulty list of tenants must not open the routes to everyone.
 func (t *Table) WithTenants(specs []TenantSpec) *Table {
 	table := *t
+	table.tenants = nil
+	if len(specs) == 0 {
+		return &table
+	}
 	index := &tenantIndex{byKey: make(map[keyDigest]*Tenant), byName: make(map[string]*Tenant, len(specs))}
 	for i := range specs {
 		index.add(&specs[i])
@@ -72,6 +80,10 @@
 	if spec.Name == "" {
 		return
 	}
+	if !isFieldValue(spec.Name) {
+		x.conflicts = append(x.conflicts, strconv.Quote(spec.Name))
+		return
+	}
 	if x.byName[spec.Name] != nil {
 		x.conflicts = append(x.conflicts, spec.Name)
 		return
@@ -91,8 +103,16 @@
 	}
 }
 
+// isFieldValue reports whether a name is sent unchanged as the value of a header field. Line breaks
+// are sent as blanks and outer blanks are dropped, so that a replica could take the name for that of
+// another tenant; other control characters make a message invalid (RFC 9110, section 5.5).
+func isFieldValue(name string) bool {
+	isControl := func(c rune) bool { return c < ' ' || c == 0x7f }
+	return strings.Trim(name, " ") == name && strings.IndexFunc(name, isControl) < 0
+}
+
 // HasTenants reports whether the configuration has tenants, so that callers must authenticate.
-func (t *Table) HasTenants() bool { return t.tenants != nil && len(t.tenants.byName) > 0 }
+func (t *Table) HasTenants() bool { return t.tenants != nil }
 
 // Authenticate returns the tenant that holds an API key, or nil.
 func (t *Table) Authenticate(key string) *Tenant {
@@ -118,8 +138,16 @@
 	return len(t.tenants.byName)
 }
 
-// TenantConflicts returns the labels of keys that several tenants hold, and the names that
-// several tenants have.
+// KeyCount returns the number of API keys that tenants hold.
+func (t *Table) KeyCount() int {
+	if t.tenants == nil {
+		return 0
+	}
+	return len(t.tenants.byKey)
+}
+
+// TenantConflicts returns the labels of keys that several tenants hold, the names that several
+// tenants have, and the names that cannot be sent, quoted.
 func (t *Table) TenantConflicts() []string {
 	if t.tenants == nil {
 		return nil
@@ -127,6 +155,50 @@
 	return t.tenants.conflicts
 }
 
+// TenantChanges counts the differences between the tenants of two tables.
+type TenantChanges struct {
+	Added, Removed int
+	// KeysMoved counts the keys whose tenant has another name than before.
+	KeysAdded, KeysRevoked, KeysMoved int
+}
+
+// CompareTenants returns the differences between the tenants of two tables. before may be nil.
+func CompareTenants(before, after *Table) TenantChanges {
+	var changes TenantChanges
+	previous, current := before.tenantsOrNone(), after.tenantsOrNone()
+	for name := range current.byName {
+		if previous.byName[name] == nil {
+			changes.Added++
+		}
+	}
+	for name := range previous.byName {
+		if current.byName[name] == nil {
+			changes.Removed++
+		}
+	}
+	for digest, tenant := range current.byKey {
+		switch holder := previous.byKey[digest]; {
+		case holder == nil:
+			changes.KeysAdded++
+		case holder.Name != tenant.Name:
+			changes.KeysMoved++
+		}
+	}
+	for digest := range previous.byKey {
+		if current.byKey[digest] == nil {
+			changes.KeysRevoked++
+		}
+	}
+	return changes
+}
+
+func (t *Table) tenantsOrNone() *tenantIndex {
+	if t == nil || t.tenants == nil {
+		return &tenantIndex{}
+	}
+	return t.tenants
+}
+
 // RegionsFor returns the regions whose replicas may receive a tenant's requests on the route;
 // empty means all. It returns false if the regions of the route and those of the tenant have
 // none in common. The tenant may be nil.
--- a/internal/routing/tenant_test.go
+++ b/internal/routing/tenant_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -59,3 +60,87 @@
 		})
 	}
 }
+
+// Guards against a faulty list of tenants that leaves the routes open to everyone.
+func TestUnusableTenantsStillRequireKeys(t *testing.T) {
+	table := tenantTable(TenantSpec{Keys: []string{"k1"}})
+	if !table.HasTenants() || table.Authenticate("k1") != nil || table.TenantCount() != 0 {
+		t.Errorf("tenants required %v, %d tenants", table.HasTenants(), table.TenantCount())
+	}
+	if tenantTable().HasTenants() || table.WithTenants(nil).HasTenants() {
+		t.Error("an empty list requires keys")
+	}
+}
+
+// Guards against a tenant that replicas take for another one, as its name is altered when sent.
+func TestNamesThatCannotBeSent(t *testing.T) {
+	for name, usable := range map[string]bool{
+		"a": true, "a b": true, "Ünïcode": true, "a\nb": false, "a\rb": false, "\x00": false, "a\tb": false, "\x7f": false, " a": false, "a ": false,
+	} {
+		table := tenantTable(TenantSpec{Tenant: Tenant{Name: name}, Keys: []string{"k1"}})
+		if got := table.Authenticate("k1") != nil; got != usable || (len(table.TenantConflicts()) == 0) != usable {
+			t.Errorf("name %q: usable %v, conflicts %q", name, got, table.TenantConflicts())
+		}
+	}
+}
+
+// Guards against revocations and moves of keys that no log line mentions.
+func TestCompareTenants(t *testing.T) {
+	a := TenantSpec{Tenant: Tenant{Name: "a"}, Keys: []string{"a1", "a2", "a3"}}
+	cases := []struct {
+		name          string
+		before, after *Table
+		want          TenantChanges
+	}{
+		{"first table", nil, tenantTable(a), TenantChanges{Added: 1, KeysAdded: 3}},
+		{"none", nil, tenantTable(), TenantChanges{}},
+		{"equal", tenantTable(a), tenantTable(a), TenantChanges{}},
+		{"keys", tenantTable(a), tenantTable(
+			TenantSpec{Tenant: Tenant{Name: "a"}, Keys: []string{"a1", "a4"}},
+			TenantSpec{Tenant: Tenant{Name: "b"}, Keys: []string{"a2"}},
+		), TenantChanges{Added: 1, KeysAdded: 1, KeysRevoked: 1, KeysMoved: 1}},
+		{"all removed", tenantTable(a), tenantTable(), TenantChanges{Removed: 1, KeysRevoked: 3}},
+	}
+	for _, test := range cases {
+		if got := CompareTenants(test.before, test.after); got != test.want {
+			t.Errorf("%s: %+v, want %+v", test.name, got, test.want)
+		}
+	}
+}
+
+// manyTenants returns 10,000 tenants with two keys each.
+func manyTenants() []TenantSpec {
+	specs := make([]TenantSpec, 10_000)
+	for i := range specs {
+		specs[i] = TenantSpec{Tenant: Tenant{Name: fmt.Sprint("tenant-", i)}, Keys: []string{fmt.Sprint("first-key-of-", i), fmt.Sprint("second-key-of-", i)}}
+	}
+	return specs
+}
+
+// BenchmarkAuthenticate measures the lookup of a key among 20,000.
+func BenchmarkAuthenticate(b *testing.B) {
+	table := tenantTable(manyTenants()...)
+	b.ReportAllocs()
+	for b.Loop() {
+		if table.Authenticate("second-key-of-7000") == nil {
+			b.Fatal("key not found")
+		}
+	}
+}
+
+// BenchmarkWithTenants measures time and memory to index 10,000 tenants with 20,000 keys.
+func BenchmarkWithTenants(b *testing.B) {
+	specs := manyTenants()
+	b.ReportAllocs()
+	for b.Loop() {
+		tenantTable(specs...)
+	}
+}
+
+// BenchmarkCompareTenants measures the comparison of two tables of 10,000 tenants.
+func BenchmarkCompareTenants(b *testing.B) {
+	before, after := tenantTable(manyTenants()...), tenantTable(manyTenants()...)
+	for b.Loop() {
+		CompareTenants(before, after)
+	}
+}
