Limit the requests of tenants at all nodes together

Cause: each node knows only its own requests, so that a tenant's limit holds at one node but not for the fleet.

Change: internal/quota keeps an account of each active tenant on every node and charges it with the admissions that other nodes report, as cumulative counts. Demand above the limit is paced over one second, so that nodes do not all spend the same balance while reports are under way. The share of a silent node is reserved for it. internal/announce carries the reports as direct datagrams to single nodes. internal/edge runs the limiter if bounds.quota_window is set. Reports are decoded field by field: decoding a slice of structs with msgpack allocates the announced length (out of memory at some 200 GB for a datagram of 11 bytes).

Before this change nothing limited a tenant.

--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -1,8 +1,8 @@
 // Package announce exchanges the latest known store revision between nodes by
 // UDP, so that not every node has to poll the store. Each node forwards an
 // announcement to a few random peers. Delivery is unreliable and unordered; a
-// node that receives nothing polls the store itself. Opaque notices are sent
-// over the same socket.
+// node that receives nothing polls the store itself. Opaque notices, and direct
+// datagrams to single nodes, are sent over the same socket.
 package announce
 
 import (
@@ -12,6 +12,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -24,8 +25,10 @@
 const (
 	// fanout is the number of peers that a node sends each datagram to.
 	fanout = 8
-	// maxDatagramBytes is the maximum size of a received datagram.
+	// maxDatagramBytes is the maximum size of a received announcement or notice.
 	maxDatagramBytes = 512
+	// MaxDirectBytes is the maximum size of a direct datagram. It fits into an Ethernet frame.
+	MaxDirectBytes = 1400
 	// receiveQueueSize is the capacity of the channel of received announcements.
 	receiveQueueSize = 64
 )
@@ -76,6 +79,9 @@
 	// OnNotice is called with each notice received from another node. It owns the slice and
 	// must not block. If nil, notices are dropped.
 	OnNotice func(content []byte)
+	// OnDirect is called with each direct datagram received from another node. It owns the
+	// slice and must not block. If nil, direct datagrams are dropped.
+	OnDirect func(from netip.AddrPort, content []byte)
 	// Nodes returns the currently known nodes. The node with the Announcer's own address is
 	// skipped when sending.
 	Nodes  func() *topology.Nodes
@@ -115,9 +121,9 @@
 func (a *Announcer) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = a.socket.Close() })
 	defer stop()
-	buffer := make([]byte, maxDatagramBytes)
+	buffer := make([]byte, 1+MaxDirectBytes+1) // one byte more shows that a datagram is too long
 	for {
-		size, _, err := a.socket.ReadFromUDP(buffer)
+		size, from, err := a.socket.ReadFromUDPAddrPort(buffer)
 		switch {
 		case ctx.Err() != nil, errors.Is(err, net.ErrClosed):
 			return nil
@@ -125,6 +131,11 @@
 			a.options.Logger.Debug("receive announcement failed", "error", err.Error())
 			continue
 		}
+		if size > 1 && buffer[0] == directPrefix {
+			a.deliverDirect(from, buffer[1:size])
+			continue
+		}
+		size = min(size, maxDatagramBytes)
 		if size > 1 && buffer[0] == noticePrefix {
 			a.deliverNotice(buffer[1:size])
 			continue
@@ -145,6 +156,26 @@
 // notice cannot be mistaken for an announcement.
 const noticePrefix = 0xc1
 
+// directPrefix is the first byte of a direct datagram. In msgpack it begins an extension of
+// undefined type, which is no announcement.
+const directPrefix = 0xc7
+
+func (a *Announcer) deliverDirect(from netip.AddrPort, content []byte) {
+	if a.options.OnDirect != nil && len(content) <= MaxDirectBytes {
+		a.options.OnDirect(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), bytes.Clone(content))
+	}
+}
+
+// SendDirect sends a datagram to one node. Delivery is best effort; an error means that the
+// content does not fit into a datagram.
+func (a *Announcer) SendDirect(to netip.AddrPort, content []byte) error {
+	if len(content) > MaxDirectBytes {
+		return eris.Errorf("%d bytes do not fit into a direct datagram", len(content))
+	}
+	_, _ = a.socket.WriteToUDPAddrPort(append([]byte{directPrefix}, content...), to)
+	return nil
+}
+
 func (a *Announcer) deliverNotice(content []byte) {
 	if a.options.OnNotice != nil {
 		a.options.OnNotice(bytes.Clone(content))
--- a/internal/announce/announce_test.go
+++ b/internal/announce/announce_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -19,17 +21,28 @@
 	nodes      topology.Nodes
 	announcers []*Announcer
 	notices    chan string
+	directs    chan direct
 }
 
+// direct is a received direct datagram.
+type direct struct{ from, to, content string }
+
 func (n *network) onNotice(content []byte) { n.notices <- string(content) }
 
 func newNetwork(t *testing.T, size int) *network {
 	t.Helper()
-	n := &network{notices: make(chan string, 8)}
+	n := &network{notices: make(chan string, 8), directs: make(chan direct, 8)}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	for range size {
-		announcer, err := New(Options{Address: "127.0.0.1:0", Nodes: n.currentNodes, OnNotice: n.onNotice})
+		var announcer *Announcer
+		var err error
+		announcer, err = New(Options{
+			Address: "127.0.0.1:0", Nodes: n.currentNodes, OnNotice: n.onNotice,
+			OnDirect: func(from netip.AddrPort, content []byte) {
+				n.directs <- direct{from.String(), announcer.Address(), string(content)}
+			},
+		})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -143,6 +156,31 @@
 	}
 }
 
+// Guards against direct datagrams that are lost, cut off or taken for announcements or notices, and
+// against senders that the receiver cannot answer.
+func TestSendDirectReachesOneNode(t *testing.T) {
+	n := newNetwork(t, 3)
+	content := strings.Repeat("x", MaxDirectBytes)
+	to := netip.MustParseAddrPort(n.announcers[1].Address())
+	if err := n.announcers[0].SendDirect(to, []byte(content+"x")); err == nil {
+		t.Error("no error for an oversized datagram")
+	}
+	if err := n.announcers[0].SendDirect(to, []byte(content)); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case got := <-n.directs:
+		if want := (direct{n.announcers[0].Address(), to.String(), content}); got != want {
+			t.Errorf("%s received %d bytes from %s", got.to, len(got.content), got.from)
+		}
+	case <-time.After(10 * time.Second):
+		t.Fatal("received nothing")
+	}
+	if len(n.directs) != 0 || len(n.notices) != 0 || len(n.announcers[1].Received()) != 0 {
+		t.Error("a direct datagram was received as something else")
+	}
+}
+
 func TestTargetsLimitedToFanout(t *testing.T) {
 	n := newNetwork(t, 3)
 	for range 50 {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -29,6 +29,7 @@
 	"github.com/doorpond/doorpond/internal/processor"
 	"github.com/doorpond/doorpond/internal/quarantine"
 	"github.com/doorpond/doorpond/internal/query"
+	"github.com/doorpond/doorpond/internal/quota"
 	"github.com/doorpond/doorpond/internal/registry"
 	"github.com/doorpond/doorpond/internal/relay"
 	"github.com/doorpond/doorpond/internal/replica"
@@ -112,8 +113,10 @@
 	// quarantine and persister are nil if the quarantine is disabled.
 	quarantine *quarantine.List
 	persister  *quarantine.Persister
-	follower   *follower.Follower
-	registry   *registry.Registry
+	// quota is nil if the settings have no window for limits of tenants.
+	quota    *quota.Limiter
+	follower *follower.Follower
+	registry *registry.Registry
 	// meter measures how long this process has run, without the time it was suspended.
 	meter     *elapsed.Meter
 	processor *processor.Meter
@@ -149,7 +152,7 @@
 	n.setPhase(blackboard.PhaseStarting)
 	var err error
 	n.announcer, err = announce.New(announce.Options{
-		Address: n.settings.Peers, Nodes: n.board.Nodes.Load, Logger: n.logger, OnNotice: n.handleNotice,
+		Address: n.settings.Peers, Nodes: n.board.Nodes.Load, Logger: n.logger, OnNotice: n.handleNotice, OnDirect: n.handleDirect,
 	})
 	if err != nil {
 		return nil, err
@@ -189,6 +192,7 @@
 		OnAddressReused: n.logDisplacedReplica,
 	})
 	n.initQuarantine(source, registerer)
+	n.initQuota(registerer)
 	n.queries = query.NewService(query.Options{
 		Board: n.board, Pool: n.pool, Registerer: registerer, Logger: n.logger, Quarantine: n.quarantine,
 		Admission: admission.New(admission.Options{Registerer: registerer}), PausedTime: n.meter.PausedTime,
@@ -343,6 +347,7 @@
 	group.Go(func() error { return n.sweep(running) })
 	group.Go(func() error { return n.probeZone(running) })
 	group.Go(func() error { return n.persistQuarantine(running) })
+	group.Go(func() error { return n.runQuota(running) })
 	group.Go(func() error {
 		defer close(registrationDone)
 		return n.registry.Run(registering)
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -50,7 +50,8 @@
 // initServers creates the server of each listener.
 func (n *Node) initServers() {
 	n.server = n.newServer(ingress.New(ingress.Options{
-		Board: n.board, Codec: n.platform.Codec, Forwarder: n.queries, WaitFresh: n.follower.WaitUntilFresh, Logger: n.logger,
+		Board: n.board, Codec: n.platform.Codec, Forwarder: n.queries, Quota: n.ingressQuota(), WaitFresh: n.follower.WaitUntilFresh,
+		Logger: n.logger,
 	}))
 	n.connections.Track(n.server)
 	requests, cancelRequests := context.WithCancelCause(context.Background())
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/doorpond/doorpond/internal/quota"
 	"github.com/doorpond/doorpond/internal/settings"
 )
 
@@ -86,12 +87,23 @@
 	RetrySlack float64 `yaml:"retry_slack" validate:"gte=0"`
 	// RetryWindow is the length of these windows; 0 means unspecified.
 	RetryWindow time.Duration `yaml:"retry_window" validate:"gte=0,lte=10m"`
+	// QuotaWindow, QuotaOverage and QuotaSlack bound the requests of a tenant with a limit that
+	// all nodes admit: in each window, (rate x window + burst) x (1 + QuotaOverage) + QuotaSlack.
+	// Without QuotaWindow, tenants are not limited.
+	QuotaWindow  time.Duration `yaml:"quota_window" validate:"gte=0,lte=10m"`
+	QuotaOverage float64       `yaml:"quota_overage" validate:"gte=0,lte=100"`
+	QuotaSlack   float64       `yaml:"quota_slack" validate:"gte=0"`
 	// DirectoryTTL is the longest time for which callers cache addresses.
 	DirectoryTTL time.Duration `yaml:"directory_ttl" validate:"gt=0,lte=10m"`
 	// LostNodes is the number of nodes whose simultaneous loss must hardly affect callers.
 	LostNodes int `yaml:"lost_nodes" validate:"gte=0"`
 }
 
+// Quota returns the bounds of the tenants' limits.
+func (b BoundsSettings) Quota() quota.Bounds {
+	return quota.Bounds{Window: b.QuotaWindow, Overage: b.QuotaOverage, Slack: b.QuotaSlack}
+}
+
 // minEntryNodes is the minimum number of entry nodes per zone, so that one can shut down.
 const minEntryNodes = 2
 
--- a/internal/edge/settings_test.go
+++ b/internal/edge/settings_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/doorpond/doorpond/internal/decision"
+	"github.com/doorpond/doorpond/internal/quota"
 	"github.com/doorpond/doorpond/internal/settings"
 	"github.com/doorpond/doorpond/internal/topology"
 )
@@ -29,6 +30,7 @@
 // optionalFields are fields that the platform provides on some deployments only.
 var optionalFields = map[string]string{
 	"bounds.evacuateMs": "1500", "bounds.budgetWindowS": "10", "bounds.warmupOverage": "1.5", "bounds.warmupSlack": "5",
+	"bounds.quota" + "WindowS": "5", "bounds.quota" + "Overage": "0.1", "bounds.quota" + "Slack": "20",
 }
 
 // optionalLine matches a part of the template that is rendered only if its field is present.
@@ -105,6 +107,9 @@
 	if with.Bounds.RetryWindow != 10*time.Second || without.Bounds.RetryWindow != 0 {
 		t.Errorf("retry windows %v and %v", with.Bounds.RetryWindow, without.Bounds.RetryWindow)
 	}
+	if want := (quota.Bounds{Window: 5 * time.Second, Overage: 0.1, Slack: 20}); with.Bounds.Quota() != want || without.Bounds.Quota() != (quota.Bounds{}) {
+		t.Errorf("quota bounds %+v and %+v", with.Bounds.Quota(), without.Bounds.Quota())
+	}
 	if without.Bounds.Evacuate != 0 || without.Bounds.MaxStaleness() != 2*time.Second {
 		t.Errorf("bounds %+v, staleness %v", without.Bounds, without.Bounds.MaxStaleness())
 	}
--- a/internal/routing/tenant.go
+++ b/internal/routing/tenant.go
@@ -3,6 +3,8 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"iter"
+	"maps"
 	"slices"
 )
 
@@ -110,6 +112,14 @@
 	return t.tenants.byName[name]
 }
 
+// Tenants returns all tenants, in no particular order.
+func (t *Table) Tenants() iter.Seq[*Tenant] {
+	if t.tenants == nil {
+		return func(func(*Tenant) bool) {}
+	}
+	return maps.Values(t.tenants.byName)
+}
+
 // TenantCount returns the number of tenants.
 func (t *Table) TenantCount() int {
 	if t.tenants == nil {
