Soak: tenants whose keys and limits change

Cause: no run of the soak had tenants, so that real nodes were never checked for whose requests they run, while keys change and nodes are cut off.

Change: half of the seeds have tenants, by a random sequence of its own; the plans of the four seeds of testdata/soak-seeds.txt stay the same (TestKnownSeedsHaveNoTenants). Keys are added, revoked and moved, limits fall and rise, a tenant sends many times its limit, while nodes are cut off or stopped. internal/soak/tenantcheck judges what callers and replicas saw; it does no I/O and its tests fail it on records made by hand. The checks of limits are written and tested, but not used on nodes yet (limitWindow), since nodes do not limit tenants so far. doorpond-lab can break the program of one node (--breakage).

The check of executions was wrong: it counted a request once per arrival at the replica that ran it, so that one which the same replica first refused counted twice ("s1-519 ran 2 times" and one more, seed 1, 36 s; the node's log shows one refused and one successful attempt). It counts executed arrivals now, with a test.

--- a/cmd/doorpond-lab/main.go
+++ b/cmd/doorpond-lab/main.go
@@ -33,6 +33,6 @@
 	return &cli.Command{
 		Name:     "doorpond-lab",
 		Usage:    "run stand-ins of the platform and measure daemons against them",
-		Commands: []*cli.Command{demoCommand(), platformCommand(), loadCommand(), experimentCommand(), simulateCommand(), proveCommand(), soakCommand(), benchCommand()},
+		Commands: []*cli.Command{demoCommand(), platformCommand(), loadCommand(), experimentCommand(), simulateCommand(), proveCommand(), soakCommand(), benchCommand(), brokenNodeCommand()},
 	}
 }
--- a/cmd/doorpond-lab/soak.go
+++ b/cmd/doorpond-lab/soak.go
@@ -11,6 +11,7 @@
 
 	"github.com/doorpond/doorpond/internal/soak"
 	"github.com/doorpond/doorpond/internal/soak/process"
+	"github.com/doorpond/doorpond/platform/standin"
 )
 
 const (
@@ -25,7 +26,8 @@
 		Name:  "soak",
 		Usage: "run real edge nodes as processes, let random faults befall them from outside, and check the promises",
 		Description: "Prints one line a run, and each promise that was broken; exit code 1 when one was. Builds\n" +
-			"doorpond-edge with the go command unless --program names it. Logs of a run with findings are kept.\n\n" +
+			"doorpond-edge with the go command unless --program names it. Logs of a run with findings are kept.\n" +
+			"Half of the seeds have tenants, whose keys and limits change.\n\n" +
 			"Example: doorpond-lab soak --runs 3 --length 60s\n" +
 			"Example: doorpond-lab soak --seed 7 --verbose",
 		Flags: []cli.Flag{
@@ -35,6 +37,7 @@
 			&cli.IntFlag{Name: flagNodes, Value: 9, Usage: "`NUMBER` of nodes, divided among three zones"},
 			&cli.StringFlag{Name: flagProgram, Usage: "run the doorpond-edge at `PATH`"},
 			&cli.BoolFlag{Name: flagVerbose, Usage: "print each fault"},
+			breakageFlag(),
 		},
 		Action: runSoak,
 	}
@@ -60,9 +63,19 @@
 	if command.Bool(flagVerbose) {
 		out = os.Stdout
 	}
+	lab := ""
+	if command.String(flagBreakage) != "" {
+		var err error
+		if lab, err = os.Executable(); err != nil {
+			return eris.Wrap(err, "find this program")
+		}
+	}
 	violated := false
 	for range command.Int(flagRuns) {
-		report, err := soak.Run(ctx, soak.Config{Seed: seed, Length: command.Duration(flagLength), Nodes: command.Int(flagNodes), Program: program, Out: out})
+		report, err := soak.Run(ctx, soak.Config{
+			Seed: seed, Length: command.Duration(flagLength), Nodes: command.Int(flagNodes), Program: program, Out: out,
+			Breakage: standin.Breakage(command.String(flagBreakage)), Lab: lab,
+		})
 		if err != nil {
 			return err
 		}
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -31,6 +31,8 @@
 	nonIdempotent path = standin.NonIdempotentPath
 	// regional is scattered over the replicas of one region.
 	regional path = standin.RegionalPath
+	// public needs no key. Only runs with tenants have it.
+	public path = standin.PublicPath
 )
 
 // isScattered reports whether the path is answered by many shards.
@@ -38,8 +40,10 @@
 
 // observation is a request as seen by its caller.
 type observation struct {
-	id          string
-	path        path
+	id   string
+	path path
+	// key is the caller's API key, or "".
+	key         string
 	sent, ended time.Time
 	response    standin.Response
 	err         error
@@ -85,9 +89,9 @@
 }
 
 func call(ctx context.Context, c *cluster, checker *checker, number int) {
-	client := newClient(c, number)
+	sender := &caller{client: newClient(c, number), keys: c.keys, tenant: tenantsByCaller[number/len(zones)%len(tenantsByCaller)]}
 	for serial := 0; ctx.Err() == nil; serial++ {
-		checker.record(request(client, fmt.Sprintf("c%d-%d", number, serial), choosePath()))
+		checker.record(sender.send(fmt.Sprintf("c%d-%d", number, serial)))
 		time.Sleep(time.Duration(rand.Int64N(int64(2 * thinkTime))))
 	}
 }
@@ -108,7 +112,7 @@
 func request(client *standin.Client, id string, asked path) observation {
 	ctx, cancel := context.WithTimeout(context.Background(), callerWait+callerMargin)
 	defer cancel()
-	seen := observation{id: id, path: asked, sent: time.Now()}
+	seen := observation{id: id, path: asked, key: client.Key, sent: time.Now()}
 	seen.response, seen.err = client.Send(ctx, id, string(asked)+"x", callerWait)
 	seen.ended = time.Now()
 	return seen
--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -55,6 +55,8 @@
 		c.checkAnswer(&obs)
 	case refusal(obs.response.Status):
 		c.report.Refused++
+	case obs.response.Status == http.StatusUnauthorized && c.cluster.keys != nil:
+		c.report.Unauthenticated++
 	default:
 		c.report.Failed++
 	}
@@ -109,6 +111,7 @@
 	}
 	c.checkBudgets()
 	c.checkCrashRuns()
+	c.checkTenants()
 	for _, node := range c.cluster.nodes {
 		for _, failure := range node.process.Failures() {
 			c.addFinding("node %s: %v", node.settings.Node, failure)
@@ -123,8 +126,8 @@
 	executions := make(map[string]int)
 	for _, replica := range c.cluster.replicas() {
 		for _, arrival := range replica.ArrivalLog() {
-			if replica.Executions(arrival.ID) > 0 {
-				executions[arrival.ID] += replica.Executions(arrival.ID)
+			if arrival.Executed {
+				executions[arrival.ID]++
 			}
 		}
 	}
@@ -197,7 +200,16 @@
 		return
 	}
 	complete := obs.err == nil && obs.response.Status == http.StatusOK && obs.response.Missing == 0
-	if !complete {
+	if !complete && !c.refusedByTenant(obs) {
 		c.addFinding("%s in the calm at the end: status %d, %d shards missing, error %v", obs.id, obs.response.Status, obs.response.Missing, obs.err)
 	}
 }
+
+// refusedByTenant reports whether a request was refused because of its key or its tenant's limit,
+// which checkTenants checks.
+func (c *checker) refusedByTenant(obs *observation) bool {
+	if c.cluster.keys == nil || obs.err != nil {
+		return false
+	}
+	return obs.response.Status == http.StatusUnauthorized || obs.response.Status == http.StatusTooManyRequests
+}
--- a/internal/soak/checker_test.go
+++ b/internal/soak/checker_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
 	"strings"
 	"testing"
@@ -50,11 +51,18 @@
 }
 
 func sendTo(t *testing.T, c *cluster, replica int, id, process string) {
+	t.Helper()
+	sendWith(t, c, replica, id, process, nil)
+}
+
+// sendWith sends a request with further header fields.
+func sendWith(t *testing.T, c *cluster, replica int, id, process string, header http.Header) {
 	t.Helper()
 	request, err := http.NewRequest(http.MethodPost, "http://"+c.links[replica].Addr().String()+"/x", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
+	maps.Copy(request.Header, header)
 	request.Header.Set("Request-Id", id)
 	if process != "" {
 		request.Header.Set("Target-Instance", process)
@@ -118,6 +126,13 @@
 			sendArrival(t, c, plainReplica+1, "r")
 			checker.record(answered("r", nonIdempotent, http.StatusBadGateway))
 		}, "ran 2 times"},
+		{"non-idempotent request refused by a replica that then executes it", func(c *cluster, checker *checker) {
+			c.deployment.Replicas[plainReplica].Refuse(true)
+			sendArrival(t, c, plainReplica, "r")
+			c.deployment.Replicas[plainReplica].Refuse(false)
+			sendArrival(t, c, plainReplica, "r")
+			checker.record(answered("r", nonIdempotent, http.StatusBadGateway))
+		}, ""},
 		{"regional request inside its region", func(c *cluster, checker *checker) {
 			sendArrival(t, c, 0, "r")
 			checker.record(answered("r", regional, http.StatusBadGateway))
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -57,6 +58,13 @@
 	stalls     stallDetector
 	began      time.Time
 
+	// keys is nil if the run has no tenants.
+	keys *keyBook
+	// surges counts the senders of tenants that send many times their limit.
+	surges atomic.Int64
+	// record is the function that receives the requests of such senders.
+	record func(observation)
+
 	// replacing counts the crashed replicas that are not yet replaced.
 	replacing sync.WaitGroup
 
@@ -120,8 +128,13 @@
 
 func newCluster(config Config) (*cluster, error) {
 	c := &cluster{leaving: make(map[*standin.Replica]time.Time), allowed: map[int]bool{shards: true}, shards: shards}
+	options := standin.Options{Zones: zones, Shards: shards, ProcessingTime: processingTime, Advertise: c.link, OnCrash: c.replaceCrashed}
+	if HasTenants(config.Seed) {
+		c.keys = newKeyBook()
+		options.Tenants = c.keys.tenants
+	}
 	var err error
-	c.deployment, err = standin.Start(standin.Options{Zones: zones, Shards: shards, ProcessingTime: processingTime, Advertise: c.link, OnCrash: c.replaceCrashed})
+	c.deployment, err = standin.Start(options)
 	if err != nil {
 		return nil, eris.Wrap(err, "start stand-in services")
 	}
@@ -176,9 +189,11 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "create log file")
 	}
-	started.process = process.New(process.Config{
-		Program: config.Program, Args: []string{"--config", started.path}, Log: started.log,
-	})
+	program, args := config.Program, []string{"--config", started.path}
+	if config.Breakage != "" && number == int(config.Seed%uint64(config.Nodes)) {
+		program, args = config.Lab, append([]string{standin.BrokenNodeCommand, "--breakage", string(config.Breakage)}, args...)
+	}
+	started.process = process.New(process.Config{Program: program, Args: args, Log: started.log})
 	return started, started.process.Start()
 }
 
--- a/internal/soak/crash.go
+++ b/internal/soak/crash.go
@@ -38,6 +38,7 @@
 	path := fmt.Sprintf("%s%s%d%s", standin.ScatteredPath, crashPrefix, fault.Target, standin.CrashSuffix)
 	for try := range crashAttempts {
 		client := &standin.Client{HTTP: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, Method: http.MethodPost}
+		client.Key = c.steadyKey()
 		client.Pin(c.nodes[rand.IntN(len(c.nodes))].settings.Callers)
 		bounded, cancel := context.WithTimeout(ctx, callerWait)
 		_, _ = client.Send(bounded, fmt.Sprintf("%s%d-%d", crashPrefix, fault.Target, try), path, callerWait) // the outcome does not matter
--- a/internal/soak/pause_stop.go
+++ b/internal/soak/pause_stop.go
@@ -61,6 +61,7 @@
 // sendHeld sends a request that a replica holds to a node about to stop.
 func (c *cluster) sendHeld(ctx context.Context, target *node, id string) {
 	client := &standin.Client{HTTP: &http.Client{Transport: &http.Transport{}}, Method: http.MethodPost}
+	client.Key = c.steadyKey()
 	client.Pin(target.settings.Callers)
 	bounded, cancel := context.WithTimeout(ctx, heldWait)
 	defer cancel()
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -79,12 +79,26 @@
 	// resumed, it must not answer by the old configuration.
 	PauseStop
 	PauseDuringChange
+	// The kinds from here on are drawn from a fourth sequence (see newTenantPlan).
+	// Tenant kinds change a tenant: a key is added, revoked or moved to another tenant, all
+	// keys are revoked for a time, the limit falls far below what the tenant sends, or rises,
+	// or the tenant sends many times its limit for a time.
+	TenantKeyAdd
+	TenantKeyRevoke
+	TenantKeyMove
+	TenantLockout
+	TenantLimitDrop
+	TenantLimitRise
+	TenantSurge
 	kinds
 )
 
 // firstSupplementaryKind is the first kind drawn by newSupplementaryPlan.
 const firstSupplementaryKind = ReplicaLinkSilenceOpen
 
+// firstTenantKind is the first kind drawn by newTenantPlan.
+const firstTenantKind = TenantKeyAdd
+
 var kindNames = [kinds]string{
 	"kill_node", "pause_node", "stop_node", "kill_half", "kill_all_twice", "roll_nodes", "hang_up_node",
 	"store_link_delay", "store_link_reset", "store_link_hold_requests", "store_link_hold_replies", "store_link_silence",
@@ -95,6 +109,7 @@
 	"configure", "configure_series", "drain", "vanish", "evacuate",
 	"replica_link_deaden", "service_hang", "start_without_store",
 	"ending_request", "store_copy", "pause_stop", "pause_news",
+	"tenant_key_add", "tenant_key_revoke", "tenant_key_move", "tenant_lockout", "tenant_limit_drop", "tenant_limit_rise", "tenant_surge",
 }
 
 func (k Kind) String() string { return kindNames[k] }
@@ -139,7 +154,8 @@
 // seeds stay the same.
 func NewPlan(seed uint64, length time.Duration) []Fault {
 	plan := append(newPlan(seed, length), newSupplementaryPlan(seed, length)...)
-	return append(plan, newPausePlan(seed, length)...)
+	plan = append(plan, newPausePlan(seed, length)...)
+	return append(plan, newTenantPlan(seed, length)...)
 }
 
 // The pauses of PauseStop and PauseDuringChange range from those that look like
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -15,6 +15,8 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/doorpond/doorpond/internal/soak/process"
+	"github.com/doorpond/doorpond/internal/soak/tenantcheck"
+	"github.com/doorpond/doorpond/platform/standin"
 )
 
 // Config configures a run.
@@ -28,6 +30,10 @@
 	// Directory holds settings and logs. If empty, a temporary directory is used
 	// and removed when there are no findings.
 	Directory string
+	// Breakage, unless it is empty, breaks the program of one node on purpose.
+	Breakage standin.Breakage
+	// Lab is the path of doorpond-lab, which runs the broken node; it is built if empty.
+	Lab string
 	// Out receives a line for each fault, unless it is nil.
 	Out io.Writer
 }
@@ -39,6 +45,11 @@
 	// Served, Refused, Failed and Unanswered count requests by outcome: success,
 	// 429 or 503, another status, and no response.
 	Served, Refused, Failed, Unanswered int
+	// Tenants is true if the run has tenants, Unauthenticated the number of requests refused
+	// with 401, and Identity the outcome of the checks of tenants.
+	Tenants         bool
+	Unauthenticated int
+	Identity        tenantcheck.Result
 	// Partial counts successful answers that lack shards.
 	Partial int
 	Faults  int
@@ -79,6 +90,13 @@
 		}
 		config.Program = program
 	}
+	if config.Breakage != "" && config.Lab == "" {
+		program, err := process.Build(ctx, config.Directory, "doorpond-lab")
+		if err != nil {
+			return Report{}, err
+		}
+		config.Lab = program
+	}
 	report, err := run(ctx, config)
 	if err == nil && temporary && len(report.Findings) == 0 {
 		return report, eris.Wrap(os.RemoveAll(config.Directory), "remove log directory")
@@ -98,6 +116,7 @@
 	}
 	plan := NewPlan(config.Seed, config.Length)
 	checker := newChecker(c)
+	c.record = checker.record
 	watching, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go c.stalls.watch(watching)
@@ -107,10 +126,15 @@
 		callers.stop()
 		return Report{}, err
 	}
+	settled := newSettledPlan(config.Seed, time.Since(c.began))
+	if err := c.runPlan(ctx, settled, config.Out); err != nil {
+		callers.stop()
+		return Report{}, err
+	}
 	checker.expectHealthyFrom(c.awaitRecovery(ctx))
 	callers.stop()
 	report := checker.finish()
-	report.Seed, report.Faults = config.Seed, len(plan)
+	report.Seed, report.Faults = config.Seed, len(plan)+len(settled)
 	if report.Stalled > time.Duration(maxStalledShare*float64(time.Since(c.began))) {
 		return report, eris.Errorf("run is invalid: the machine was stalled for %v", report.Stalled.Round(time.Second))
 	}
@@ -122,6 +146,10 @@
 	_, err := fmt.Fprintf(out, "seed %d: %d faults; %d requests: %d served (%d partial), %d refused, %d failed, %d without an answer; news checked %d times; %d replicas ended by requests; stalled for %v, %d requests not judged; %d findings\n",
 		r.Seed, r.Faults, r.Requests, r.Served, r.Partial, r.Refused, r.Failed, r.Unanswered, r.ChangesChecked, r.Crashed,
 		r.Stalled.Round(time.Millisecond), r.Unjudged, len(r.Findings))
+	if err == nil && r.Tenants {
+		_, err = fmt.Fprintf(out, "  tenants: %d requests got 401 and %d got 429 by a limit; %d of %d below a limit were refused; the fullest window had %.2f of what is allowed\n",
+			r.Unauthenticated, r.Identity.Limited, r.Identity.Lost, r.Identity.Owed, r.Identity.Fullest)
+	}
 	for _, finding := range r.Findings {
 		if err == nil {
 			_, err = fmt.Fprintln(out, "  finding:", finding)
--- a/internal/soak/stall.go
+++ b/internal/soak/stall.go
@@ -46,6 +46,13 @@
 	d.stalls = append(d.stalls, stall{began, ended})
 }
 
+// all returns the stalls so far.
+func (d *stallDetector) all() []stall {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.stalls)
+}
+
 // overlaps reports whether a time span overlaps a stall or its after-effects.
 func (d *stallDetector) overlaps(from, until time.Time) bool {
 	d.mu.Lock()
--- /dev/null
+++ b/internal/soak/tenantcheck/quota.go
@@ -0,0 +1,190 @@
+package tenantcheck
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"net/http"
+	"slices"
+	"time"
+)
+
+// execution is a request of a tenant that ran.
+type execution struct{ sent, began time.Duration }
+
+// executions returns the requests that ran, by tenant and in the order in which they were sent.
+func (c *checker) executions() map[string][]execution {
+	found := make(map[string][]execution)
+	for i := range c.record.Requests {
+		request := &c.record.Requests[i]
+		first := slices.IndexFunc(request.Arrivals, func(a Arrival) bool { return a.Executed })
+		if first < 0 || request.Arrivals[first].tenant() == "" {
+			continue
+		}
+		name := request.Arrivals[first].tenant()
+		found[name] = append(found[name], execution{request.Sent, request.Arrivals[first].At})
+	}
+	for _, list := range found {
+		slices.SortFunc(list, func(a, b execution) int { return cmp.Compare(a.sent, b.sent) })
+	}
+	return found
+}
+
+// checkWindows checks that in no window more requests of a tenant are both sent and run than the
+// bound allows. A window that breaks the bound also breaks it when it starts with a request.
+func (c *checker) checkWindows() {
+	for name, list := range c.executions() {
+		exceeded := false
+		for i, first := range list {
+			end, count := first.sent+c.bounds.Window, 0
+			for _, each := range list[i:] {
+				if each.sent > end {
+					break
+				}
+				if each.began <= end {
+					count++
+				}
+			}
+			allowed := c.allowed(name, first.sent, end)
+			c.result.Fullest = max(c.result.Fullest, float64(count)/allowed)
+			if float64(count) > allowed && !exceeded {
+				exceeded = true // overlapping windows would repeat the finding
+				c.addFinding("%d requests of %q ran in the %v from %v on, of %.0f allowed", count, name, c.bounds.Window, first.sent, allowed)
+			}
+		}
+	}
+}
+
+// allowed returns the number of a tenant's requests that may run in a window: by the highest limit
+// of the versions that may be in force. A replaced version counts until one window after the next
+// one is in force on all nodes. Requests of a tenant that no version has are findings of their own.
+func (c *checker) allowed(name string, from, until time.Duration) float64 {
+	most := 0.0
+	for i := range c.record.Versions {
+		version := &c.record.Versions[i]
+		if version.Began > until {
+			break
+		}
+		if i+1 < len(c.record.Versions) && c.inForceEverywhere(i+1)+c.bounds.Window <= from {
+			continue
+		}
+		tenant := version.tenant(name)
+		if tenant == nil {
+			continue
+		}
+		if tenant.Rate <= 0 {
+			return math.Inf(1)
+		}
+		most = max(most, (tenant.Rate*c.bounds.Window.Seconds()+tenant.Burst)*(1+c.bounds.Overage)+c.bounds.Slack)
+	}
+	if most == 0 {
+		return math.Inf(1)
+	}
+	return most
+}
+
+// inForceEverywhere returns the time at which a version, or a later one, must be in force on all
+// nodes. Disturbances prolong it until the nodes have been in contact again.
+func (c *checker) inForceEverywhere(number int) time.Duration {
+	written := c.record.Versions[number].Acknowledged
+	due := written + c.bounds.Apply
+	for extended := true; extended; {
+		extended = false
+		for i := range c.record.Disturbances {
+			span := &c.record.Disturbances[i]
+			if again := span.Until + c.bounds.Contact; span.overlaps(written-c.bounds.Contact, due) && again > due {
+				due, extended = again, true
+			}
+		}
+	}
+	return due
+}
+
+// account is the exact token bucket of a tenant, charged at the times at which requests are sent.
+type account struct {
+	tokens  float64
+	updated time.Duration
+	started bool
+}
+
+// refill brings the balance up to date by the limit that is in force. It may be negative, when
+// more was admitted than is owed.
+func (a *account) refill(at time.Duration, rate, burst float64) {
+	if !a.started || math.IsInf(rate, 1) {
+		*a = account{tokens: burst, updated: at, started: true}
+		return
+	}
+	a.tokens = min(burst, a.tokens+rate*max(0, at-a.updated).Seconds())
+	a.updated = max(a.updated, at)
+}
+
+// checkRefusals checks that few requests are refused with 429 while the exact token bucket of
+// their tenant has a token. Each token counts once: it is taken by the request that is admitted or
+// by the one that is wrongly refused, so that it does not matter which of several simultaneous
+// requests of a tenant at its limit is admitted.
+func (c *checker) checkRefusals() {
+	accounts := make(map[string]*account)
+	requests := slices.Clone(c.record.Requests)
+	slices.SortStableFunc(requests, func(a, b Request) int { return cmp.Compare(a.Sent, b.Sent) })
+	lost, owed := make(map[string]int), make(map[string]int)
+	for i := range requests {
+		request := &requests[i]
+		versions := c.possible(request.Node, request.Sent, request.Ended)
+		names := holders(versions, request.Key)
+		if len(names) != 1 || names[0] == "" || !chargeable(request) {
+			continue // whose request it is, or whether it was admitted, cannot be told
+		}
+		name := names[0]
+		rate, burst := lowestLimit(versions, name)
+		if accounts[name] == nil {
+			accounts[name] = &account{}
+		}
+		accounts[name].refill(request.Sent, rate, burst)
+		refused := request.Status == http.StatusTooManyRequests
+		if refused && !math.IsInf(rate, 1) {
+			c.result.Limited++
+		}
+		if refused && accounts[name].tokens < 1 {
+			continue
+		}
+		accounts[name].tokens--
+		if !c.settled(request) {
+			continue
+		}
+		owed[name]++
+		if refused {
+			lost[name]++
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(owed)) {
+		c.result.Owed, c.result.Lost = c.result.Owed+owed[name], c.result.Lost+lost[name]
+		if float64(lost[name]) > c.bounds.LostShare*float64(owed[name]) {
+			c.addFinding("%d of the %d requests of %q that were below its limit got 429", lost[name], owed[name], name)
+		}
+	}
+}
+
+// chargeable reports whether a request was admitted or refused because of a limit, as far as its
+// caller can tell. 401 and 503 come before, or give the token back.
+func chargeable(request *Request) bool {
+	return request.Status != http.StatusUnauthorized && request.Status != http.StatusServiceUnavailable &&
+		(request.Status != 0 || len(request.Arrivals) > 0)
+}
+
+// lowestLimit returns the lowest limit of a tenant in some versions; infinite if it has none.
+func lowestLimit(versions []*Version, name string) (rate, burst float64) {
+	rate, burst = math.Inf(1), math.Inf(1)
+	for _, version := range versions {
+		if tenant := version.tenant(name); tenant != nil && tenant.Rate > 0 {
+			rate, burst = min(rate, tenant.Rate), min(burst, tenant.Burst)
+		}
+	}
+	return rate, burst
+}
+
+// settled reports whether the refusal of a request is judged.
+func (c *checker) settled(request *Request) bool {
+	return !slices.ContainsFunc(c.record.Unsettled, func(s Span) bool {
+		return s.overlaps(request.Sent-c.bounds.Contact, request.Ended)
+	})
+}
