Operators see refused requests by tenant, reason and node

Cause: no command told which tenants were refused, why and where.

Change: nodes count the requests of which nothing ran by tenant and error kind (at most 20,000 counts, doorpondd_requests_refused_total by kind); doorpond system lists them by node. Nodes of older versions report none and are listed as before. Log lines of refusals by key or limit have a rate limit of their own (5 a second), so that a tenant far above its limit does not use up the 40 lines a second of other failures.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -123,6 +123,7 @@
 	callers     *drain.Listener
 	connections drain.Connections
 	server      *http.Server
+	handler     *ingress.Handler
 	// abortedRequests counts the requests that a shutdown has aborted.
 	abortedRequests prometheus.Counter
 	// cancelRequests cancels the contexts of all requests with a cause.
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -55,7 +55,8 @@
 	if n.metrics != nil {
 		options.Registerer = n.metrics
 	}
-	n.server = n.newServer(ingress.New(options))
+	n.handler = ingress.New(options)
+	n.server = n.newServer(n.handler)
 	n.connections.Track(n.server)
 	requests, cancelRequests := context.WithCancelCause(context.Background())
 	n.server.BaseContext = func(net.Listener) context.Context { return requests }
@@ -76,6 +77,7 @@
 	mux.Handle("/v1/", inspect.New(inspect.Config{
 		Board: n.board, Node: n.self, Statistics: n.queries.Statistics, Overloaded: n.overloaded, Budgets: n.budgets.usage,
 		Client: stateClient(), Quarantined: n.quarantine.Records, Release: n.release, StoreProgress: n.follower.AppliedRevision,
+		Refusals: n.handler.Refusals,
 	}))
 	return mux
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -72,7 +72,8 @@
 	options Options
 	log     *requestLog
 	// refused counts the requests that got 401, by reason.
-	refused *prometheus.CounterVec
+	refused  *prometheus.CounterVec
+	refusals *refusals
 }
 
 // New returns a Handler.
@@ -85,6 +86,7 @@
 	}
 	return &Handler{
 		options: options, log: newRequestLog(options.Logger, options.Board), refused: newMetrics(options.Registerer, options.Board),
+		refusals: newRefusals(options.Registerer),
 	}
 }
 
@@ -106,6 +108,7 @@
 	} else {
 		h.writeAnswer(w, answer)
 	}
+	h.refusals.add(entry.tenant(), err)
 	entry.answer, entry.err, entry.duration = &answer, err, time.Since(startedAt)
 	h.log.write(entry)
 }
--- a/internal/ingress/log.go
+++ b/internal/ingress/log.go
@@ -16,12 +16,16 @@
 	"github.com/doorpond/doorpond/internal/routing"
 )
 
-// Rate limits of log lines, for complete answers and for all others. Lines over the limit are
-// counted, and the next line contains the count.
+// Rate limits of log lines, for complete answers, for requests that were refused because of their key
+// or their tenant's limit, and for all others. Lines over the limit are counted, and the next line
+// contains the count. Refusals have a limit of their own, since a tenant far above its limit would
+// otherwise use up that of the others.
 const (
 	completePerSecond   = 1
+	refusedPerSecond    = 5
 	incompletePerSecond = 40
 	completeBurst       = 5
+	refusedBurst        = 20
 	incompleteBurst     = 200
 )
 
@@ -45,12 +49,29 @@
 	duration time.Duration
 }
 
+// tenant returns the name of the request's tenant, or "" if it has none.
+func (e *logEntry) tenant() string {
+	if e.identity == nil {
+		return ""
+	}
+	return e.identity.name()
+}
+
 // maxTargetBytes limits the logged part of a request target, so that a line fits in one
 // packet.
 const maxTargetBytes = 200
 
 func truncateTarget(target string) string { return target[:min(len(target), maxTargetBytes)] }
 
+// refused reports whether the request was refused because of its key or its tenant's limit.
+func (e *logEntry) refused() bool {
+	if e.err == nil {
+		return false
+	}
+	kind := failure.KindOf(e.err)
+	return kind == failure.Unauthenticated || kind == failure.QuotaExceeded
+}
+
 // incomplete reports whether the request failed, or its answer was partial or late.
 func (e *logEntry) incomplete() bool {
 	return e.err != nil || e.answer.MissingShards > 0 || e.answer.Late
@@ -71,23 +92,27 @@
 
 // requestLog logs one line per request, subject to rate limits.
 type requestLog struct {
-	logger               *slog.Logger
-	board                *blackboard.Board
-	complete, incomplete *rate.Limiter
-	omitted              atomic.Int64
+	logger                        *slog.Logger
+	board                         *blackboard.Board
+	complete, refused, incomplete *rate.Limiter
+	omitted                       atomic.Int64
 }
 
 func newRequestLog(logger *slog.Logger, board *blackboard.Board) *requestLog {
 	return &requestLog{
 		logger: logger, board: board,
 		complete:   rate.NewLimiter(completePerSecond, completeBurst),
+		refused:    rate.NewLimiter(refusedPerSecond, refusedBurst),
 		incomplete: rate.NewLimiter(incompletePerSecond, incompleteBurst),
 	}
 }
 
 func (l *requestLog) write(entry logEntry) {
 	limiter := l.complete
-	if entry.incomplete() {
+	switch {
+	case entry.refused():
+		limiter = l.refused
+	case entry.incomplete():
 		limiter = l.incomplete
 	}
 	if !limiter.Allow() {
--- a/internal/ingress/log_test.go
+++ b/internal/ingress/log_test.go
@@ -74,6 +74,7 @@
 	}{
 		{"answered", &fakeForwarder{}, completeBurst, completePerSecond},
 		{"failed", &fakeForwarder{err: failure.New(failure.NoReplica, "x")}, incompleteBurst, incompletePerSecond},
+		{"over the tenant's limit", &fakeForwarder{err: failure.New(failure.QuotaExceeded, "x")}, refusedBurst, refusedPerSecond},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			startedAt := time.Now()
--- a/internal/ingress/tenant_test.go
+++ b/internal/ingress/tenant_test.go
@@ -303,7 +303,8 @@
 		}
 	}
 	want := map[string]float64{
-		"doorpondd_requests_unauthenticated_total no_key": 1, "doorpondd_requests_unauthenticated_total unknown_key": 1,
+		"doorpondd_requests_unauthenticated_total no_key":  1,
+		"doorpondd_requests_refused_total unauthenticated": 2, "doorpondd_requests_unauthenticated_total unknown_key": 1,
 		"doorpondd_tenants": 1, "doorpondd_tenant_keys": 1, "doorpondd_tenant_conflicts": 0,
 	}
 	if diff := cmp.Diff(want, got); diff != "" {
--- a/internal/inspect/inspect.go
+++ b/internal/inspect/inspect.go
@@ -18,6 +18,7 @@
 	"github.com/doorpond/doorpond/internal/comparison"
 	"github.com/doorpond/doorpond/internal/elapsed"
 	"github.com/doorpond/doorpond/internal/failure"
+	"github.com/doorpond/doorpond/internal/ingress"
 	"github.com/doorpond/doorpond/internal/quarantine"
 	"github.com/doorpond/doorpond/internal/routing"
 	"github.com/doorpond/doorpond/internal/statistics"
@@ -44,7 +45,9 @@
 	// changes, and when that was last confirmed. It is nil if the node does not follow a
 	// store.
 	StoreProgress func() (revision int64, confirmedAt time.Time)
-	Client        *http.Client
+	// Refusals returns the requests that this node refused, by tenant and kind. It is optional.
+	Refusals func() []ingress.Refusal
+	Client   *http.Client
 }
 
 // Node is the state of one node, as reported by itself.
@@ -75,6 +78,9 @@
 	Budgets []Budget `json:"budgets"`
 	// Quarantined are the requests that are suspected or quarantined on the node.
 	Quarantined []QuarantinedRequest `json:"quarantined"`
+	// Refusals are the requests that the node refused since its start. Nodes of older versions
+	// report none.
+	Refusals []ingress.Refusal `json:"refusals"`
 }
 
 // Route is a configured route and the main settings of its policy.
@@ -119,6 +125,11 @@
 	Quarantined []QuarantinedRequest `json:"quarantined"`
 	// Budgets are the sums of the budgets that the nodes report, by group.
 	Budgets []Budget `json:"budgets"`
+	// Tenants is the number of tenants in the queried node's configuration.
+	Tenants int `json:"tenants"`
+	// Refusals are the requests refused since each node's start, by tenant, kind and node, the
+	// most frequent first.
+	Refusals []NodeRefusal `json:"refusals"`
 }
 
 // URL paths of the API.
@@ -144,6 +155,9 @@
 	if config.Quarantined == nil {
 		config.Quarantined = func() []quarantine.Record { return nil }
 	}
+	if config.Refusals == nil {
+		config.Refusals = func() []ingress.Refusal { return nil }
+	}
 	h := &handler{config: config}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+pathNode, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, h.node()) })
@@ -160,7 +174,10 @@
 }
 
 func (h *handler) node() Node {
-	state := Node{Node: h.config.Node, Budgets: h.config.Budgets(), Quarantined: describeRequests(h.config.Quarantined())}
+	state := Node{
+		Node: h.config.Node, Budgets: h.config.Budgets(), Quarantined: describeRequests(h.config.Quarantined()),
+		Refusals: h.config.Refusals(),
+	}
 	state.Node.Overloaded = h.config.Overloaded()
 	if nodes := h.config.Board.Nodes.Load(); nodes != nil {
 		state.Entry = nodes.SelfIsEntry()
@@ -208,6 +225,7 @@
 	h.countReplicas(&system)
 	system.Budgets = mergeBudgets(system.Nodes)
 	system.Quarantined = mergeRequests(system.Nodes)
+	system.Tenants, system.Refusals = system.Nodes[0].Tenants, listRefusals(system.Nodes)
 	return system
 }
 
--- a/internal/inspect/inspect_test.go
+++ b/internal/inspect/inspect_test.go
@@ -13,6 +13,8 @@
 	"github.com/doorpond/doorpond/internal/blackboard"
 	"github.com/doorpond/doorpond/internal/comparison"
 	"github.com/doorpond/doorpond/internal/decision"
+	"github.com/doorpond/doorpond/internal/failure"
+	"github.com/doorpond/doorpond/internal/ingress"
 	"github.com/doorpond/doorpond/internal/routing"
 	"github.com/doorpond/doorpond/internal/statistics"
 	"github.com/doorpond/doorpond/internal/topology"
@@ -25,6 +27,7 @@
 	recorder *statistics.Recorder
 	self     topology.Node
 	budgets  []Budget
+	refusals []ingress.Refusal
 }
 
 func newNode(t *testing.T, id string, version uint64) *testNode {
@@ -38,6 +41,7 @@
 		Board: n.board, Node: n.self, Statistics: n.recorder.Snapshot, Client: n.server.Client(),
 		Overloaded: func() bool { return id == "n2" },
 		Budgets:    func() []Budget { return n.budgets },
+		Refusals:   func() []ingress.Refusal { return n.refusals },
 	}))
 	routes := []routing.Route{{
 		Name: "fetch", Host: "h", PathPrefix: "/f/", Objective: time.Second, Rank: 2,
@@ -124,6 +128,27 @@
 	}
 }
 
+// Guards against refusals that operators cannot attribute to a node, and against nodes of older
+// versions, which report none.
+func TestSystemListsRefusals(t *testing.T) {
+	first, second, older := newNode(t, "n1", 1), newNode(t, "n2", 1), newNode(t, "n3", 1)
+	connect(first, second, older)
+	limited := ingress.Refusal{Tenant: "acme", Kind: failure.QuotaExceeded, Count: 7}
+	first.refusals = []ingress.Refusal{{Kind: failure.Unauthenticated, Count: 2}, limited}
+	second.refusals = []ingress.Refusal{limited}
+	older.server.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`{"node":{"ID":"n3"},"version":1}`))
+	})
+	var got System
+	if status := first.get(t, pathSystem, &got); status != http.StatusOK {
+		t.Fatalf("got status %d, want 200", status)
+	}
+	want := []NodeRefusal{{"n1", limited}, {"n2", limited}, {"n1", first.refusals[0]}}
+	if diff := cmp.Diff(want, got.Refusals); diff != "" || len(got.Nodes) != 3 {
+		t.Errorf("%d nodes, refusals (-want +got):\n%s", len(got.Nodes), diff)
+	}
+}
+
 func TestCompareMergesNodes(t *testing.T) {
 	first, second := newNode(t, "n1", 1), newNode(t, "n2", 1)
 	connect(first, second)
--- a/internal/operator/system_test.go
+++ b/internal/operator/system_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/doorpond/doorpond/internal/comparison"
 	"github.com/doorpond/doorpond/internal/decision"
+	"github.com/doorpond/doorpond/internal/failure"
+	"github.com/doorpond/doorpond/internal/ingress"
 	"github.com/doorpond/doorpond/internal/inspect"
 	"github.com/doorpond/doorpond/internal/quarantine"
 	"github.com/doorpond/doorpond/internal/routing"
@@ -36,6 +38,10 @@
 		Budgets: []inspect.Budget{{Group: "shard-1", BudgetUsage: decision.BudgetUsage{
 			Tokens: 1.25, Burst: 9, FirstAttempts: 800, Retries: 30, Hedges: 40, DeniedRetries: 5, DeniedHedges: 6,
 		}}},
+		Refusals: []inspect.NodeRefusal{
+			{Node: "n1", Refusal: ingress.Refusal{Tenant: "ac\x1bme", Kind: failure.QuotaExceeded, Count: 70, LastAgoMilliseconds: 1234}},
+			{Node: "n2", Refusal: ingress.Refusal{Kind: failure.Unauthenticated, Count: 3, LastAgoMilliseconds: 90_000}},
+		},
 	}
 	var out strings.Builder
 	printSystem(&out, system)
@@ -50,6 +56,8 @@
 		"vanished a 10.0.0.9:1",
 		"shard-1 1.2 9.0 800 30 40 5 6",
 		"5f1c search 10.9.0.1 /p/ 1 12 10m0s 2 3",
+		"70 ac me quota_exceeded n1 1.2s ago",
+		"3 (none) unauthenticated n2 1m30s ago",
 		"lags: n2",
 		"cold: 3 of the replicas that serve take no more than their rate",
 		"evacuated: adum, 4 replicas",
