Merge admission of queries over many shards as a whole

Cause: with replicas down under a burst, queries that could not reach their share of shards were sent to all others, and ended with 502 after that work; rejections by a shard's last replica were not repeated.

--- a/internal/query/forward.go
+++ b/internal/query/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/doorpond/doorpond/internal/admission"
@@ -151,12 +152,27 @@
 		return ForwardResult{}, err
 	}
 	defer ticket.Release()
+	var target *gate
+	if request.Route.Scattered() {
+		if target, err = s.admitWhole(ctx, request, groups, &criteria); err != nil {
+			s.metrics.observe(s.options.Now().Sub(started), err)
+			return ForwardResult{}, err
+		}
+		deadline -= s.options.Now().Sub(started)
+	}
 	if err := s.confirmTenant(ctx, request, groups, &criteria); err != nil {
+		if target != nil {
+			target.started()
+		}
 		s.metrics.observe(s.options.Now().Sub(started), err)
 		return ForwardResult{}, err
 	}
 	current := s.newForwardRun(request, groups, criteria, deadline, controller.Overloaded(started), suspicion.Evidence)
 	current.pausedAtStart = paused
+	if target != nil {
+		current.onStarted, current.onResult = sync.OnceFunc(target.started), target.wake
+		defer current.onStarted()
+	}
 	current.execute(ctx, deadline)
 	current.reportOutcome()
 	answer, err := current.buildResult()
