Pauses of the daemon no longer close new HTTP/2 connections

Callers saw an EOF ("unexpected EOF") in place of an answer on connections that the daemon had not read yet when it was paused for 2 s or more, and 400 for bodies that arrived around a pause.

Cause: the HTTP/2 server of net/http waits for a client's settings (2 s), preface (10 s) and bodies by timers of the wall clock. After a pause the timer and the input are due at once.

elapsed.ConfigureHTTP2 hands a connection to net/http's server only when the settings have arrived, so that its timers find their input. The wait for them and for bodies counts active time.

--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -69,6 +69,9 @@
 		server.MaxHeaderBytes = maxHeaderBytes
 		server.IdleTimeout = idleTimeout
 		server.ErrorLog = connectionErrors.logger(port, report)
+		if server.TLSConfig != nil {
+			elapsed.ConfigureHTTP2(server, d.meter)
+		}
 	}
 }
 
