A stop gives requests that arrived in a pause their replicas' time

Callers whose request arrived while their node was paused in a planned stop, or whose sub-requests had not been sent before the pause, got 504 or 503 some 100 ms after the node resumed.

Cause: requests in flight are answered at 0.87 of the grace period by the wall clock. A node that resumes after that left them 100 ms, which is enough to read answers that lie ready and not for replicas to answer. Evidence: in six pauses all 31 requests without a complete answer had sent their sub-requests 10 to 125 ms before; run-queue delay of the node 0 to 26 ms.

If the whole grace period has passed in a pause, they now have the time of the process's active time.

--- a/internal/edge/process_test.go
+++ b/internal/edge/process_test.go
@@ -205,3 +205,36 @@
 		})
 	}
 }
+
+// A node that is paused beyond the end of its grace period must give the requests that arrived
+// meanwhile the time that their replicas need: they have been read only since.
+func TestShutdownServesRequestsOfPause(t *testing.T) {
+	const (
+		callers     = 8
+		pausedAfter = 500 * time.Millisecond
+		pause       = 3 * time.Second
+	)
+	shape := pausedShape
+	shape.ProcessingTime = 200 * time.Millisecond
+	deployment, err := standin.Start(shape)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer deployment.Close()
+	node := startProcess(t, deployment, pausedGrace)
+	node.signal(syscall.SIGTERM)
+	time.Sleep(pausedAfter)
+	node.signal(syscall.SIGSTOP)
+	var sending sync.WaitGroup
+	for number := range callers {
+		sending.Go(func() {
+			response, err := node.newCaller().Send(context.Background(), fmt.Sprint("d", number), standin.ScatteredPath, 10*time.Second)
+			if err != nil || response.Status != http.StatusOK {
+				t.Errorf("status %d, error %v", response.Status, err)
+			}
+		})
+	}
+	time.Sleep(pause)
+	node.signal(syscall.SIGCONT)
+	sending.Wait()
+}
--- a/internal/edge/shutdown.go
+++ b/internal/edge/shutdown.go
@@ -17,7 +17,7 @@
 	// answerShare is when requests still in flight are answered with what is available.
 	// Otherwise their connections would end with the process, and callers could not tell
 	// whether the request was lost. Like the grace period itself, it includes time for which
-	// the process is suspended.
+	// the process is suspended, unless the whole grace period passes in it.
 	answerShare = 0.87
 	// writeShare bounds the time after that for writing the answers. The rest of the grace
 	// period is left for the process to exit.
@@ -40,29 +40,51 @@
 // the requests in flight, and answers those that take too long with what is available.
 func (n *Node) shutdown(stopRegistration func()) {
 	grace := n.current.Load().Bounds.Grace
-	startedAt := elapsed.Monotonic()
+	startedAt, activeAtStart := elapsed.Monotonic(), n.meter.ActiveTime()
 	until := func(share float64) time.Duration {
 		return startedAt + scaleDuration(share, grace) - elapsed.Monotonic()
 	}
 	n.setPhase(blackboard.PhaseDraining)
 	n.logger.Info("stopping", "node", n.settings.Node, "grace", grace.String(), "connections", n.connections.Count())
 	stopRegistration()
-	answering, cancel := context.WithTimeout(context.Background(), until(answerShare))
-	defer cancel()
 	n.deregister()
 	n.acceptFor(until(acceptShare))
 	n.setPhase(blackboard.PhaseClosing)
 	drained := false
-	n.repeatAfterPause(func() { drained = n.connections.WaitIdle(answering, scaleDuration(idleShare, grace)) == nil })
+	n.repeatAfterPause(func() {
+		answering, cancel := n.answerPeriod(startedAt, activeAtStart, grace)
+		defer cancel()
+		drained = n.connections.WaitIdle(answering, scaleDuration(idleShare, grace)) == nil
+	})
 	ending, cancelEnding := n.meter.WithTimeout(context.Background(), scaleDuration(writeShare, grace))
 	defer cancelEnding()
 	if !drained {
+		n.logger.Info("answering pending requests with what is available", "requests", n.connections.ActiveCount(),
+			"after", (elapsed.Monotonic() - startedAt).String(), "active", (n.meter.ActiveTime() - activeAtStart).String())
 		n.answerPending(ending)
 	}
 	n.closeConnections(ending)
 	n.setPhase(blackboard.PhaseStopped)
 }
 
+// answerPeriod returns a context that ends when requests still in flight have to be answered. A
+// process that was suspended beyond the end of its grace period is not killed by the wall clock, as
+// it would have been by then. Its requests therefore get the time that they would have had without
+// the suspension: those that arrived in it, and those whose sub-requests were not sent before it,
+// have been read only since.
+func (n *Node) answerPeriod(startedAt, activeAtStart, grace time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := n.meter.WithTimeout(context.Background(), scaleDuration(answerShare, grace)-(n.meter.ActiveTime()-activeAtStart))
+	timer := time.AfterFunc(startedAt+scaleDuration(answerShare, grace)-elapsed.Monotonic(), func() {
+		if elapsed.Monotonic()-startedAt < grace {
+			cancel()
+		}
+	})
+	return ctx, func() {
+		timer.Stop()
+		cancel()
+	}
+}
+
 // deregister removes this node's entry from the store.
 func (n *Node) deregister() {
 	ctx, cancel := context.WithTimeout(context.Background(), deregisterTimeout)
--- a/internal/elapsed/usage_test.go
+++ b/internal/elapsed/usage_test.go
@@ -29,7 +29,6 @@
 	"internal/admin/status.go awaitRevision":         "the operator has set the time",
 	"internal/edge/resolve.go resolve":               "nodes that were not checked in time are included",
 	"internal/edge/shutdown.go deregister":           "the entry's lease ends in any case",
-	"internal/edge/shutdown.go shutdown":             "the platform kills the process by the wall clock; what a pause left unread is read after it",
 	"internal/follower/initial_sync.go waitForPeers": "the watch that follows brings the peers",
 	"internal/follower/peers.go backOff":             "a delay between calls of the store",
 	"internal/follower/peers.go readPeerSnapshot":    "the store is listed next",
