A stop that is paused late reads the answers that came meanwhile

Callers got 504 although the answers of the replicas lay in their node's sockets, if the node was paused late in a planned stop.

Cause: the 0.5 s for reading what came in a pause counted from the start of the wait for requests in flight, which takes longer with a grace period of more than 1.6 s. They now count from its end.

--- a/internal/edge/process_test.go
+++ b/internal/edge/process_test.go
@@ -238,3 +238,37 @@
 	node.signal(syscall.SIGCONT)
 	sending.Wait()
 }
+
+// A node that is paused late in the wait for its requests must read the replicas' answers that lie
+// ready when it resumes, also if it resumes close to the end of its grace period.
+func TestShutdownReadsAnswersAfterLatePause(t *testing.T) {
+	const (
+		callers   = 2
+		grace     = 4 * time.Second
+		sendAfter = 2 * time.Second // before the port is closed, at 2.2 s
+		pauseAt   = 3100 * time.Millisecond
+		pause     = 600 * time.Millisecond // past 0.87 of the grace period, not past its end
+	)
+	shape := pausedShape
+	shape.ProcessingTime = 1200 * time.Millisecond // until after the pause's begin
+	deployment, err := standin.Start(shape)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer deployment.Close()
+	node := startProcess(t, deployment, grace)
+	node.signal(syscall.SIGTERM)
+	time.Sleep(sendAfter)
+	var sending sync.WaitGroup
+	for number := range callers {
+		sending.Go(func() {
+			response, err := node.newCaller().Send(context.Background(), fmt.Sprint("l", number), standin.ScatteredPath, 10*time.Second)
+			if err != nil || response.Status != http.StatusOK {
+				t.Errorf("status %d, error %v", response.Status, err)
+			}
+		})
+	}
+	time.Sleep(pauseAt - sendAfter)
+	node.pause(pause)
+	sending.Wait()
+}
--- a/internal/edge/shutdown.go
+++ b/internal/edge/shutdown.go
@@ -103,13 +103,15 @@
 }
 
 // repeatAfterPause calls wait, and again while the process was paused within readTime, for up to
-// maxReadTime. Requests and replicas' responses that came in the pause may not be read yet, so that
-// connections seem idle and requests unanswered.
+// maxReadTime after the first call. Requests and replicas' responses that came in the pause may not
+// be read yet, so that connections seem idle and requests unanswered.
 func (n *Node) repeatAfterPause(wait func()) {
+	wait()
 	reading, cancel := n.meter.WithTimeout(context.Background(), maxReadTime)
 	defer cancel()
-	for wait(); !n.meter.RanWithoutPause(readTime) && reading.Err() == nil; wait() {
+	for !n.meter.RanWithoutPause(readTime) && reading.Err() == nil {
 		time.Sleep(readPollInterval)
+		wait()
 	}
 }
 
