The line about an unanswered query says when its sub-requests were written

Callers got "no shard answered before the deadline", and the line did not tell a daemon that writes late from silent replicas. It now has the number of sub-requests written and the time of the latest.

--- a/internal/query/unanswered_log.go
+++ b/internal/query/unanswered_log.go
@@ -31,11 +31,13 @@
 		return
 	}
 	first, latest := last.sendTimes()
+	written, latestWritten := last.writeTimes()
 	l.logger.Warn("no shard answered before the deadline", "id", request.id,
 		"deadline", request.deadline.String(), "took", took.String(),
 		"paused", (last.service.pausedTime() - request.pausedAtStart).String(), "excluded", last.pauses.excluded.String(),
 		"before_run", (took - last.inbox.Elapsed()).String(),
 		"sent", last.counts.dispatched, "first_sent", first.String(), "last_sent", latest.String(),
+		"written", written, "last_written", latestWritten.String(),
 		"replies_unread", last.unreadResults, "outcomes", last.countOutcomes())
 }
 
@@ -50,6 +52,22 @@
 	return first, latest
 }
 
+// writeTimes returns how many attempts have been written to their connections, and when the latest
+// was, from the run's start and with pauses. Attempts that were written late or never point to this
+// process, those that were written at once to the replicas.
+func (r *run) writeTimes() (written int, latest time.Duration) {
+	for i := range r.shards {
+		for _, sent := range r.shards[i].attempts {
+			if sent.writtenAt == nil || sent.writtenAt.Load() == unwritten {
+				continue
+			}
+			written++
+			latest = max(latest, time.Duration(sent.writtenAt.Load()))
+		}
+	}
+	return written, latest
+}
+
 // countOutcomes returns the number of the run's attempts by outcome.
 func (r *run) countOutcomes() map[string]int {
 	counts := make(map[string]int)
