quota: test changes of limits, nodes and large fleets, report surges in large fleets

Each node admitted at most two requests before its next heartbeat, 600 ms later, so that no node knew of the surge.

A tenant that gets a limit after others had one starts with the initial balance: it may have had another name. Bounds.Check considers the size of the fleet.

The test network runs a report that several nodes receive at once as one event.

--- a/internal/quota/core.go
+++ b/internal/quota/core.go
@@ -95,12 +95,16 @@
 
 	lastRequest   time.Duration
 	syncStartedAt time.Duration
+	complete      bool // half of the entry nodes have answered since syncStartedAt
+	uncounted     bool // complete may have changed
 	lastWant      time.Duration
 	nextHeartbeat time.Duration
 	flushAt       time.Duration // 0: none
 	checkedAt     time.Duration
 	dropped       uint64
 	limits        map[uint64]TenantLimit
+	// appeared are the times at which tenants got a limit after others had one.
+	appeared map[uint64]time.Duration
 	// recent are the accounts that may have to be reported or logged.
 	recent []*account
 	// snapshots is the number of peers with snapshotDue.
@@ -116,7 +120,7 @@
 // NewCore returns a Core.
 func NewCore(config CoreConfig) *Core {
 	return &Core{
-		config: config, accounts: make(map[uint64]*account),
+		config: config, accounts: make(map[uint64]*account), appeared: make(map[uint64]time.Duration),
 		syncStartedAt: config.Now, lastWant: config.Now - time.Hour, checkedAt: config.Now, lastRequest: config.Now - time.Hour,
 		nextHeartbeat: config.Now,
 	}
@@ -146,13 +150,23 @@
 			c.peers.remove(id)
 		}
 	}
-	c.entries, c.isEntry = len(entries), selfIsEntry
+	c.entries, c.isEntry, c.uncounted = len(entries), selfIsEntry, true
 }
 
 // SetLimits sets the tenants with limits, by TenantID. Without any, nothing is sent.
 func (c *Core) SetLimits(now time.Duration, limits map[uint64]TenantLimit) {
 	if !c.enabled && len(limits) > 0 {
-		c.syncStartedAt, c.nextHeartbeat = now, now
+		c.syncStartedAt, c.nextHeartbeat, c.complete, c.uncounted = now, now, false, true
+	}
+	for id := range limits {
+		if _, found := c.limits[id]; !found && c.limits != nil {
+			c.appeared[id] = now
+		}
+	}
+	for id, at := range c.appeared {
+		if _, found := limits[id]; !found || now-at > accountRetention {
+			delete(c.appeared, id)
+		}
 	}
 	c.enabled, c.limits = len(limits) > 0, limits
 	for id, a := range c.accounts {
@@ -169,16 +183,24 @@
 // TenantID returns the ID of the tenant with a name.
 func TenantID(name string) uint64 { return xxhash.Sum64String(name) }
 
-func (c *Core) heartbeat() time.Duration {
-	return max(minHeartbeat, time.Duration(c.entries)*2*time.Second/maxDatagramRate)
+// heartbeat returns the interval of reports to a number of other entry nodes.
+func heartbeat(entries int) time.Duration {
+	return max(minHeartbeat, time.Duration(entries)*2*time.Second/maxDatagramRate)
 }
 
+// silenceAfter returns the time without a report after which a node counts as silent.
+func silenceAfter(entries int) time.Duration {
+	return time.Duration(silentHeartbeats * float64(heartbeat(entries)))
+}
+
+func (c *Core) heartbeat() time.Duration { return heartbeat(c.entries) }
+
 func (c *Core) flushDelay() time.Duration {
 	return max(minFlush, time.Duration(c.entries)*time.Second/maxDatagramRate)
 }
 
 func (c *Core) silenceAfter() time.Duration {
-	return time.Duration(silentHeartbeats * float64(c.heartbeat()))
+	return silenceAfter(c.entries)
 }
 
 func (c *Core) setSilent(p *peer, silent bool) {
@@ -428,7 +450,7 @@
 // resynchronize forgets what this node has not been sent for a while, and asks for it.
 func (c *Core) resynchronize(now time.Duration) {
 	clear(c.accounts)
-	c.syncStartedAt, c.nextHeartbeat = now, now
+	c.syncStartedAt, c.nextHeartbeat, c.complete, c.uncounted = now, now, false, true
 	for _, p := range c.peers.all() {
 		p.answered, p.heard, p.addedAt = false, false, now
 		c.setSilent(p, false)
@@ -440,9 +462,14 @@
 	a := &account{tenant: id, at: now, openedAt: now, usedAt: now}
 	a.spentAt = int64(now / spentSlot)
 	a.setLimit(limit, c.config.Bounds)
-	if c.informed(now) {
+	appearedAt, appeared := c.appeared[id]
+	switch {
+	case appeared:
+		// The tenant may have had another name, and have spent its burst under that name.
+		a.balance = min(a.division.Burst, a.division.Initial+a.division.Rate*(now-appearedAt).Seconds())
+	case c.informed(now):
 		a.balance = a.division.Burst
-	} else {
+	default:
 		a.balance = min(a.division.Burst, a.division.Initial+a.division.Rate*(now-c.config.Now).Seconds())
 	}
 	a.pacing = float64((id^c.config.Self)%1000) / 1000
@@ -491,7 +518,8 @@
 	a.unreported++
 	a.lastAdmission = now
 	a.charge(now, 1)
-	if a.balance < a.division.Burst/2 || a.unreported > 2 {
+	// In a large fleet, one request at each node is more than the balance.
+	if a.balance < a.division.Burst/2 || a.unreported > 2 || float64(a.unreported*(c.entries+1)) > a.balance {
 		if at := now + c.flushDelay(); c.flushAt == 0 || at < c.flushAt {
 			c.flushAt = at
 		}
@@ -532,8 +560,14 @@
 	if err != nil {
 		return err
 	}
+	c.receive(now, from, r)
+	return nil
+}
+
+// receive handles a decoded report. It does not change it.
+func (c *Core) receive(now time.Duration, from netip.AddrPort, r *report) {
 	if r.Node == c.config.Self || !c.enabled {
-		return nil
+		return
 	}
 	if now-c.checkedAt > minHeartbeat {
 		c.checkPeers(now)
@@ -544,7 +578,7 @@
 		c.peers.set(r.Node, p)
 	}
 	if p.former == r.Incarnation && p.former != 0 {
-		return nil // a late report of a process that has ended
+		return // a late report of a process that has ended
 	}
 	if !p.heard || p.incarnation != r.Incarnation {
 		if p.heard && p.incarnation != r.Incarnation {
@@ -567,13 +601,12 @@
 		c.setSnapshotDue(p, true)
 	}
 	if r.Flags&flagAnswer != 0 {
-		p.answered = true
+		p.answered, c.uncounted = true, true
 	}
 	for i := range r.Entries {
 		c.merge(now, p, r, &r.Entries[i])
 	}
 	c.setSilent(p, false)
-	return nil
 }
 
 // merge charges an account with another node's admissions.
--- a/internal/quota/division.go
+++ b/internal/quota/division.go
@@ -63,6 +63,9 @@
 // errNoSlack means that the bound leaves nothing for failures.
 var errNoSlack = errors.New("the bound of the shared quota leaves no slack")
 
+// errTooManyNodes means that reports are too rare for the window.
+var errTooManyNodes = errors.New("too many entry nodes for the window of the shared quota")
+
 // Divide divides the slack of a limit's bound.
 func (b Bounds) Divide(limit routing.RateLimit) Division {
 	window := b.Window.Seconds()
@@ -74,10 +77,14 @@
 	return d
 }
 
-// Check returns an error if the bounds leave nothing for failures.
-func (b Bounds) Check() error {
+// Check returns an error if the bounds leave nothing for failures, or if the nodes of a fleet of
+// this size are noticed to be silent too late: both sides of a partition spend the account until then.
+func (b Bounds) Check(entryNodes int) error {
 	if b.Window <= 0 || b.Overage <= 0 && b.Slack <= 0 {
 		return errNoSlack
 	}
+	if silenceAfter(entryNodes-1) > b.Window/2 {
+		return errTooManyNodes
+	}
 	return nil
 }
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -60,6 +60,7 @@
 	table   *routing.Table
 	limited map[*account]bool // logged as being at the limit
 	silent  int               // logged as silent
+	problem string            // logged as the problem of the bounds
 	names   map[uint64]string // of nodes
 	metrics metrics
 }
@@ -112,9 +113,6 @@
 	}
 	l.core = NewCore(CoreConfig{Self: NodeID(config.Node), Incarnation: rand.Uint64() | 1, Bounds: config.Bounds, Now: config.Now()})
 	l.metrics = newMetrics(config.Registerer, l)
-	if err := config.Bounds.Check(); err != nil {
-		config.Logger.Warn("tenants' limits hold only while all nodes reach each other", "error", err.Error())
-	}
 	return l
 }
 
@@ -237,6 +235,14 @@
 		}
 	}
 	l.core.SetNodes(now, entries, selfIsEntry, known)
+	problem := ""
+	if err := l.config.Bounds.Check(len(entries) + 1); err != nil {
+		problem = err.Error()
+	}
+	if problem != "" && problem != l.problem {
+		l.config.Logger.Warn("tenants' limits hold only while all nodes reach each other", "error", problem, "entry_nodes", len(entries)+1)
+	}
+	l.problem = problem
 }
 
 // Run sends reports until ctx is done, and then returns nil.
--- a/internal/quota/limiter_test.go
+++ b/internal/quota/limiter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"sync"
 	"testing"
@@ -126,3 +127,42 @@
 		}
 	})
 }
+
+// Guards against refusals that come late with many tenants: a refusal must take less than 5 ms of
+// real time. One in a hundred may take longer, as other processes use the machine.
+func TestRefusalsAreImmediate(t *testing.T) {
+	var specs []routing.TenantSpec
+	for i := range 10_000 {
+		specs = append(specs, routing.TenantSpec{Tenant: routing.Tenant{Name: fmt.Sprint("tenant", i), Limit: routing.RateLimit{PerSecond: 1, Burst: 1}},
+			Keys: []string{fmt.Sprint("k", i)}})
+	}
+	table := routing.NewTable(1, nil, nil, routing.Limits{}).WithTenants(specs)
+	nodes := &topology.Nodes{Nodes: []topology.Node{{ID: "a"}}, EntryNodes: []topology.Node{{ID: "a"}}}
+	l := New(Config{
+		Node: "a", Bounds: testBounds, Nodes: func() *topology.Nodes { return nodes }, Table: func() *routing.Table { return table },
+		Send: func(netip.AddrPort, []byte) error { return nil },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	done.Go(func() { _ = l.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		done.Wait()
+	})
+	refused, late := 0, 0
+	for i := range specs {
+		for range 15 {
+			startedAt := time.Now()
+			if _, err := l.Admit(ctx, table.Tenant(specs[i].Name)); err != nil {
+				refused++
+				if time.Since(startedAt) > 5*time.Millisecond {
+					late++
+				}
+			}
+		}
+	}
+	t.Logf("%d refused, %d of them in more than 5 ms", refused, late)
+	if refused < 5_000 || late > refused/100 {
+		t.Errorf("%d refused, %d of them in more than 5 ms", refused, late)
+	}
+}
--- a/internal/quota/network_test.go
+++ b/internal/quota/network_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -25,8 +24,12 @@
 	limits map[uint64]TenantLimit
 	loss   float64
 	// side is the side of a partition that a node is on.
-	side        map[int]int
-	standby     map[int]bool
+	side    map[int]int
+	standby map[int]bool
+	// gone are the nodes whose entries are gone from the store, and hidden[i] - 1 a node that node
+	// i does not know.
+	gone        map[int]bool
+	hidden      map[int]int
 	datagrams   int
 	bytes       int
 	incarnation uint64
@@ -43,6 +46,8 @@
 	stopped bool
 	queued  []event
 	ticks   uint64
+	due     time.Duration // of the scheduled tick, of dueOf
+	dueOf   *Core
 }
 
 type event struct {
@@ -67,14 +72,17 @@
 
 func newNetwork(seed uint64, nodes int, tenants map[string]routing.RateLimit) *network {
 	n := &network{
-		random: rand.New(rand.NewPCG(seed, 1)), limits: make(map[uint64]TenantLimit), loss: 0.01, side: map[int]int{}, standby: map[int]bool{},
+		random: rand.New(rand.NewPCG(seed, 1)), limits: make(map[uint64]TenantLimit), loss: 0.01, side: map[int]int{}, standby: map[int]bool{}, gone: map[int]bool{}, hidden: map[int]int{},
 		arrivals: map[string][]time.Duration{}, admissions: map[string][]time.Duration{}, refusals: map[Reason]int{}, now: time.Hour,
 	}
 	for name, limit := range tenants {
 		n.limits[TenantID(name)] = TenantLimit{Name: name, Limit: limit}
 	}
-	for range nodes {
-		n.add()
+	for i := range nodes {
+		n.nodes = append(n.nodes, &testNode{index: i})
+	}
+	for _, node := range n.nodes {
+		n.start(node)
 	}
 	return n
 }
@@ -90,6 +98,8 @@
 	return node
 }
 
+func nodeID(index int) uint64 { return NodeID(string(rune('A' + index))) }
+
 func address(index int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(index >> 16), byte(index >> 8), byte(index)}), 7740)
 }
@@ -102,7 +112,7 @@
 // start starts a node's process.
 func (n *network) start(node *testNode) {
 	n.incarnation++
-	node.core = NewCore(CoreConfig{Self: NodeID(fmt.Sprint(node.index)), Incarnation: n.incarnation, Bounds: testBounds, Now: n.now})
+	node.core = NewCore(CoreConfig{Self: nodeID(node.index), Incarnation: n.incarnation, Bounds: testBounds, Now: n.now})
 	node.stopped, node.frozen, node.queued = false, false, nil
 	n.configure(node)
 }
@@ -111,10 +121,10 @@
 	var entries []Peer
 	known := make(map[uint64]bool)
 	for i := range n.nodes {
-		if i == node.index {
+		if i == node.index || n.gone[i] || n.hidden[node.index] == i+1 {
 			continue
 		}
-		id := NodeID(fmt.Sprint(i))
+		id := nodeID(i)
 		known[id] = true
 		if !n.standby[i] {
 			entries = append(entries, Peer{ID: id, Address: address(i)})
@@ -125,6 +135,17 @@
 	n.schedule(node)
 }
 
+// setLimits puts other limits in force on all nodes.
+func (n *network) setLimits(tenants map[string]routing.RateLimit) {
+	n.limits = make(map[uint64]TenantLimit)
+	for name, limit := range tenants {
+		n.limits[TenantID(name)] = TenantLimit{Name: name, Limit: limit}
+	}
+	for _, node := range n.nodes {
+		n.configure(node)
+	}
+}
+
 func (n *network) at(at time.Duration, do func()) {
 	n.order++
 	heap.Push(&n.queue, event{max(at, n.now), n.order, do})
@@ -136,10 +157,15 @@
 	if !ok {
 		return
 	}
+	if due == node.due && node.core == node.dueOf {
+		return
+	}
+	node.due, node.dueOf = due, node.core
 	node.ticks++
 	tick, core := node.ticks, node.core
 	n.at(due, func() {
 		if tick == node.ticks && core == node.core && !node.stopped {
+			node.due = 0
 			n.onNode(node, func() { n.send(node, node.core.Tick(n.now)) })
 		}
 	})
@@ -168,6 +194,16 @@
 }
 
 func (n *network) send(from *testNode, datagrams []Datagram) {
+	near := 400*time.Microsecond + time.Duration(n.random.Int64N(int64(600*time.Microsecond)))
+	// The datagrams of one report that arrive at one time are one event, so that large fleets run in
+	// little time.
+	type group struct {
+		content *byte
+		delay   time.Duration
+	}
+	receivers := make(map[group][]int)
+	var groups []group
+	contents := make(map[*byte]*report)
 	for _, d := range datagrams {
 		to := indexOf(d.To)
 		n.datagrams++
@@ -175,20 +211,31 @@
 		if n.random.Float64() < n.loss {
 			continue
 		}
-		delay := 400*time.Microsecond + time.Duration(n.random.Int64N(int64(600*time.Microsecond)))
+		delay := near
 		if from.index%3 != to%3 {
 			delay = 12 * time.Millisecond
 		}
-		n.at(n.now+delay, func() {
-			if n.side[from.index] != n.side[to] {
-				return
+		g := group{&d.Content[0], delay}
+		if contents[g.content] == nil {
+			r, err := decode(d.Content)
+			if err != nil {
+				panic(err)
 			}
-			node := n.nodes[to]
-			n.onNode(node, func() {
-				if err := node.core.Receive(n.now, address(from.index), d.Content); err != nil {
-					panic(err)
+			contents[g.content] = r
+		}
+		if receivers[g] == nil {
+			groups = append(groups, g)
+		}
+		receivers[g] = append(receivers[g], to)
+	}
+	for _, g := range groups {
+		n.at(n.now+g.delay, func() {
+			for _, to := range receivers[g] {
+				if n.side[from.index] == n.side[to] {
+					node := n.nodes[to]
+					n.onNode(node, func() { node.core.receive(n.now, address(from.index), contents[g.content]) })
 				}
-			})
+			}
 		})
 	}
 }
--- a/internal/quota/send.go
+++ b/internal/quota/send.go
@@ -29,7 +29,13 @@
 
 // wants reports whether the accounts of other nodes are missing.
 func (c *Core) wants(now time.Duration) bool {
-	return now-c.syncStartedAt < 2*c.heartbeat() && c.participates(now) && !c.answeredByHalf()
+	if c.complete || now-c.syncStartedAt >= 2*c.heartbeat() || !c.participates(now) {
+		return false
+	}
+	if c.uncounted {
+		c.complete, c.uncounted = c.answeredByHalf(), false
+	}
+	return !c.complete
 }
 
 func (c *Core) answeredByHalf() bool {
@@ -178,7 +184,7 @@
 			continue
 		}
 		for node, p := range a.parts.all() {
-			if c.peers.get(node) == nil && p.long.read(now, longDemand) < 0.001 {
+			if now-p.long.at > accountRetention {
 				a.parts.remove(node)
 			}
 		}
