quota: promise tokens in Retry-After by a node's share of the rate

Each node promised the whole rate, without regard to the requests of other nodes. Callers for whom there was no token within 5 s were all told 5 s, and came back at once. A node now promises 0.8 of its share (by demand) of the rate, from the time at which the demand no longer counts as above the limit; callers without a promise are spread over 2.5 s to 5 s.

go test -race -p 2 ./internal/quota ./internal/announce ./internal/edge

--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -96,7 +96,8 @@
 	refusedFor          map[Reason]uint64
 	atLimit             bool
 	limitedSince, eased time.Duration
-	promisedUntil       time.Duration
+	promisedUntil       time.Duration // times up to which tokens are promised by Retry-After
+	unpromised          uint64
 	recent              bool // in Core.recent
 }
 
--- a/internal/quota/core.go
+++ b/internal/quota/core.go
@@ -4,6 +4,7 @@
 package quota
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -526,18 +527,44 @@
 	}
 }
 
-// retryAfter returns when a refused caller should retry: after those refused before it.
+// retryAfter returns when a refused caller should retry: when there is a token for it after those
+// that were refused before it. Other nodes promise theirs: this one has its share of the rate, by its
+// share of the demand.
 func (a *account) retryAfter(now time.Duration) time.Duration {
 	rate := max(0.01, a.division.Rate*(1-a.reserved))
-	step := time.Duration(float64(time.Second) / rate)
-	first := now + time.Duration(max(0, 1-a.balance)/rate*float64(time.Second))
-	a.promisedUntil = max(first, a.promisedUntil+step)
-	if a.promisedUntil-now > maxRetryAfter {
-		a.promisedUntil = now + maxRetryAfter
+	// What is left of the balance goes to the requests that come meanwhile, and reports of others
+	// may be on their way.
+	first := now + retryMargin + time.Duration((1-min(0, a.balance))/rate*float64(time.Second))
+	if total := a.totalDemand(now); total > rate {
+		// New requests take the tokens until the demand, if it ends now, counts as below the rate.
+		first += time.Duration(math.Log(min(total/rate, 20)) * float64(shortDemand))
 	}
-	return max(a.promisedUntil-now, time.Millisecond)
+	if own, total := a.demand.read(now, shortDemand), a.totalDemand(now); own > 0 {
+		rate *= promisedShare * max(minRetryShare, own/total)
+	}
+	next := max(first, a.promisedUntil+time.Duration(float64(time.Second)/rate))
+	if next-now > maxRetryAfter {
+		// All tokens of that time are promised. These callers come back at different times.
+		a.unpromised++
+		_, part := math.Modf(float64(a.unpromised) * goldenRatio)
+		return maxRetryAfter - time.Duration(part*float64(maxRetryAfter)/2)
+	}
+	a.promisedUntil = next
+	return max(next-now, time.Millisecond)
 }
 
+const (
+	// retryMargin is the time that reports take to arrive while an account is low.
+	retryMargin = 100 * time.Millisecond
+	// promisedShare is the part of the rate that is promised: returning callers meet new requests,
+	// and the shares of nodes are estimates.
+	promisedShare = 0.8
+	// minRetryShare bounds the share of the rate that a node without earlier demand promises.
+	minRetryShare = 0.02
+	// goldenRatio spreads its multiples, without their integer parts, evenly.
+	goldenRatio = 0.6180339887498949
+)
+
 // maxRetryAfter bounds Retry-After: a caller that is told more does not return.
 const maxRetryAfter = 5 * time.Second
 
--- a/internal/quota/network_test.go
+++ b/internal/quota/network_test.go
@@ -37,6 +37,7 @@
 	arrivals, admissions map[string][]time.Duration
 	waited               int
 	refusals             map[Reason]int
+	onRefusal            func(node *testNode, retryAfter time.Duration)
 }
 
 type testNode struct {
@@ -258,6 +259,9 @@
 		n.admissions[tenant] = append(n.admissions[tenant], n.now)
 	default:
 		n.refusals[decision.Reason]++
+		if n.onRefusal != nil {
+			n.onRefusal(node, decision.RetryAfter)
+		}
 	}
 }
 
