--- a/internal/quota/core.go
+++ b/internal/quota/core.go
@@ -4,6 +4,7 @@
 package quota
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -20,7 +21,7 @@
 	// maxDatagramRate bounds the datagrams that a node sends, per second.
 	maxDatagramRate = 1000
 	// silentHeartbeats is the number of heartbeats after which a node counts as silent.
-	silentHeartbeats = 3.2
+	silentHeartbeats = 2.2
 	// repeatFor is the time for which a change is repeated in reports.
 	repeatFor = 2 * time.Second
 	// contactRetention is the time for which a node that reported is sent reports.
@@ -85,22 +86,30 @@
 type Core struct {
 	config   CoreConfig
 	accounts map[uint64]*account
-	peers    map[uint64]*peer
+	peers    nodeMap[*peer]
 	entries  int
 	isEntry  bool
 	enabled  bool
 	sequence uint64
 	silence  uint64 // version of the set of silent peers
-	silent   map[uint64]*peer
+	silent   nodeMap[*peer]
 
 	lastRequest   time.Duration
 	syncStartedAt time.Duration
+	complete      bool // half of the entry nodes have answered since syncStartedAt
+	uncounted     bool // complete may have changed
 	lastWant      time.Duration
 	nextHeartbeat time.Duration
 	flushAt       time.Duration // 0: none
 	checkedAt     time.Duration
 	dropped       uint64
 	limits        map[uint64]TenantLimit
+	// appeared are the times at which tenants got a limit after others had one.
+	appeared map[uint64]time.Duration
+	// recent are the accounts that may have to be reported or logged.
+	recent []*account
+	// snapshots is the number of peers with snapshotDue.
+	snapshots int
 }
 
 // TenantLimit is a tenant with a limit.
@@ -112,7 +121,7 @@
 // NewCore returns a Core.
 func NewCore(config CoreConfig) *Core {
 	return &Core{
-		config: config, accounts: make(map[uint64]*account), peers: make(map[uint64]*peer), silent: make(map[uint64]*peer),
+		config: config, accounts: make(map[uint64]*account), appeared: make(map[uint64]time.Duration),
 		syncStartedAt: config.Now, lastWant: config.Now - time.Hour, checkedAt: config.Now, lastRequest: config.Now - time.Hour,
 		nextHeartbeat: config.Now,
 	}
@@ -124,30 +133,41 @@
 	listed := make(map[uint64]bool, len(entries))
 	for _, e := range entries {
 		listed[e.ID] = true
-		p := c.peers[e.ID]
+		p := c.peers.get(e.ID)
 		if p == nil {
 			p = &peer{Peer: e, addedAt: now}
-			c.peers[e.ID] = p
+			c.peers.set(e.ID, p)
 		}
 		p.entry, p.Address = true, e.Address
 	}
-	for id, p := range c.peers {
+	for id, p := range c.peers.all() {
 		p.entry = listed[id]
-		if !listed[id] && !known[id] && c.silent[id] != nil {
+		if !listed[id] && !known[id] && c.silent.get(id) != nil {
 			c.setSilent(p, false)
 		}
 		if !listed[id] && (!p.heard || now-p.heardAt > time.Minute) {
-			delete(c.peers, id)
 			c.setSilent(p, false)
+			c.setSnapshotDue(p, false)
+			c.peers.remove(id)
 		}
 	}
-	c.entries, c.isEntry = len(entries), selfIsEntry
+	c.entries, c.isEntry, c.uncounted = len(entries), selfIsEntry, true
 }
 
 // SetLimits sets the tenants with limits, by TenantID. Without any, nothing is sent.
 func (c *Core) SetLimits(now time.Duration, limits map[uint64]TenantLimit) {
 	if !c.enabled && len(limits) > 0 {
-		c.syncStartedAt, c.nextHeartbeat = now, now
+		c.syncStartedAt, c.nextHeartbeat, c.complete, c.uncounted = now, now, false, true
+	}
+	for id := range limits {
+		if _, found := c.limits[id]; !found && c.limits != nil {
+			c.appeared[id] = now
+		}
+	}
+	for id, at := range c.appeared {
+		if _, found := limits[id]; !found || now-at > accountRetention {
+			delete(c.appeared, id)
+		}
 	}
 	c.enabled, c.limits = len(limits) > 0, limits
 	for id, a := range c.accounts {
@@ -164,16 +184,24 @@
 // TenantID returns the ID of the tenant with a name.
 func TenantID(name string) uint64 { return xxhash.Sum64String(name) }
 
-func (c *Core) heartbeat() time.Duration {
-	return max(minHeartbeat, time.Duration(c.entries)*2*time.Second/maxDatagramRate)
+// heartbeat returns the interval of reports to a number of other entry nodes.
+func heartbeat(entries int) time.Duration {
+	return max(minHeartbeat, time.Duration(entries)*2*time.Second/maxDatagramRate)
+}
+
+// silenceAfter returns the time without a report after which a node counts as silent.
+func silenceAfter(entries int) time.Duration {
+	return time.Duration(silentHeartbeats * float64(heartbeat(entries)))
 }
 
+func (c *Core) heartbeat() time.Duration { return heartbeat(c.entries) }
+
 func (c *Core) flushDelay() time.Duration {
 	return max(minFlush, time.Duration(c.entries)*time.Second/maxDatagramRate)
 }
 
 func (c *Core) silenceAfter() time.Duration {
-	return time.Duration(silentHeartbeats * float64(c.heartbeat()))
+	return silenceAfter(c.entries)
 }
 
 func (c *Core) setSilent(p *peer, silent bool) {
@@ -183,16 +211,37 @@
 	p.silent = silent
 	c.silence++
 	if silent {
-		c.silent[p.ID] = p
+		c.silent.set(p.ID, p)
 	} else {
-		delete(c.silent, p.ID)
+		c.silent.remove(p.ID)
+	}
+}
+
+func (c *Core) setSnapshotDue(p *peer, due bool) {
+	if p.snapshotDue == due {
+		return
+	}
+	p.snapshotDue = due
+	if due {
+		c.snapshots++
+	} else {
+		c.snapshots--
+	}
+}
+
+// change notes that this node's part in an account has changed.
+func (c *Core) change(a *account, now time.Duration) {
+	a.changedAt = now
+	if !a.recent {
+		a.recent = true
+		c.recent = append(c.recent, a)
 	}
 }
 
 // checkPeers notes which peers are silent.
 func (c *Core) checkPeers(now time.Duration) {
 	c.checkedAt = now
-	for _, p := range c.peers {
+	for _, p := range c.peers.all() {
 		if p.silent {
 			continue
 		}
@@ -213,7 +262,7 @@
 // know all accounts, have told theirs.
 func (c *Core) informed(now time.Duration) bool {
 	informed := 0
-	for _, p := range c.peers {
+	for _, p := range c.peers.all() {
 		if p.entry && p.answered && !p.silent && p.uptime > c.config.Bounds.Window {
 			informed++
 		}
@@ -233,22 +282,43 @@
 		return
 	}
 	a.silence = c.silence
-	for id, r := range a.reservations {
-		if c.silent[id] == nil {
+	for id, r := range a.reservations.all() {
+		if c.silent.get(id) == nil {
 			a.release(id, r, 0)
 		}
 	}
-	total := a.earlierDemand(now)
+	before := c.contactLost(a, now)
+	total := a.earlierDemand(now, before)
 	even := c.evenShare()
-	for id, p := range c.silent {
-		r := a.reservations[id]
+	added := make(map[uint64]*reservation)
+	sum := 0.0
+	for id, p := range c.silent.all() {
+		r := a.reservations.get(id)
 		if r == nil {
 			r = &reservation{byDemand: -1}
-			if part := a.parts[id]; part != nil && total >= minDemand {
-				r.byDemand = min(1, part.marks.read(now)/total)
+			if part := a.parts.get(id); total >= minDemand {
+				r.byDemand = 0
+				if part != nil {
+					r.byDemand = min(1, part.marks.read(now, before)/total)
+				}
 			}
+			added[id] = r
 		}
-		if share := c.share(r, p, even); share > 0 || r.share > 0 {
+		sum += c.share(r, p, even)
+	}
+	if a.reservations.len() == 0 {
+		a.margin = a.division.margin(total)
+	}
+	scale := 1.0
+	if even < 1 && sum > 0 && sum < 1 {
+		scale = (sum + a.margin*(1-sum)) / sum
+	}
+	for id, p := range c.silent.all() {
+		r := a.reservations.get(id)
+		if r == nil {
+			r = added[id]
+		}
+		if share := scale * c.share(r, p, even); share > 0 || r.share > 0 {
 			since := now - c.silenceAfter()
 			if p.heard {
 				since = p.heardAt
@@ -258,13 +328,25 @@
 	}
 }
 
+// contactLost returns when the peers that have become silent since the account was last used were
+// heard. Demand that came later is not known on both sides of a partition.
+func (c *Core) contactLost(a *account, now time.Duration) time.Duration {
+	before := now - c.silenceAfter()
+	for id, p := range c.silent.all() {
+		if p.heard && a.reservations.get(id) == nil && now-p.heardAt < marks*markSlot {
+			before = min(before, p.heardAt)
+		}
+	}
+	return before
+}
+
 // evenShare returns the part of an account that is divided evenly among the entry nodes; the rest
 // is divided by demand. In a partition, callers stay with the nodes that they use, so that demand
 // is the better measure. If only few nodes are silent, they have probably stopped, and their
 // callers use the others. A few nodes on their own follow the same rule.
 func (c *Core) evenShare() float64 {
 	silent := 0
-	for _, p := range c.silent {
+	for _, p := range c.silent.all() {
 		if p.entry {
 			silent++
 		}
@@ -293,14 +375,11 @@
 func (a *account) reserve(id uint64, r *reservation, share, spent float64) {
 	share = min(share, r.share+max(0, 1-a.reserved))
 	whole := a.balance + spent
-	for _, other := range a.reservations {
+	for _, other := range a.reservations.all() {
 		whole += other.balance
 	}
 	moved := (share - r.share) * max(0, whole)
-	if a.reservations == nil {
-		a.reservations = make(map[uint64]*reservation)
-	}
-	a.reservations[id] = r
+	a.reservations.set(id, r)
 	a.reserved += share - r.share
 	r.share = share
 	r.balance += moved
@@ -309,9 +388,9 @@
 
 // release ends a reservation. spent is what the node has spent of it.
 func (a *account) release(id uint64, r *reservation, spent float64) {
-	delete(a.reservations, id)
+	a.reservations.remove(id)
 	a.reserved = max(0, a.reserved-r.share)
-	if len(a.reservations) == 0 {
+	if a.reservations.len() == 0 {
 		a.reserved = 0
 	}
 	a.balance = min(a.balance+max(0, r.balance-max(0, spent)), a.division.Burst*(1-a.reserved))
@@ -363,17 +442,17 @@
 	a.name = name
 	decision := c.decide(a, now)
 	a.demand.add(now, shortDemand)
-	a.marks.note(a.long, now)
 	a.long.add(now, longDemand)
-	a.usedAt, a.changedAt = now, now
+	a.usedAt = now
+	c.change(a, now)
 	return decision
 }
 
 // resynchronize forgets what this node has not been sent for a while, and asks for it.
 func (c *Core) resynchronize(now time.Duration) {
 	clear(c.accounts)
-	c.syncStartedAt, c.nextHeartbeat = now, now
-	for _, p := range c.peers {
+	c.syncStartedAt, c.nextHeartbeat, c.complete, c.uncounted = now, now, false, true
+	for _, p := range c.peers.all() {
 		p.answered, p.heard, p.addedAt = false, false, now
 		c.setSilent(p, false)
 	}
@@ -381,12 +460,17 @@
 
 // open returns a new account.
 func (c *Core) open(now time.Duration, id uint64, limit routing.RateLimit) *account {
-	a := &account{tenant: id, at: now, openedAt: now, usedAt: now, parts: make(map[uint64]*part)}
+	a := &account{tenant: id, at: now, openedAt: now, usedAt: now}
 	a.spentAt = int64(now / spentSlot)
 	a.setLimit(limit, c.config.Bounds)
-	if c.informed(now) {
+	appearedAt, appeared := c.appeared[id]
+	switch {
+	case appeared:
+		// The tenant may have had another name, and have spent its burst under that name.
+		a.balance = min(a.division.Burst, a.division.Initial+a.division.Rate*(now-appearedAt).Seconds())
+	case c.informed(now):
 		a.balance = a.division.Burst
-	} else {
+	default:
 		a.balance = min(a.division.Burst, a.division.Initial+a.division.Rate*(now-c.config.Now).Seconds())
 	}
 	a.pacing = float64((id^c.config.Self)%1000) / 1000
@@ -397,9 +481,10 @@
 func (c *Core) decide(a *account, now time.Duration) Decision {
 	reason := ReasonBalance
 	if a.balance >= 1 {
-		demand := a.totalDemand(now) * pace.Seconds()
+		pace := max(minPace, 9*c.silenceAfter()/5).Seconds()
+		demand := a.sureDemand(now) * pace
 		own := 1 - a.reserved
-		if available := a.balance + a.division.Rate*own*pace.Seconds(); demand > available {
+		if available := a.balance + a.division.Rate*own*pace; demand > available {
 			a.pacing += available / demand
 			reason = ReasonPace
 		} else {
@@ -434,25 +519,52 @@
 	a.unreported++
 	a.lastAdmission = now
 	a.charge(now, 1)
-	if a.balance < a.division.Burst/2 || a.unreported > 2 {
+	// In a large fleet, one request at each node is more than the balance.
+	if a.balance < a.division.Burst/2 || a.unreported > 2 || float64(a.unreported*(c.entries+1)) > a.balance {
 		if at := now + c.flushDelay(); c.flushAt == 0 || at < c.flushAt {
 			c.flushAt = at
 		}
 	}
 }
 
-// retryAfter returns when a refused caller should retry: after those refused before it.
+// retryAfter returns when a refused caller should retry: when there is a token for it after those
+// that were refused before it. Other nodes promise theirs: this one has its share of the rate, by its
+// share of the demand.
 func (a *account) retryAfter(now time.Duration) time.Duration {
 	rate := max(0.01, a.division.Rate*(1-a.reserved))
-	step := time.Duration(float64(time.Second) / rate)
-	first := now + time.Duration(max(0, 1-a.balance)/rate*float64(time.Second))
-	a.promisedUntil = max(first, a.promisedUntil+step)
-	if a.promisedUntil-now > maxRetryAfter {
-		a.promisedUntil = now + maxRetryAfter
-	}
-	return max(a.promisedUntil-now, time.Millisecond)
+	// What is left of the balance goes to the requests that come meanwhile, and reports of others
+	// may be on their way.
+	first := now + retryMargin + time.Duration((1-min(0, a.balance))/rate*float64(time.Second))
+	if total := a.totalDemand(now); total > rate {
+		// New requests take the tokens until the demand, if it ends now, counts as below the rate.
+		first += time.Duration(math.Log(min(total/rate, 20)) * float64(shortDemand))
+	}
+	if own, total := a.demand.read(now, shortDemand), a.totalDemand(now); own > 0 {
+		rate *= promisedShare * max(minRetryShare, own/total)
+	}
+	next := max(first, a.promisedUntil+time.Duration(float64(time.Second)/rate))
+	if next-now > maxRetryAfter {
+		// All tokens of that time are promised. These callers come back at different times.
+		a.unpromised++
+		_, part := math.Modf(float64(a.unpromised) * goldenRatio)
+		return maxRetryAfter - time.Duration(part*float64(maxRetryAfter)/2)
+	}
+	a.promisedUntil = next
+	return max(next-now, time.Millisecond)
 }
 
+const (
+	// retryMargin is the time that reports take to arrive while an account is low.
+	retryMargin = 100 * time.Millisecond
+	// promisedShare is the part of the rate that is promised: returning callers meet new requests,
+	// and the shares of nodes are estimates.
+	promisedShare = 0.8
+	// minRetryShare bounds the share of the rate that a node without earlier demand promises.
+	minRetryShare = 0.02
+	// goldenRatio spreads its multiples, without their integer parts, evenly.
+	goldenRatio = 0.6180339887498949
+)
+
 // maxRetryAfter bounds Retry-After: a caller that is told more does not return.
 const maxRetryAfter = 5 * time.Second
 
@@ -465,7 +577,7 @@
 	c.reconcile(a, now)
 	a.count--
 	a.admitted--
-	a.changedAt = now
+	c.change(a, now)
 	a.charge(now, -1)
 }
 
@@ -475,19 +587,25 @@
 	if err != nil {
 		return err
 	}
+	c.receive(now, from, r)
+	return nil
+}
+
+// receive handles a decoded report. It does not change it.
+func (c *Core) receive(now time.Duration, from netip.AddrPort, r *report) {
 	if r.Node == c.config.Self || !c.enabled {
-		return nil
+		return
 	}
 	if now-c.checkedAt > minHeartbeat {
 		c.checkPeers(now)
 	}
-	p := c.peers[r.Node]
+	p := c.peers.get(r.Node)
 	if p == nil {
 		p = &peer{Peer: Peer{ID: r.Node}, addedAt: now}
-		c.peers[r.Node] = p
+		c.peers.set(r.Node, p)
 	}
 	if p.former == r.Incarnation && p.former != 0 {
-		return nil // a late report of a process that has ended
+		return // a late report of a process that has ended
 	}
 	if !p.heard || p.incarnation != r.Incarnation {
 		if p.heard && p.incarnation != r.Incarnation {
@@ -497,26 +615,25 @@
 		if r.uptime() < now-c.config.Now {
 			p.since = now - r.uptime() - time.Second // this node was already listening
 		}
-		p.snapshotDue = true
+		c.setSnapshotDue(p, true)
 	}
 	if p.silent {
-		p.snapshotDue = true
+		c.setSnapshotDue(p, true)
 	}
 	p.heard, p.heardAt, p.uptime = true, now, r.uptime()
 	if !p.entry {
 		p.Address = from
 	}
 	if r.Flags&flagWant != 0 {
-		p.snapshotDue = true
+		c.setSnapshotDue(p, true)
 	}
 	if r.Flags&flagAnswer != 0 {
-		p.answered = true
+		p.answered, c.uncounted = true, true
 	}
 	for i := range r.Entries {
 		c.merge(now, p, r, &r.Entries[i])
 	}
 	c.setSilent(p, false)
-	return nil
 }
 
 // merge charges an account with another node's admissions.
@@ -540,7 +657,7 @@
 	c.reconcile(a, now)
 	a.usedAt = now
 	startedAt := now - time.Duration(e.AgeMilliseconds)*time.Millisecond
-	known := a.parts[p.ID]
+	known := a.parts.get(p.ID)
 	fresh := known == nil
 	var delta int64
 	switch {
@@ -554,7 +671,7 @@
 			a.balance = min(a.balance, balance) // it counted before it was heard
 		}
 		known = &part{incarnation: r.Incarnation, startedAt: startedAt}
-		a.parts[p.ID] = known
+		a.parts.set(p.ID, known)
 	case r.Sequence < known.sequence:
 		return
 	default:
@@ -562,9 +679,9 @@
 	}
 	known.sequence, known.count = r.Sequence, e.Count
 	known.demand = demandMeter{float64(e.Demand) / valueScale, now}
-	known.marks.note(known.long, now)
 	known.long = demandMeter{float64(e.LongDemand) / valueScale, now}
-	if reserved := a.reservations[p.ID]; reserved != nil {
+	known.marks.note(known.long)
+	if reserved := a.reservations.get(p.ID); reserved != nil {
 		a.release(p.ID, reserved, float64(delta))
 		return
 	}
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -60,6 +60,7 @@
 	table   *routing.Table
 	limited map[*account]bool // logged as being at the limit
 	silent  int               // logged as silent
+	problem string            // logged as the problem of the bounds
 	names   map[uint64]string // of nodes
 	metrics metrics
 }
@@ -92,7 +93,7 @@
 		}
 		registerer.MustRegister(m.requests, m.datagrams, m.bytes,
 			gauge("doorpondd_quota_accounts", "Accounts of tenants that this node keeps.", func() int { return len(l.core.accounts) }),
-			gauge("doorpondd_quota_silent_nodes", "Nodes whose share of the limits is reserved, as they do not report.", func() int { return len(l.core.silent) }),
+			gauge("doorpondd_quota_silent_nodes", "Nodes whose share of the limits is reserved, as they do not report.", func() int { return l.core.silent.len() }),
 			gauge("doorpondd_quota_tenants_at_limit", "Tenants that this node refuses requests of.", func() int { return len(l.limited) }),
 		)
 	}
@@ -112,9 +113,6 @@
 	}
 	l.core = NewCore(CoreConfig{Self: NodeID(config.Node), Incarnation: rand.Uint64() | 1, Bounds: config.Bounds, Now: config.Now()})
 	l.metrics = newMetrics(config.Registerer, l)
-	if err := config.Bounds.Check(); err != nil {
-		config.Logger.Warn("tenants' limits hold only while all nodes reach each other", "error", err.Error())
-	}
 	return l
 }
 
@@ -237,6 +235,14 @@
 		}
 	}
 	l.core.SetNodes(now, entries, selfIsEntry, known)
+	problem := ""
+	if err := l.config.Bounds.Check(len(entries) + 1); err != nil {
+		problem = err.Error()
+	}
+	if problem != "" && problem != l.problem {
+		l.config.Logger.Warn("tenants' limits hold only while all nodes reach each other", "error", problem, "entry_nodes", len(entries)+1)
+	}
+	l.problem = problem
 }
 
 // Run sends reports until ctx is done, and then returns nil.
@@ -286,7 +292,7 @@
 // changes returns log lines of what has changed. l.mutex must be held.
 func (l *Limiter) changes(now time.Duration) []logLine {
 	var lines []logLine
-	if silent := len(l.core.silent); silent != l.silent {
+	if silent := l.core.silent.len(); silent != l.silent {
 		message := "nodes are silent; their share of the tenants' limits is reserved"
 		if silent < l.silent {
 			message = "silent nodes report again or are gone"
@@ -294,8 +300,8 @@
 		lines = append(lines, logLine{message, []any{"silent", silent, "before", l.silent, "entry_nodes", l.core.entries}})
 		l.silent = silent
 	}
-	for _, a := range l.core.accounts {
-		if !a.atLimit {
+	for _, a := range l.core.recent {
+		if !a.atLimit || l.core.accounts[a.tenant] != a {
 			continue
 		}
 		if !l.limited[a] {
@@ -375,7 +381,7 @@
 		return compareDescending(x.Admitted, y.Admitted)
 	})
 	s.Tenants = s.Tenants[:min(len(s.Tenants), maxListed)]
-	for id, p := range l.core.peers {
+	for id, p := range l.core.peers.all() {
 		age := int64(-1)
 		if p.heard {
 			age = (now - p.heardAt).Milliseconds()
