Soak: nodes limit tenants, and their limits are checked

The nodes of the soak had no quota settings, as there was no quota yet: the window of the checks was 0, so that neither windows over the bound nor refusals below a limit were looked at. Nodes of a deployment of the stand-in with tenants now get quota_window, quota_overage and quota_slack, and the checker takes the bounds from the nodes' settings. A finding on refusals below a limit names the time and the nodes, so that it can be looked up in their logs. Of a tenant's windows over the bound the fullest is reported instead of the first.

--- a/internal/soak/tenantcheck/quota.go
+++ b/internal/soak/tenantcheck/quota.go
@@ -2,10 +2,12 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"math"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -31,28 +33,47 @@
 }
 
 // checkWindows checks that in no window more requests of a tenant are both sent and run than the
-// bound allows. A window that breaks the bound also breaks it when it starts with a request.
+// bound allows. A window that breaks the bound also breaks it when it starts with a request. Of a
+// tenant's windows over the bound, which overlap, only the fullest is a finding.
 func (c *checker) checkWindows() {
 	for name, list := range c.executions() {
-		exceeded := false
+		var worst window
 		for i, first := range list {
-			end, count := first.sent+c.bounds.Window, 0
+			w := window{from: first.sent}
+			end := first.sent + c.bounds.Window
 			for _, each := range list[i:] {
 				if each.sent > end {
 					break
 				}
 				if each.began <= end {
-					count++
+					w.count++
 				}
 			}
-			allowed := c.allowed(name, first.sent, end)
-			c.result.Fullest = max(c.result.Fullest, float64(count)/allowed)
-			if float64(count) > allowed && !exceeded {
-				exceeded = true // overlapping windows would repeat the finding
-				c.addFinding("%d requests of %q ran in the %v from %v on, of %.0f allowed", count, name, c.bounds.Window, first.sent, allowed)
+			w.allowed = c.allowed(name, first.sent, end)
+			if w.share() > worst.share() {
+				worst = w
 			}
 		}
+		c.result.Fullest = max(c.result.Fullest, worst.share())
+		if worst.share() > 1 {
+			c.addFinding("%d requests of %q ran in the %v from %v on, of %.0f allowed", worst.count, name, c.bounds.Window, worst.from, worst.allowed)
+		}
+	}
+}
+
+// window holds the requests of a tenant that ran in one window.
+type window struct {
+	from    time.Duration
+	count   int
+	allowed float64
+}
+
+// share returns the requests as a share of what is allowed.
+func (w window) share() float64 {
+	if w.count == 0 {
+		return 0
 	}
+	return float64(w.count) / w.allowed
 }
 
 // allowed returns the number of a tenant's requests that may run in a window: by the highest limit
@@ -126,7 +147,7 @@
 	accounts := make(map[string]*account)
 	requests := slices.Clone(c.record.Requests)
 	slices.SortStableFunc(requests, func(a, b Request) int { return cmp.Compare(a.Sent, b.Sent) })
-	lost, owed := make(map[string]int), make(map[string]int)
+	lost, owed := make(map[string]*lostRequests), make(map[string]int)
 	for i := range requests {
 		request := &requests[i]
 		versions := c.possible(request.Node, request.Sent, request.Ended)
@@ -152,18 +173,47 @@
 			continue
 		}
 		owed[name]++
+		if lost[name] == nil {
+			lost[name] = &lostRequests{nodes: make(map[string]int)}
+		}
 		if refused {
-			lost[name]++
+			lost[name].add(request)
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(owed)) {
-		c.result.Owed, c.result.Lost = c.result.Owed+owed[name], c.result.Lost+lost[name]
-		if float64(lost[name]) > c.bounds.LostShare*float64(owed[name]) {
-			c.addFinding("%d of the %d requests of %q that were below its limit got 429", lost[name], owed[name], name)
+		count := lost[name].count
+		c.result.Owed, c.result.Lost = c.result.Owed+owed[name], c.result.Lost+count
+		if float64(count) > c.bounds.LostShare*float64(owed[name]) {
+			c.addFinding("%d of the %d requests of %q that were below its limit got 429: %v", count, owed[name], name, lost[name])
 		}
 	}
 }
 
+// lostRequests are the requests of a tenant that were wrongly refused.
+type lostRequests struct {
+	count       int
+	first, last time.Duration
+	nodes       map[string]int
+}
+
+// add adds a request. Requests are added in the order in which they were sent.
+func (l *lostRequests) add(request *Request) {
+	if l.count == 0 {
+		l.first = request.Sent
+	}
+	l.count, l.last = l.count+1, request.Sent
+	l.nodes[request.Node]++
+}
+
+// String returns when the requests were sent, and how many to which node.
+func (l *lostRequests) String() string {
+	var nodes []string
+	for _, node := range slices.Sorted(maps.Keys(l.nodes)) {
+		nodes = append(nodes, fmt.Sprintf("%s %d", node, l.nodes[node]))
+	}
+	return fmt.Sprintf("sent from %v to %v, %s", l.first, l.last, strings.Join(nodes, ", "))
+}
+
 // chargeable reports whether a request was admitted or refused because of a limit, as far as its
 // caller can tell. 401 and 503 come before, or give the token back.
 func chargeable(request *Request) bool {
--- a/internal/soak/tenantcheck/tenantcheck_test.go
+++ b/internal/soak/tenantcheck/tenantcheck_test.go
@@ -124,6 +124,9 @@
 		{"key moved longer ago than the bound", Record{Versions: []Version{first, moved}, Requests: []Request{passed(14*second, "k1", "acme")}}, `for tenant "acme"`},
 		{"window at the bound", Record{Requests: burst(0, 4*second, windowBound, runAcme)}, ""},
 		{"window over the bound", Record{Requests: burst(0, 4*second, windowBound+1, runAcme)}, "87 requests of \"acme\" ran in the 5s"},
+		{"fullest of the windows over the bound", Record{Requests: append(
+			burst(0, 4*second, windowBound+1, runAcme), burst(20*second, 4*second, windowBound+9, runAcme)...,
+		)}, "95 requests of \"acme\" ran in the 5s from 20s on"},
 		{"window over the bound on two nodes", Record{
 			Disturbances: []Span{{Node: "m", From: 0, Until: 10 * second}},
 			Requests: append(burst(0, 4*second, 50, runAcme), burst(0, 4*second, 50, func(at time.Duration) Request {
@@ -144,7 +147,7 @@
 			Versions: []Version{lowered, version(20*second, acme("k1"))}, Requests: burst(20*second, second, 60, runAcme),
 		}, ""},
 		{"429 above the limit", Record{Requests: append(burst(0, second, 20, runAcme), burst(second, 100*time.Millisecond, 20, limitAcme)...)}, ""},
-		{"429 below the limit", Record{Requests: append(burst(0, second, 5, runAcme), limitAcme(2*second))}, "1 of the 6 requests of \"acme\""},
+		{"429 below the limit", Record{Requests: append(burst(0, second, 5, runAcme), limitAcme(2*second))}, "1 of the 6 requests of \"acme\" that were below its limit got 429: sent from 2s to 2s, n 1"},
 		{"429 below the limit, unsettled", Record{
 			Unsettled: []Span{{From: 0, Until: second}}, Requests: append(burst(0, second, 5, runAcme), limitAcme(2*second)),
 		}, ""},
--- a/internal/soak/tenants.go
+++ b/internal/soak/tenants.go
@@ -302,21 +302,22 @@
 		return
 	}
 	c.report.Tenants = true
-	c.report.Identity = tenantcheck.Check(tenantBounds, c.tenantRecord())
+	c.report.Identity = tenantcheck.Check(c.tenantBounds(), c.tenantRecord())
 	for _, finding := range c.report.Identity.Findings {
 		c.addFinding("%s", finding)
 	}
 }
 
-// The bounds of a tenant's requests. A window of 0 means that the nodes do not limit tenants.
-const (
-	limitWindow  = 0 * time.Second
-	limitOverage = 0.1
-	limitSlack   = 20
-)
+// lostShare is the share of a tenant's requests below its limit that may be refused.
+const lostShare = 0.03
 
-var tenantBounds = tenantcheck.Bounds{
-	Apply: applyTime, Contact: contactTime, Window: limitWindow, Overage: limitOverage, Slack: limitSlack, LostShare: 0.03,
+// tenantBounds returns the bounds that the nodes have to keep, by their settings.
+func (c *checker) tenantBounds() tenantcheck.Bounds {
+	bounds := c.cluster.nodes[0].settings.Bounds
+	return tenantcheck.Bounds{
+		Apply: applyTime, Contact: contactTime, LostShare: lostShare,
+		Window: bounds.QuotaWindow, Overage: bounds.QuotaOverage, Slack: bounds.QuotaSlack,
+	}
 }
 
 // tenantRecord returns what was observed of tenants.
