Demo on the platform: a tenant above its limit, and a caller without a key

After what it showed before, the operators now list a tenant; a caller without a key gets 401 from each node, and the tenant's callers send 100 requests in 0.8 s, many times its limit, through two nodes. The demo prints how many were answered, how many got 429, and the range of Retry-After. It fails if more are answered than the bound of a window allows, or if a 429 has no Retry-After.

--- a/internal/lab/demo/platform.go
+++ b/internal/lab/demo/platform.go
@@ -19,7 +19,7 @@
 	platformRequests = 60
 	platformWait     = 4 * time.Second
 	// lastPlatformStep is the number of progress lines.
-	lastPlatformStep = 5
+	lastPlatformStep = 6
 )
 
 var platformZones = []string{"accra", "kumasi", "takoradi"}
@@ -54,7 +54,9 @@
 	d.progress("starting an edge node in each of three zones")
 	d.caller = d.deployment.NewClient(platformZones[0], &http.Client{Timeout: platformWait})
 	for _, zone := range platformZones {
-		node, err := d.deployment.StartNode(d.deployment.NodeSettings("node-"+zone, zone), nil)
+		settings := d.deployment.NodeSettings("node-"+zone, zone)
+		standin.LimitTenants(&settings.Bounds)
+		node, err := d.deployment.StartNode(settings, nil)
 		if err != nil {
 			return eris.Wrap(err, "start a node")
 		}
@@ -98,6 +100,10 @@
 	if err := d.ask(ctx, "a node is gone", platformShards-1); err != nil {
 		return err
 	}
+	d.progress("the operators list a tenant, whose callers send many times its limit through both nodes")
+	if err := d.playTenants(ctx); err != nil {
+		return err
+	}
 	for _, node := range d.nodes[1:] {
 		if err := node.Stop(); err != nil {
 			return eris.Wrap(err, "stop a node")
--- a/internal/lab/demo/platform_test.go
+++ b/internal/lab/demo/platform_test.go
@@ -15,8 +15,10 @@
 	if err := RunPlatform(t.Context(), Options{Out: &out, Progress: io.Discard}); err != nil {
 		t.Fatal(err)
 	}
-	if lines := strings.Count(out.String(), "requests over"); lines != 3 {
-		t.Errorf("output:\n%s", out.String())
+	for part, count := range map[string]int{"requests over": 3, "a caller without a key: 401": 1, "got 429 with Retry-After": 1} {
+		if strings.Count(out.String(), part) != count {
+			t.Errorf("not %d times %q in the output:\n%s", count, part, out.String())
+		}
 	}
 }
 
