Operators see tenants at their limit, and the age of the quota's reports

doorpond system listed refusals by tenant, but neither the account that decided them nor how much the node knew of the others. /v1/node now has the state of the shared quota, and /v1/system the tenants of whose requests a node refused any, those at their limit first: limit, balance, what is reserved for silent nodes, demand, admitted, refused by reason, and the node. doorpond system also prints the number of tenants, keys and conflicts (one line if all nodes have the same), and for each node the oldest report of another node and the nodes that are silent. A node that never reported counts as the oldest. Nodes without a quota or of an older version are shown with a dash.

--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -78,7 +78,7 @@
 	mux.Handle("/v1/", inspect.New(inspect.Config{
 		Board: n.board, Node: n.self, Statistics: n.queries.Statistics, Overloaded: n.overloaded, Budgets: n.budgets.usage,
 		Client: stateClient(), Quarantined: n.quarantine.Records, Release: n.release, StoreProgress: n.follower.AppliedRevision,
-		Refusals: n.handler.Refusals,
+		Refusals: n.handler.Refusals, Quota: n.QuotaState,
 	}))
 	return mux
 }
--- a/internal/inspect/inspect.go
+++ b/internal/inspect/inspect.go
@@ -20,6 +20,7 @@
 	"github.com/doorpond/doorpond/internal/failure"
 	"github.com/doorpond/doorpond/internal/ingress"
 	"github.com/doorpond/doorpond/internal/quarantine"
+	"github.com/doorpond/doorpond/internal/quota"
 	"github.com/doorpond/doorpond/internal/routing"
 	"github.com/doorpond/doorpond/internal/statistics"
 	"github.com/doorpond/doorpond/internal/store"
@@ -47,7 +48,10 @@
 	StoreProgress func() (revision int64, confirmedAt time.Time)
 	// Refusals returns the requests that this node refused, by tenant and kind. It is optional.
 	Refusals func() []ingress.Refusal
-	Client   *http.Client
+	// Quota returns this node's state of the shared quota, and false if it has none. It is
+	// optional.
+	Quota  func() (quota.State, bool)
+	Client *http.Client
 }
 
 // Node is the state of one node, as reported by itself.
@@ -81,6 +85,8 @@
 	// Refusals are the requests that the node refused since its start. Nodes of older versions
 	// report none.
 	Refusals []ingress.Refusal `json:"refusals"`
+	// Quota is nil if the node does not limit tenants, and on nodes of older versions.
+	Quota *quota.State `json:"quota,omitempty"`
 }
 
 // Route is a configured route and the main settings of its policy.
@@ -130,6 +136,9 @@
 	// Refusals are the requests refused since each node's start, by tenant, kind and node, the
 	// most frequent first.
 	Refusals []NodeRefusal `json:"refusals"`
+	// TenantsAtLimit are the tenants with a limit of whose requests a node refused any, first
+	// those that are at their limit.
+	TenantsAtLimit []NodeTenant `json:"tenants_at_limit"`
 }
 
 // URL paths of the API.
@@ -158,6 +167,9 @@
 	if config.Refusals == nil {
 		config.Refusals = func() []ingress.Refusal { return nil }
 	}
+	if config.Quota == nil {
+		config.Quota = func() (quota.State, bool) { return quota.State{}, false }
+	}
 	h := &handler{config: config}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+pathNode, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, h.node()) })
@@ -190,6 +202,9 @@
 		state.StoreReachable, state.StoreSince = status.Reachable, status.Since
 	}
 	h.addStoreProgress(&state)
+	if shared, exists := h.config.Quota(); exists {
+		state.Quota = &shared
+	}
 	return state
 }
 
@@ -226,6 +241,7 @@
 	system.Budgets = mergeBudgets(system.Nodes)
 	system.Quarantined = mergeRequests(system.Nodes)
 	system.Tenants, system.Refusals = system.Nodes[0].Tenants, listRefusals(system.Nodes)
+	system.TenantsAtLimit = listTenantsAtLimit(system.Nodes)
 	return system
 }
 
--- a/internal/inspect/inspect_test.go
+++ b/internal/inspect/inspect_test.go
@@ -15,6 +15,7 @@
 	"github.com/doorpond/doorpond/internal/decision"
 	"github.com/doorpond/doorpond/internal/failure"
 	"github.com/doorpond/doorpond/internal/ingress"
+	"github.com/doorpond/doorpond/internal/quota"
 	"github.com/doorpond/doorpond/internal/routing"
 	"github.com/doorpond/doorpond/internal/statistics"
 	"github.com/doorpond/doorpond/internal/topology"
@@ -28,6 +29,7 @@
 	self     topology.Node
 	budgets  []Budget
 	refusals []ingress.Refusal
+	quota    *quota.State
 }
 
 func newNode(t *testing.T, id string, version uint64) *testNode {
@@ -42,6 +44,12 @@
 		Overloaded: func() bool { return id == "n2" },
 		Budgets:    func() []Budget { return n.budgets },
 		Refusals:   func() []ingress.Refusal { return n.refusals },
+		Quota: func() (quota.State, bool) {
+			if n.quota == nil {
+				return quota.State{}, false
+			}
+			return *n.quota, true
+		},
 	}))
 	routes := []routing.Route{{
 		Name: "fetch", Host: "h", PathPrefix: "/f/", Objective: time.Second, Rank: 2,
@@ -149,6 +157,52 @@
 	}
 }
 
+// Guards against tenants at their limit that operators cannot attribute to a node, against an order
+// that hides those at their limit now, and against nodes without a quota or of older versions.
+func TestSystemListsTenantsAtLimit(t *testing.T) {
+	first, second, without, older := newNode(t, "n1", 1), newNode(t, "n2", 1), newNode(t, "n3", 1), newNode(t, "n4", 1)
+	connect(first, second, without, older)
+	calm := quota.TenantState{Tenant: "calm", Rate: 5, Admitted: 3}
+	earlier := quota.TenantState{Tenant: "acme", Rate: 5, Admitted: 9, Refused: 80}
+	atLimit := quota.TenantState{Tenant: "acme", Rate: 5, AtLimit: true, Admitted: 8, Refused: 7}
+	first.quota = &quota.State{Accounts: 2, Tenants: []quota.TenantState{calm, earlier}, Peers: []quota.PeerState{{Node: "n2", AgeMilliseconds: 30}}}
+	second.quota = &quota.State{Accounts: 1, Tenants: []quota.TenantState{atLimit}}
+	older.server.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`{"node":{"ID":"n4"},"version":1}`))
+	})
+	var got System
+	if status := first.get(t, pathSystem, &got); status != http.StatusOK {
+		t.Fatalf("got status %d, want 200", status)
+	}
+	if diff := cmp.Diff([]NodeTenant{{"n2", atLimit}, {"n1", earlier}}, got.TenantsAtLimit); diff != "" || len(got.Nodes) != 4 {
+		t.Errorf("%d nodes, tenants at their limit (-want +got):\n%s", len(got.Nodes), diff)
+	}
+	for _, node := range got.Nodes {
+		if limits := node.Node.ID == "n1" || node.Node.ID == "n2"; (node.Quota != nil) != limits {
+			t.Errorf("node %s: quota %+v", node.Node.ID, node.Quota)
+		}
+	}
+}
+
+// Guards against an order of reports in which a node that never sent one seems to be up to date.
+func TestOldestReport(t *testing.T) {
+	for _, test := range []struct {
+		ages []int64
+		want int64
+	}{{[]int64{20, 900, 30}, 900}, {[]int64{900, -1, 30}, -1}, {[]int64{-1, 900}, -1}} {
+		var peers []quota.PeerState
+		for _, age := range test.ages {
+			peers = append(peers, quota.PeerState{AgeMilliseconds: age})
+		}
+		if got := OldestReport(peers); got == nil || got.AgeMilliseconds != test.want {
+			t.Errorf("ages %v: oldest %+v, want %d", test.ages, got, test.want)
+		}
+	}
+	if got := OldestReport(nil); got != nil {
+		t.Errorf("without peers: %+v", got)
+	}
+}
+
 func TestCompareMergesNodes(t *testing.T) {
 	first, second := newNode(t, "n1", 1), newNode(t, "n2", 1)
 	connect(first, second)
--- a/internal/operator/system.go
+++ b/internal/operator/system.go
@@ -7,7 +7,6 @@
 	"maps"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/urfave/cli/v3"
 
@@ -49,10 +48,7 @@
 		fmt.Fprintln(w)
 		printQuarantined(w, system.Quarantined)
 	}
-	if len(system.Refusals) > 0 {
-		fmt.Fprintln(w)
-		printRefusals(w, system.Refusals)
-	}
+	printTenants(w, system)
 	if system.Cold > 0 {
 		fmt.Fprintf(w, "cold: %d of the replicas that serve take no more than their rate\n", system.Cold)
 	}
@@ -149,19 +145,6 @@
 	table.flush()
 }
 
-// maxRefusalLines limits the number of refusals listed in text output.
-const maxRefusalLines = 20
-
-// printRefusals lists the requests that nodes refused since their start.
-func printRefusals(w io.Writer, refusals []inspect.NodeRefusal) {
-	table := newColumnWriter(w, "REFUSED", "TENANT", "REASON", "NODE", "LAST")
-	for _, refusal := range refusals[:min(len(refusals), maxRefusalLines)] {
-		last := (time.Duration(refusal.LastAgoMilliseconds) * time.Millisecond).Round(100 * time.Millisecond)
-		table.row(refusal.Count, cmp.Or(refusal.Tenant, "(none)"), refusal.Kind, refusal.Node, last.String()+" ago")
-	}
-	table.flush()
-}
-
 func printLeaving(w io.Writer, replicas []topology.Replica) {
 	table := newColumnWriter(w, "LEAVING", "GROUP", "ZONE", "ADDRESS")
 	for _, replica := range replicas {
--- a/internal/operator/system_test.go
+++ b/internal/operator/system_test.go
@@ -11,6 +11,7 @@
 	"github.com/doorpond/doorpond/internal/ingress"
 	"github.com/doorpond/doorpond/internal/inspect"
 	"github.com/doorpond/doorpond/internal/quarantine"
+	"github.com/doorpond/doorpond/internal/quota"
 	"github.com/doorpond/doorpond/internal/routing"
 	"github.com/doorpond/doorpond/internal/topology"
 )
@@ -21,7 +22,11 @@
 		Version: 7, Replicas: 30, Lagging: []string{"n2"},
 		Nodes: []inspect.Node{
 			{Node: topology.Node{ID: "n2", Place: place}, Version: 5, StoreEra: 1, StoreRevision: 87, ConfirmedAgoMilliseconds: -1, StoreSince: time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)},
-			{Node: topology.Node{ID: "n1", Address: "10.0.0.1:1", Place: place, Overloaded: true}, Entry: true, Version: 7, StoreReachable: true, StoreEra: 2, StoreRevision: 31, ConfirmedAgoMilliseconds: 40},
+			{Node: topology.Node{ID: "n1", Address: "10.0.0.1:1", Place: place, Overloaded: true}, Entry: true, Version: 7, StoreReachable: true, StoreEra: 2, StoreRevision: 31, ConfirmedAgoMilliseconds: 40,
+				Tenants: 5, TenantKeys: 9, TenantConflicts: 1,
+				Quota: &quota.State{Accounts: 4, Peers: []quota.PeerState{
+					{Node: "n2", AgeMilliseconds: 1700, Silent: true}, {Node: "n4", AgeMilliseconds: 20},
+				}}},
 		},
 		Unreachable: []comparison.Unreachable{{Member: topology.Member{ID: "n3"}, Reason: "no\x1b answer"}},
 		Routes: []inspect.Route{
@@ -43,6 +48,10 @@
 			{Node: "n2", Refusal: ingress.Refusal{Kind: failure.Unauthenticated, Count: 3, LastAgoMilliseconds: 90_000}},
 		},
 	}
+	system.TenantsAtLimit = []inspect.NodeTenant{{Node: "n1", TenantState: quota.TenantState{
+		Tenant: "ac\x1bme", Rate: 12.5, Burst: 20, Balance: -0.26, Reserved: 4, Demand: 30, AtLimit: true, Admitted: 400, Refused: 70,
+		Reasons: map[quota.Reason]uint64{quota.ReasonPace: 60, quota.ReasonBalance: 10, quota.ReasonReserved: 0},
+	}}}
 	var out strings.Builder
 	printSystem(&out, system)
 	lines := strings.Split(out.String(), "\n")
@@ -58,6 +67,11 @@
 		"5f1c search 10.9.0.1 /p/ 1 12 10m0s 2 3",
 		"70 ac me quota_exceeded n1 1.2s ago",
 		"3 (none) unauthenticated n2 1m30s ago",
+		"0 0 0 n2",
+		"5 9 1 n1",
+		"ac me true n1 12.5/s 20 -0.3 4.0 30.0/s 400 70 balance=10,pace=60",
+		"n1 4 1700 ms ago n2 n2",
+		"n2 - - - -",
 		"lags: n2",
 		"cold: 3 of the replicas that serve take no more than their rate",
 		"evacuated: adum, 4 replicas",
