Log lines of a 429 tell how old the reports are that decided it

The line of a request over its tenant's limit had the tenant and the reason, but not what the node knew of the other nodes at that time. It now has retry_after_ms, quota_age_ms (the age of the oldest report of another node, -1 if that node never sent one), quota_oldest (that node) and quota_silent (nodes whose share of the limits is reserved).

--- a/internal/edge/quota.go
+++ b/internal/edge/quota.go
@@ -1,12 +1,15 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/doorpond/doorpond/internal/ingress"
+	"github.com/doorpond/doorpond/internal/inspect"
 	"github.com/doorpond/doorpond/internal/quota"
 )
 
@@ -51,3 +54,21 @@
 	}
 	return n.quota.State(), true
 }
+
+// quotaAge returns how old the reports are by which the shared quota decides.
+func (n *Node) quotaAge() ingress.QuotaAge {
+	state, exists := n.QuotaState()
+	if !exists {
+		return ingress.QuotaAge{}
+	}
+	var age ingress.QuotaAge
+	if oldest := inspect.OldestReport(state.Peers); oldest != nil {
+		age.Node, age.Age = cmp.Or(oldest.Node, "unknown"), time.Duration(oldest.AgeMilliseconds)*time.Millisecond
+	}
+	for _, peer := range state.Peers {
+		if peer.Silent {
+			age.Silent++
+		}
+	}
+	return age
+}
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -50,7 +50,7 @@
 // initServers creates the server of each listener.
 func (n *Node) initServers() {
 	options := ingress.Options{
-		Board: n.board, Codec: n.platform.Codec, Forwarder: n.queries, Quota: n.ingressQuota(), WaitFresh: n.follower.WaitUntilFresh,
+		Board: n.board, Codec: n.platform.Codec, Forwarder: n.queries, Quota: n.ingressQuota(), QuotaAge: n.quotaAge, WaitFresh: n.follower.WaitUntilFresh,
 		Logger: n.logger,
 	}
 	if n.metrics != nil {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -59,6 +59,9 @@
 	Forwarder Forwarder
 	// Quota is nil if tenants are not limited.
 	Quota Quota
+	// QuotaAge returns how old the information is by which Quota decides. It is optional, and
+	// called for each log line of a request that was refused with failure.QuotaExceeded.
+	QuotaAge func() QuotaAge
 	// WaitFresh waits until the routing table is up to date or ctx ends, and reports whether
 	// it is. If nil, the table is always considered up to date.
 	WaitFresh func(ctx context.Context) bool
@@ -85,7 +88,7 @@
 		options.Logger = slog.New(slog.DiscardHandler)
 	}
 	return &Handler{
-		options: options, log: newRequestLog(options.Logger, options.Board), refused: newMetrics(options.Registerer, options.Board),
+		options: options, log: newRequestLog(&options), refused: newMetrics(options.Registerer, options.Board),
 		refusals: newRefusals(options.Registerer),
 	}
 }
--- a/internal/ingress/log.go
+++ b/internal/ingress/log.go
@@ -94,13 +94,14 @@
 type requestLog struct {
 	logger                        *slog.Logger
 	board                         *blackboard.Board
+	quotaAge                      func() QuotaAge // nil if unknown
 	complete, refused, incomplete *rate.Limiter
 	omitted                       atomic.Int64
 }
 
-func newRequestLog(logger *slog.Logger, board *blackboard.Board) *requestLog {
+func newRequestLog(options *Options) *requestLog {
 	return &requestLog{
-		logger: logger, board: board,
+		logger: options.Logger, board: options.Board, quotaAge: options.QuotaAge,
 		complete:   rate.NewLimiter(completePerSecond, completeBurst),
 		refused:    rate.NewLimiter(refusedPerSecond, refusedBurst),
 		incomplete: rate.NewLimiter(incompletePerSecond, incompleteBurst),
@@ -149,6 +150,12 @@
 	var known *failure.Error
 	if errors.As(entry.err, &known) {
 		attributes = append(attributes, "kind", string(known.Kind), "not_run", known.NotRun)
+		if known.Kind == failure.QuotaExceeded {
+			attributes = append(attributes, "retry_after_ms", known.RetryAfter.Milliseconds())
+			if l.quotaAge != nil {
+				attributes = append(attributes, l.quotaAge().attributes()...)
+			}
+		}
 	}
 	if entry.err != nil {
 		// these identify a retry, which may have another ID and reach another node
@@ -158,6 +165,28 @@
 	return attributes
 }
 
+// QuotaAge describes how old the other nodes' reports are by which a node decides on a tenant's
+// requests.
+type QuotaAge struct {
+	// Node is the node with the oldest report; empty if there is no other node.
+	Node string
+	// Age is the age of its report; negative if it has sent none.
+	Age time.Duration
+	// Silent is the number of nodes whose share of the limits is reserved, as they do not report.
+	Silent int
+}
+
+func (a QuotaAge) attributes() []any {
+	if a.Node == "" {
+		return []any{"quota_silent", a.Silent}
+	}
+	age := int64(-1)
+	if a.Age >= 0 {
+		age = a.Age.Milliseconds()
+	}
+	return []any{"quota_age_ms", age, "quota_oldest", a.Node, "quota_silent", a.Silent}
+}
+
 // attributes returns the tenant, or the label of a key that no tenant holds.
 func (i *identity) attributes() []any {
 	switch {
--- a/internal/ingress/log_test.go
+++ b/internal/ingress/log_test.go
@@ -64,6 +64,43 @@
 	}
 }
 
+// Guards against a refusal by the tenant's limit whose line does not tell what decided it, and
+// against a node that never reported being logged as up to date.
+func TestQuotaRefusalLogsAge(t *testing.T) {
+	refused := failure.New(failure.QuotaExceeded, "tenant's limit: pace").WithNotRun(true).WithRetryAfter(1500 * time.Millisecond)
+	for _, test := range []struct {
+		name string
+		age  *QuotaAge
+		want map[string]any
+	}{
+		{"reports", &QuotaAge{Node: "n2", Age: 730 * time.Millisecond, Silent: 1}, map[string]any{"quota_age_ms": 730.0, "quota_oldest": "n2", "quota_silent": 1.0}},
+		{"a node never reported", &QuotaAge{Node: "n3", Age: -time.Millisecond}, map[string]any{"quota_age_ms": -1.0, "quota_oldest": "n3", "quota_silent": 0.0}},
+		{"no other node", &QuotaAge{}, map[string]any{"quota_age_ms": nil, "quota_oldest": nil, "quota_silent": 0.0}},
+		{"unknown", nil, map[string]any{"quota_age_ms": nil, "quota_oldest": nil, "quota_silent": nil}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var output bytes.Buffer
+			handler := newTestHandler(&fakeForwarder{err: refused}, func(o *Options) {
+				o.Logger = slog.New(slog.NewJSONHandler(&output, nil))
+				if test.age != nil {
+					o.QuotaAge = func() QuotaAge { return *test.age }
+				}
+			})
+			serveOne(handler, newRequest(http.MethodGet, "/p/", ""))
+			var line map[string]any
+			if err := json.Unmarshal(output.Bytes(), &line); err != nil {
+				t.Fatalf("%q: %v", output.String(), err)
+			}
+			test.want["retry_after_ms"], test.want["kind"] = 1500.0, "quota_exceeded"
+			for key, want := range test.want {
+				if line[key] != want {
+					t.Errorf("%s is %v, want %v, in %v", key, line[key], want, line)
+				}
+			}
+		})
+	}
+}
+
 func TestLogRateLimit(t *testing.T) {
 	const requests = 1000
 	for _, test := range []struct {
--- a/internal/ingress/refusals_test.go
+++ b/internal/ingress/refusals_test.go
@@ -79,7 +79,8 @@
 		t.Run(test.name, func(t *testing.T) {
 			var output bytes.Buffer
 			handler := newTenantHandler(&fakeForwarder{}, &fakeQuota{}).(*Handler)
-			handler.log = newRequestLog(slog.New(slog.NewJSONHandler(&output, nil)), handler.options.Board)
+			handler.options.Logger = slog.New(slog.NewJSONHandler(&output, nil))
+			handler.log = newRequestLog(&handler.options)
 			serveOne(handler, requestWithKey(test.key))
 			if line := output.String(); !strings.Contains(line, test.want) || strings.Contains(line, secret) {
 				t.Errorf("line %s", line)
