Soak: findings about windows over the bound name the nodes

A window over the bound said how many requests of a tenant ran, but not through which nodes, so that the nodes whose counts were wrong could not be looked up in their logs.

--- a/internal/soak/tenantcheck/quota.go
+++ b/internal/soak/tenantcheck/quota.go
@@ -12,7 +12,10 @@
 )
 
 // execution is a request of a tenant that ran.
-type execution struct{ sent, began time.Duration }
+type execution struct {
+	sent, began time.Duration
+	node        string
+}
 
 // executions returns the requests that ran, by tenant and in the order in which they were sent.
 func (c *checker) executions() map[string][]execution {
@@ -24,7 +27,7 @@
 			continue
 		}
 		name := request.Arrivals[first].tenant()
-		found[name] = append(found[name], execution{request.Sent, request.Arrivals[first].At})
+		found[name] = append(found[name], execution{request.Sent, request.Arrivals[first].At, request.Node})
 	}
 	for _, list := range found {
 		slices.SortFunc(list, func(a, b execution) int { return cmp.Compare(a.sent, b.sent) })
@@ -39,7 +42,7 @@
 	for name, list := range c.executions() {
 		var worst window
 		for i, first := range list {
-			w := window{from: first.sent}
+			w := window{from: first.sent, nodes: make(map[string]int)}
 			end := first.sent + c.bounds.Window
 			for _, each := range list[i:] {
 				if each.sent > end {
@@ -47,6 +50,7 @@
 				}
 				if each.began <= end {
 					w.count++
+					w.nodes[each.node]++
 				}
 			}
 			w.allowed = c.allowed(name, first.sent, end)
@@ -56,7 +60,8 @@
 		}
 		c.result.Fullest = max(c.result.Fullest, worst.share())
 		if worst.share() > 1 {
-			c.addFinding("%d requests of %q ran in the %v from %v on, of %.0f allowed", worst.count, name, c.bounds.Window, worst.from, worst.allowed)
+			c.addFinding("%d requests of %q ran in the %v from %v on, of %.0f allowed: %s",
+				worst.count, name, c.bounds.Window, worst.from, worst.allowed, formatNodes(worst.nodes))
 		}
 	}
 }
@@ -65,6 +70,7 @@
 type window struct {
 	from    time.Duration
 	count   int
+	nodes   map[string]int
 	allowed float64
 }
 
@@ -207,11 +213,16 @@
 
 // String returns when the requests were sent, and how many to which node.
 func (l *lostRequests) String() string {
+	return fmt.Sprintf("sent from %v to %v, %s", l.first, l.last, formatNodes(l.nodes))
+}
+
+// formatNodes returns the number of requests that were sent to each node.
+func formatNodes(counts map[string]int) string {
 	var nodes []string
-	for _, node := range slices.Sorted(maps.Keys(l.nodes)) {
-		nodes = append(nodes, fmt.Sprintf("%s %d", node, l.nodes[node]))
+	for _, node := range slices.Sorted(maps.Keys(counts)) {
+		nodes = append(nodes, fmt.Sprintf("%s %d", node, counts[node]))
 	}
-	return fmt.Sprintf("sent from %v to %v, %s", l.first, l.last, strings.Join(nodes, ", "))
+	return strings.Join(nodes, ", ")
 }
 
 // chargeable reports whether a request was admitted or refused because of a limit, as far as its
--- a/internal/soak/tenantcheck/tenantcheck_test.go
+++ b/internal/soak/tenantcheck/tenantcheck_test.go
@@ -132,7 +132,7 @@
 			Requests: append(burst(0, 4*second, 50, runAcme), burst(0, 4*second, 50, func(at time.Duration) Request {
 				return changed(runAcme(at), func(r *Request) { r.Node = "m" })
 			})...),
-		}, "100 requests of \"acme\""},
+		}, "100 requests of \"acme\" ran in the 5s from 0s on, of 86 allowed: m 50, n 50"},
 		{"over the bound, arrived after the window", Record{Requests: burst(0, 4*second, windowBound+1, func(at time.Duration) Request {
 			return changed(runAcme(at), func(r *Request) { r.Arrivals[0].At = 6*second + 2*at })
 		})}, ""},
