Share the limit of a target between tenants

Cause: at the adaptive limit of a target a request was rejected by the priority of its route alone, so that one tenant at ten times its rate took the share of all others.

Change: admission.shares divides the limit by max-min over the requests admitted, with a memory of one second; tenants within their shares are admitted at the limit, and those at their shares are rejected. The gate orders waiting queries by rank, priority and the tenant's use. Without tenants nothing changes.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -61,12 +61,15 @@
 }
 
 // Controller admits queries and counts those in flight. The count and the limit are
-// lock-free.
+// lock-free; the shares of tenants are not.
 type Controller struct {
 	limit    adaptiveLimit
 	inFlight atomic.Int64
 	policies sync.Map // name -> *policyState
 	refused  *prometheus.CounterVec
+	shares   shares
+	// tenantsActive is a copy of shares.active.
+	tenantsActive atomic.Bool
 }
 
 type policyState struct {
@@ -118,12 +121,20 @@
 type Ticket struct {
 	controller *Controller
 	policy     *policyState
+	// usage is the use by the query's tenant; nil if no tenants use the controller.
+	usage    *usage
+	admitted time.Time
 }
 
 // Release removes the query from the number in flight.
-func (t Ticket) Release() {
+func (t Ticket) Release(now time.Time) {
 	t.policy.inFlight.Add(-1)
 	t.controller.inFlight.Add(-1)
+	if t.usage != nil {
+		t.controller.shares.mutex.Lock()
+		defer t.controller.shares.mutex.Unlock()
+		t.controller.shares.end(now, t.usage, t.admitted)
+	}
 }
 
 // Observe records the outcome of the query. It must be called before Release.
@@ -138,6 +149,11 @@
 // Admit admits or rejects a query. Errors are of type *failure.Error with kind
 // Overloaded or DeadlineUnreachable, and have NotRun set and a retry delay.
 func (c *Controller) Admit(row *policy.Row, priority client.Priority, now time.Time, deadline time.Duration) (Ticket, error) {
+	return c.AdmitTenant(row, priority, NoTenant, now, deadline)
+}
+
+// AdmitTenant is Admit for a tenant's query: at the limit, tenants within their shares come first.
+func (c *Controller) AdmitTenant(row *policy.Row, priority client.Priority, tenant Tenant, now time.Time, deadline time.Duration) (Ticket, error) {
 	state := c.state(row.Name)
 	if minLatency := state.minLatency.value(now); deadline < minLatency && !state.probeDue(now) {
 		return Ticket{}, c.refuse("deadline", failure.DeadlineUnreachable,
@@ -149,6 +165,15 @@
 			fmt.Sprintf("policy %s has reached its limit of %d concurrent queries", row.Name, row.Limits.Concurrency))
 	}
 	c.limit.restore(now)
+	if tenant.Name != "" || c.tenantsActive.Load() {
+		one, admitted := c.admitShare(tenant, rankOf(priority), now)
+		if !admitted {
+			state.inFlight.Add(-1)
+			return Ticket{}, c.refuseOverloaded(now, "share", fmt.Sprintf("concurrency limit of %.0f reached, "+
+				"and the tenant has no share left for priority %s", c.limit.current(), priority))
+		}
+		return Ticket{controller: c, policy: state, usage: one, admitted: now}, nil
+	}
 	limit := c.limit.forRank(rankOf(priority))
 	if c.inFlight.Add(1) > limit {
 		c.inFlight.Add(-1)
@@ -159,6 +184,35 @@
 	return Ticket{controller: c, policy: state}, nil
 }
 
+// admitShare admits a query if its tenant's share of the limit allows it.
+func (c *Controller) admitShare(tenant Tenant, rank Rank, now time.Time) (*usage, bool) {
+	c.shares.mutex.Lock()
+	defer c.shares.mutex.Unlock()
+	one := c.shares.of(tenant, now)
+	allowed := c.shares.allows(now, one, rank, c.inFlight.Load(), c.limit.current())
+	c.tenantsActive.Store(c.shares.active())
+	if !allowed {
+		c.shares.refuse(one)
+		return nil, false
+	}
+	c.inFlight.Add(1)
+	c.shares.admittedAt[rank] = now
+	c.shares.change(one, 1)
+	return one, true
+}
+
+// TenantUse returns a tenant's present use of the target, in queries, by which those that wait are
+// ordered. It is 0 if no tenants use the target.
+func (c *Controller) TenantUse(tenant Tenant, now time.Time) float64 {
+	if !c.tenantsActive.Load() {
+		return 0
+	}
+	c.shares.mutex.Lock()
+	defer c.shares.mutex.Unlock()
+	one := c.shares.of(tenant, now)
+	return max(one.recent, float64(one.inFlight))
+}
+
 func (c *Controller) refuse(reason string, kind failure.Kind, detail string) *failure.Error {
 	c.refused.WithLabelValues(reason).Inc()
 	return failure.New(kind, detail)
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -75,7 +75,7 @@
 		t.Fatal(err)
 	}
 	ticket.Observe(now, Outcome{Duration: 5 * time.Millisecond, Queried: 1, Answered: 1})
-	ticket.Release()
+	ticket.Release(now)
 	_, err = controller.Admit(row, client.PriorityNormal, now, time.Millisecond)
 	if known := failure.From(err); err == nil || known.Kind != failure.DeadlineUnreachable || !known.NotRun {
 		t.Errorf("error %v, want deadline_unreachable and not run", err)
--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -83,6 +83,9 @@
 	l.units.Store(l.maxUnits)
 }
 
+// current returns the number of queries in flight up to which the most urgent ones are admitted.
+func (l *adaptiveLimit) current() float64 { return float64(l.units.Load()) / limitScale }
+
 // forRank returns the number of queries in flight up to which a rank is admitted.
 func (l *adaptiveLimit) forRank(rank Rank) int64 {
 	return max(1, int64(rankFractions[rank]*float64(l.units.Load()))/limitScale)
--- a/internal/admission/overload_test.go
+++ b/internal/admission/overload_test.go
@@ -27,7 +27,7 @@
 		for range minWindowQueries {
 			ticket.Observe(now, Outcome{Duration: time.Millisecond, Queried: 1, Answered: 1, Objective: minCutInterval, Congested: congested})
 		}
-		ticket.Release()
+		ticket.Release(now)
 	}
 	return now
 }
--- a/internal/lab/experiment/strategy.go
+++ b/internal/lab/experiment/strategy.go
@@ -105,7 +105,7 @@
 			Duration: ended.took, Queried: ended.asked, Answered: ended.answered,
 			Refused: ended.refused, RefusedShard: strconv.Itoa(ended.refusedShard),
 		})
-		ticket.Release()
+		ticket.Release(r.daemon.run.now())
 	}, true
 }
 
--- a/internal/query/forward.go
+++ b/internal/query/forward.go
@@ -146,15 +146,15 @@
 		return ForwardResult{}, err
 	}
 	controller := s.controllers.ForTarget(groups[0])
-	ticket, err := controller.Admit(row, row.Priority, started, deadline)
+	ticket, err := controller.AdmitTenant(row, row.Priority, admissionTenant(request.Tenant), started, deadline)
 	if err != nil {
 		s.metrics.observe(s.options.Now().Sub(started), err)
 		return ForwardResult{}, err
 	}
-	defer ticket.Release()
+	defer func() { ticket.Release(s.options.Now()) }()
 	var target *gate
 	if request.Route.Scattered() {
-		if target, err = s.admitWhole(ctx, request, groups, &criteria); err != nil {
+		if target, err = s.admitWhole(ctx, request, groups, &criteria, controller); err != nil {
 			s.metrics.observe(s.options.Now().Sub(started), err)
 			return ForwardResult{}, err
 		}
@@ -180,6 +180,14 @@
 	return answer, err
 }
 
+// admissionTenant returns a tenant as admission control identifies it.
+func admissionTenant(tenant *routing.Tenant) admission.Tenant {
+	if tenant == nil {
+		return admission.NoTenant
+	}
+	return admission.Tenant{Name: tenant.Name, Rank: tenant.Rank}
+}
+
 // Overloaded reports whether this node has recently rejected requests because of load.
 func (s *Service) Overloaded() bool { return s.controllers.Overloaded(s.options.Now()) }
 
--- a/internal/query/gate.go
+++ b/internal/query/gate.go
@@ -1,10 +1,12 @@
 package query
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"slices"
+	"sort"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,16 +24,28 @@
 // full.
 type gate struct {
 	mutex   sync.Mutex
-	waiting []*waiter // in the order of admission
+	waiting []*waiter // in the order of admission, by turn
 	// length is the length of waiting, starting the number of queries that are admitted and have
 	// not sent their sub-requests yet.
 	length   atomic.Int64
 	starting atomic.Int64
 }
 
+// turn orders queries: by the rank of the tenant, then of the route, then by the tenant's use of the
+// target when the query arrived. The use counts the tenant's waiting queries, so that the queries of
+// tenants that send many at once take turns with those of others.
+type turn struct {
+	tenantRank, rank int
+	use              float64
+}
+
+func (t turn) compare(other turn) int {
+	return cmp.Or(cmp.Compare(t.tenantRank, other.tenantRank), cmp.Compare(t.rank, other.rank), cmp.Compare(t.use, other.use))
+}
+
 // waiter is a query that waits for a full shard.
 type waiter struct {
-	rank     int
+	turn     turn
 	decide   func() admission.Verdict
 	inbox    Inbox
 	admitted atomic.Bool
@@ -39,10 +53,10 @@
 
 // enter admits a query, or holds it until its shards can take it. The caller must call started
 // once the query's sub-requests have been sent.
-func (g *gate) enter(ctx context.Context, driver Driver, rank int, limit time.Duration, decide func() admission.Verdict) admission.Verdict {
+func (g *gate) enter(ctx context.Context, driver Driver, order turn, limit time.Duration, decide func() admission.Verdict) admission.Verdict {
 	g.mutex.Lock()
 	verdict := decide()
-	if verdict == admission.Send && len(g.waiting) > 0 && g.waiting[0].rank <= rank {
+	if verdict == admission.Send && len(g.waiting) > 0 && g.waiting[0].turn.compare(order) <= 0 {
 		verdict = admission.Wait
 	}
 	if verdict == admission.Send {
@@ -52,8 +66,8 @@
 		g.mutex.Unlock()
 		return verdict
 	}
-	held := &waiter{rank: rank, decide: decide, inbox: driver.NewInbox(1)}
-	at, _ := slices.BinarySearchFunc(g.waiting, rank+1, func(w *waiter, rank int) int { return w.rank - rank })
+	held := &waiter{turn: order, decide: decide, inbox: driver.NewInbox(1)}
+	at := sort.Search(len(g.waiting), func(i int) bool { return g.waiting[i].turn.compare(order) > 0 })
 	g.waiting = slices.Insert(g.waiting, at, held)
 	g.length.Store(int64(len(g.waiting)))
 	g.mutex.Unlock()
@@ -113,7 +127,7 @@
 }
 
 // admitWhole admits a query over many shards by its scarcest shards, and returns its gate.
-func (s *Service) admitWhole(ctx context.Context, request *ForwardRequest, groups []string, criteria *replica.SelectionCriteria) (*gate, error) {
+func (s *Service) admitWhole(ctx context.Context, request *ForwardRequest, groups []string, criteria *replica.SelectionCriteria, controller *admission.Controller) (*gate, error) {
 	target, route := s.gates.of(groups[0]), request.Route
 	needed := max(1, route.MinShards)
 	count := func() admission.Shards {
@@ -129,7 +143,9 @@
 		return shards
 	}
 	limit := min(time.Duration(maxWaitFraction*float64(route.Objective)), request.timeLeft()/2)
-	verdict := target.enter(ctx, s.options.Driver, route.Rank, limit, func() admission.Verdict { return count().Decide(needed) })
+	tenant := admissionTenant(request.Tenant)
+	order := turn{tenantRank: tenant.Rank, rank: route.Rank, use: controller.TenantUse(tenant, s.options.Now())}
+	verdict := target.enter(ctx, s.options.Driver, order, limit, func() admission.Verdict { return count().Decide(needed) })
 	if verdict == admission.Send {
 		return target, nil
 	}
--- a/internal/query/service.go
+++ b/internal/query/service.go
@@ -129,7 +129,7 @@
 	if err != nil {
 		return client.Answer{}, err
 	}
-	defer ticket.Release()
+	defer func() { ticket.Release(s.options.Now()) }()
 	return s.runSearch(ctx, request, corpus, ticket)
 }
 
