Show operators what admission does, and count the wait at the gate

Cause: refusals of the targets were in no metric, as only the Controller of queries registers any, and no log line or state told which target is short of capacity and which tenants use it. A query that waited for a full shard counted its soft deadline and its lateness from the end of the wait, so that it finished early up to a fifth of the objective too late.

Change: doorpondd_target_refusals_total by reason (the tenant's share among them), the number that wait and their waits; log lines when a target becomes short of capacity and no longer is; Service.AdmissionState, bounded to 100 targets and ten tenants each; the soft deadline and Late count from the arrival.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -58,6 +58,8 @@
 	// Logger receives a message when congestion changes the limit; nil disables
 	// logging.
 	Logger *slog.Logger
+	// refused counts refusals by reason; nil selects a counter of the Controller's own.
+	refused *prometheus.CounterVec
 }
 
 // Controller admits queries and counts those in flight. The count and the limit are
@@ -68,6 +70,7 @@
 	policies sync.Map // name -> *policyState
 	refused  *prometheus.CounterVec
 	shares   shares
+	shortage shortage
 	// tenantsActive is a copy of shares.active.
 	tenantsActive atomic.Bool
 }
@@ -97,9 +100,12 @@
 	if options.MaxInFlight <= 0 {
 		options.MaxInFlight = defaultMaxInFlight
 	}
-	controller := &Controller{refused: prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "doorpondd_queries_refused_total", Help: "Queries refused before anything was sent, by reason.",
-	}, []string{"reason"})}
+	controller := &Controller{refused: options.refused}
+	if controller.refused == nil {
+		controller.refused = prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "doorpondd_queries_refused_total", Help: "Queries refused before anything was sent, by reason.",
+		}, []string{"reason"})
+	}
 	controller.limit.start(options.MaxInFlight)
 	controller.limit.logger = options.Logger
 	if options.Logger == nil {
@@ -165,12 +171,12 @@
 			fmt.Sprintf("policy %s has reached its limit of %d concurrent queries", row.Name, row.Limits.Concurrency))
 	}
 	c.limit.restore(now)
+	c.shortage.end(now, c.limit.logger)
 	if tenant.Name != "" || c.tenantsActive.Load() {
-		one, admitted := c.admitShare(tenant, rankOf(priority), now)
-		if !admitted {
+		one, reason := c.admitShare(tenant, rankOf(priority), now)
+		if reason != "" {
 			state.inFlight.Add(-1)
-			return Ticket{}, c.refuseOverloaded(now, "share", fmt.Sprintf("concurrency limit of %.0f reached, "+
-				"and the tenant has no share left for priority %s", c.limit.current(), priority))
+			return Ticket{}, c.refuseOverloaded(now, reason, refusalDetail(reason, c.limit.current(), priority))
 		}
 		return Ticket{controller: c, policy: state, usage: one, admitted: now}, nil
 	}
@@ -178,27 +184,44 @@
 	if c.inFlight.Add(1) > limit {
 		c.inFlight.Add(-1)
 		state.inFlight.Add(-1)
-		return Ticket{}, c.refuseOverloaded(now, "priority",
+		return Ticket{}, c.refuseOverloaded(now, reasonPriority,
 			fmt.Sprintf("daemon has reached its limit of %d concurrent queries for priority %s", limit, priority))
 	}
 	return Ticket{controller: c, policy: state}, nil
 }
 
-// admitShare admits a query if its tenant's share of the limit allows it.
-func (c *Controller) admitShare(tenant Tenant, rank Rank, now time.Time) (*usage, bool) {
+// Reasons for refusals at the limit.
+const (
+	reasonPriority = "priority"
+	reasonShare    = "share"
+)
+
+func refusalDetail(reason string, limit float64, priority client.Priority) string {
+	if reason == reasonShare {
+		return fmt.Sprintf("limit of %.0f concurrent queries reached, and the tenant is at its share", limit)
+	}
+	return fmt.Sprintf("limit of %.0f concurrent queries reached for priority %s", limit, priority)
+}
+
+// admitShare admits a query if its tenant's share of the limit allows it. Otherwise it returns the
+// reason.
+func (c *Controller) admitShare(tenant Tenant, rank Rank, now time.Time) (one *usage, reason string) {
 	c.shares.mutex.Lock()
 	defer c.shares.mutex.Unlock()
-	one := c.shares.of(tenant, now)
+	one = c.shares.of(tenant, now)
 	allowed := c.shares.allows(now, one, rank, c.inFlight.Load(), c.limit.current())
 	c.tenantsActive.Store(c.shares.active())
 	if !allowed {
 		c.shares.refuse(one)
-		return nil, false
+		if c.shares.within(one) {
+			return nil, reasonPriority
+		}
+		return nil, reasonShare
 	}
 	c.inFlight.Add(1)
 	c.shares.admittedAt[rank] = now
 	c.shares.change(one, 1)
-	return one, true
+	return one, ""
 }
 
 // TenantUse returns a tenant's present use of the target, in queries, by which those that wait are
@@ -222,6 +245,7 @@
 // overload has lasted, as it is expected to last as long again.
 func (c *Controller) refuseOverloaded(now time.Time, reason, detail string) *failure.Error {
 	refused := c.refuse(reason, failure.Overloaded, detail)
+	c.shortage.begin(now, c.limit.logger, c.limit.current(), c.inFlight.Load())
 	return refused.WithRetryAfter(min(max(refused.RetryAfter, c.limit.overloadDuration(now)), maxRetryAfter))
 }
 
--- a/internal/admission/controllers.go
+++ b/internal/admission/controllers.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
 )
 
 // Controllers holds one Controller per target, a set of replicas that serves the same
@@ -13,9 +15,15 @@
 	byTarget sync.Map // string -> *Controller
 }
 
-// NewControllers returns Controllers whose members all use the given options, except
-// that no metrics are registered.
+// NewControllers returns Controllers whose members all use the given options. They count refusals
+// together, and register no other metrics.
 func NewControllers(options Options) *Controllers {
+	options.refused = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "doorpondd_target_refusals_total", Help: "Forwarded requests refused at a target before anything was sent, by reason.",
+	}, []string{"reason"})
+	if options.Registerer != nil {
+		options.Registerer.MustRegister(options.refused)
+	}
 	options.Registerer = nil // all controllers would register the same metric names
 	return &Controllers{options: options}
 }
@@ -42,3 +50,6 @@
 	})
 	return overloaded
 }
+
+// CountRefusal counts a request that is refused for a reason other than a Controller's.
+func (c *Controllers) CountRefusal(reason string) { c.options.refused.WithLabelValues(reason).Inc() }
--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -212,7 +212,7 @@
 	if now.Sub(s.admittedAt[rank]) >= starvationAge {
 		return true
 	}
-	if s.use(one, s.classes[at].level) >= s.classes[at].level {
+	if !s.within(one) {
 		return false
 	}
 	if at > 0 && float64(s.classes[at].inFlight) < lessUrgentFraction*limit {
@@ -227,6 +227,12 @@
 	return after-max(0, excess) <= threshold+max(minOvershoot, overshootFraction*limit)
 }
 
+// within reports whether a tenant is within its share. The shares must have been computed.
+func (s *shares) within(one *usage) bool {
+	level := s.classes[s.position(one.rank)].level
+	return s.use(one, level) < level
+}
+
 // use returns a tenant's use, by its average and by a burst of more than a share's random variation.
 func (s *shares) use(one *usage, share float64) float64 {
 	share = min(share, float64(one.inFlight))
--- a/internal/query/forward.go
+++ b/internal/query/forward.go
@@ -111,6 +111,8 @@
 	*run
 	request  *ForwardRequest
 	criteria replica.SelectionCriteria
+	// waited is the time between the request's arrival here and the start of the run.
+	waited time.Duration
 	// pausedAtStart is the process's total paused time when the request arrived here.
 	pausedAtStart time.Duration
 }
@@ -158,7 +160,6 @@
 			s.metrics.observe(s.options.Now().Sub(started), err)
 			return ForwardResult{}, err
 		}
-		deadline -= s.options.Now().Sub(started)
 	}
 	if err := s.confirmTenant(ctx, request, groups, &criteria); err != nil {
 		if target != nil {
@@ -167,7 +168,9 @@
 		s.metrics.observe(s.options.Now().Sub(started), err)
 		return ForwardResult{}, err
 	}
-	current := s.newForwardRun(request, groups, criteria, deadline, controller.Overloaded(started), suspicion.Evidence)
+	waited := s.options.Now().Sub(started)
+	deadline -= waited
+	current := s.newForwardRun(request, groups, criteria, deadline, waited, controller.Overloaded(started), suspicion.Evidence)
 	current.pausedAtStart = paused
 	if target != nil {
 		current.onStarted, current.onResult = sync.OnceFunc(target.started), target.wake
@@ -251,7 +254,7 @@
 }
 
 func (s *Service) newForwardRun(
-	request *ForwardRequest, groups []string, criteria replica.SelectionCriteria, deadline time.Duration, overloaded bool,
+	request *ForwardRequest, groups []string, criteria replica.SelectionCriteria, deadline, waited time.Duration, overloaded bool,
 	prior decision.CrashEvidence,
 ) *forwardRun {
 	route := request.Route
@@ -263,9 +266,9 @@
 	if !route.Scattered() {
 		plan.DispatchDeadline = time.Duration(dispatchByFraction * float64(route.Objective))
 	} else {
-		plan.SoftDeadline = time.Duration(answerByFraction * float64(route.Objective))
+		plan.SoftDeadline = max(time.Millisecond, time.Duration(answerByFraction*float64(route.Objective))-waited)
 	}
-	forward := &forwardRun{request: request, criteria: criteria}
+	forward := &forwardRun{request: request, criteria: criteria, waited: waited}
 	forward.run = s.newRun(plan, forward)
 	forward.linger = lingerTimeout
 	forward.checkQuarantined, forward.checkDisputed, forward.onCrash = forward.isQuarantined, forward.isDisputed, forward.reportCrash
@@ -315,7 +318,7 @@
 // buildResult turns the run into a result or an error.
 func (r *forwardRun) buildResult() (ForwardResult, error) {
 	result := ForwardResult{Attempts: r.counts.dispatched, Hedges: r.counts.hedges}
-	result.Late = r.inbox.Elapsed() > r.request.Route.Objective
+	result.Late = r.waited+r.inbox.Elapsed() > r.request.Route.Objective
 	if result.Late || r.core.Answered() < len(r.shards) {
 		result.Trace = r.shardTraces()
 	}
--- a/internal/query/gate.go
+++ b/internal/query/gate.go
@@ -126,6 +126,27 @@
 	return known.(*gate)
 }
 
+// waiting returns the number of queries that wait at all gates.
+func (g *gates) waiting() int64 {
+	total := int64(0)
+	g.byTarget.Range(func(_, target any) bool {
+		total += target.(*gate).length.Load()
+		return true
+	})
+	return total
+}
+
+// AdmissionState returns the state of the targets with most requests in flight, for operators.
+func (s *Service) AdmissionState() []admission.TargetState {
+	states := s.controllers.State(s.options.Now())
+	for i := range states {
+		if target, found := s.gates.byTarget.Load(states[i].Target); found {
+			states[i].Waiting = target.(*gate).length.Load()
+		}
+	}
+	return states
+}
+
 // admitWhole admits a query over many shards by its scarcest shards, and returns its gate.
 func (s *Service) admitWhole(ctx context.Context, request *ForwardRequest, groups []string, criteria *replica.SelectionCriteria, controller *admission.Controller) (*gate, error) {
 	target, route := s.gates.of(groups[0]), request.Route
@@ -145,7 +166,9 @@
 	limit := min(time.Duration(maxWaitFraction*float64(route.Objective)), request.timeLeft()/2)
 	tenant := admissionTenant(request.Tenant)
 	order := turn{tenantRank: tenant.Rank, rank: route.Rank, use: controller.TenantUse(tenant, s.options.Now())}
+	arrived := s.options.Now()
 	verdict := target.enter(ctx, s.options.Driver, order, limit, func() admission.Verdict { return count().Decide(needed) })
+	s.metrics.observeWait(s.options.Now().Sub(arrived))
 	if verdict == admission.Send {
 		return target, nil
 	}
@@ -154,9 +177,11 @@
 	}
 	shards := count()
 	if verdict == admission.Refuse {
+		s.controllers.CountRefusal("shard_lost")
 		return nil, failure.New(failure.NoReplica, fmt.Sprintf("%d of %d shards can be reached, %d are needed",
 			shards.Total-shards.Lost, shards.Total, needed))
 	}
+	s.controllers.CountRefusal("shard_full")
 	return nil, failure.New(failure.Overloaded, fmt.Sprintf("%d of %d shards can take a request, %d are needed",
 		shards.Total-shards.Lost-shards.Full, shards.Total, needed)).WithRetryAfter(limit)
 }
--- a/internal/query/service.go
+++ b/internal/query/service.go
@@ -80,11 +80,17 @@
 	if options.Admission == nil {
 		options.Admission = admission.New(admission.Options{Registerer: options.Registerer})
 	}
-	return &Service{
+	service := &Service{
 		options: options, metrics: newServiceMetrics(options.Registerer),
-		controllers: admission.NewControllers(admission.Options{Logger: options.Logger}),
+		controllers: admission.NewControllers(admission.Options{Logger: options.Logger, Registerer: options.Registerer}),
 		unanswered:  newUnansweredLog(options.Logger),
 	}
+	if options.Registerer != nil {
+		options.Registerer.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "doorpondd_queries_waiting_count", Help: "Queries over many shards that wait for a full shard.",
+		}, func() float64 { return float64(service.gates.waiting()) }))
+	}
+	return service
 }
 
 // request is a query with everything that is pinned for it.
