--- a/internal/query/uneven_virtual_test.go
+++ b/internal/query/uneven_virtual_test.go
@@ -184,7 +184,7 @@
 	return topology.Place{Region: fmt.Sprint("region-", zone/2), Zone: fmt.Sprint("zone-", zone)}
 }
 
-func zoneDelay(from, to topology.Place) time.Duration {
+func unevenZoneDelay(from, to topology.Place) time.Duration {
 	switch from.DistanceTo(to) {
 	case topology.SameZone:
 		return 200 * time.Microsecond
@@ -258,7 +258,7 @@
 				if r.down {
 					continue
 				}
-				delay := zoneDelay(place, r.place)
+				delay := unevenZoneDelay(place, r.place)
 				if end, _ := r.finish(arrival.at+delay, kind.work); end+delay < best.end {
 					best = choice{r, arrival.at + delay, end + delay}
 				}
@@ -354,7 +354,7 @@
 				return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
 			}
 			clientConn, serverConn := net.Pipe()
-			go n.serve(serverConn, address, zoneDelay(place, n.replicas[address].place))
+			go n.serve(serverConn, address, unevenZoneDelay(place, n.replicas[address].place))
 			return memoryConnection{clientConn}, nil
 		},
 		GroupRetryBudget: func(group string) decision.Budget { return budgets[group] },
--- a/internal/quota/changes_test.go
+++ b/internal/quota/changes_test.go
@@ -264,3 +264,22 @@
 		}
 	}
 }
+
+// Guards against windows over the bound when a tenant's requests reach several standby nodes, which do not
+// report to each other as entry nodes do.
+func TestStandbyNodes(t *testing.T) {
+	limit := routing.RateLimit{PerSecond: 30, Burst: 30}
+	n := newNetwork(7, 9, single(limit))
+	for i := 6; i < 9; i++ {
+		n.standby[i] = true
+	}
+	for _, node := range n.nodes {
+		n.configure(node)
+	}
+	const from = 20 * time.Second
+	n.load("a", from, from+20*time.Second, constant(150), func(time.Duration) int { return 6 + n.random.IntN(3) })
+	n.run(from + 20*time.Second)
+	if worst := worstWindow(n.admissions["a"], testBounds.Window); float64(worst) > testBounds.Max(limit) {
+		t.Errorf("worst window %d of %.0f", worst, testBounds.Max(limit))
+	}
+}
--- a/internal/quota/core.go
+++ b/internal/quota/core.go
@@ -26,6 +26,9 @@
 	repeatFor = 2 * time.Second
 	// contactRetention is the time for which a node that reported is sent reports.
 	contactRetention = 10 * time.Second
+	// presenceInterval is the interval at which a standby node with requests reports to all other
+	// standby nodes. They report to it in turn, so that several of them know of each other.
+	presenceInterval = contactRetention / 3
 	// activityRetention is the time for which a node that is no entry node sends reports after
 	// its last request. Its share of demand has decayed by then.
 	activityRetention = 30 * time.Second
@@ -88,6 +91,7 @@
 	accounts map[uint64]*account
 	peers    nodeMap[*peer]
 	entries  int
+	standby  []Peer
 	isEntry  bool
 	enabled  bool
 	sequence uint64
@@ -95,6 +99,7 @@
 	silent   nodeMap[*peer]
 
 	lastRequest   time.Duration
+	lastPresence  time.Duration // last report to the standby nodes
 	syncStartedAt time.Duration
 	complete      bool // half of the entry nodes have answered since syncStartedAt
 	uncounted     bool // complete may have changed
@@ -127,9 +132,10 @@
 	}
 }
 
-// SetNodes sets the entry nodes without this one, whether this node is an entry node, and all
+// SetNodes sets the entry nodes and the standby nodes without this one, whether this node is an entry node, and all
 // known nodes.
-func (c *Core) SetNodes(now time.Duration, entries []Peer, selfIsEntry bool, known map[uint64]bool) {
+func (c *Core) SetNodes(now time.Duration, entries, standby []Peer, selfIsEntry bool, known map[uint64]bool) {
+	c.standby = standby
 	listed := make(map[uint64]bool, len(entries))
 	for _, e := range entries {
 		listed[e.ID] = true
@@ -450,6 +456,7 @@
 
 // resynchronize forgets what this node has not been sent for a while, and asks for it.
 func (c *Core) resynchronize(now time.Duration) {
+	c.lastPresence = now - presenceInterval
 	clear(c.accounts)
 	c.syncStartedAt, c.nextHeartbeat, c.complete, c.uncounted = now, now, false, true
 	for _, p := range c.peers.all() {
--- a/internal/quota/cost_test.go
+++ b/internal/quota/cost_test.go
@@ -32,7 +32,7 @@
 		r.Entries = append(r.Entries, entry{Tenant: id, Count: 5, Balance: 100, Demand: 30, LongDemand: 30})
 	}
 	c := NewCore(CoreConfig{Self: 1, Incarnation: 1, Bounds: testBounds})
-	c.SetNodes(0, []Peer{{ID: 2, Address: address(2)}}, true, nil)
+	c.SetNodes(0, []Peer{{ID: 2, Address: address(2)}}, nil, true, nil)
 	c.SetLimits(0, limits)
 	contents := make([][]byte, 1000)
 	for i := range contents {
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -214,6 +214,18 @@
 	}
 }
 
+// peersOf returns the nodes other than this one that have an address for datagrams.
+func (l *Limiter) peersOf(nodes []topology.Node) []Peer {
+	peers := make([]Peer, 0, len(nodes))
+	for i := range nodes {
+		address, err := netip.ParseAddrPort(nodes[i].PeerAddress)
+		if err == nil && nodes[i].ID != l.config.Node {
+			peers = append(peers, Peer{ID: NodeID(nodes[i].ID), Address: address})
+		}
+	}
+	return peers
+}
+
 func (l *Limiter) applyNodes(now time.Duration, nodes *topology.Nodes) {
 	known := make(map[uint64]bool, len(nodes.Nodes))
 	clear(l.names)
@@ -222,19 +234,14 @@
 		known[id] = true
 		l.names[id] = nodes.Nodes[i].ID
 	}
-	var entries []Peer
-	selfIsEntry := false
-	for i := range nodes.EntryNodes {
-		node := &nodes.EntryNodes[i]
-		if node.ID == l.config.Node {
-			selfIsEntry = true
-			continue
-		}
-		if address, err := netip.ParseAddrPort(node.PeerAddress); err == nil {
-			entries = append(entries, Peer{ID: NodeID(node.ID), Address: address})
-		}
+	entries := l.peersOf(nodes.EntryNodes)
+	isEntry := make(map[uint64]bool, len(entries))
+	for _, entry := range entries {
+		isEntry[entry.ID] = true
 	}
-	l.core.SetNodes(now, entries, selfIsEntry, known)
+	standby := slices.DeleteFunc(l.peersOf(nodes.Nodes), func(peer Peer) bool { return isEntry[peer.ID] })
+	selfIsEntry := slices.ContainsFunc(nodes.EntryNodes, func(node topology.Node) bool { return node.ID == l.config.Node })
+	l.core.SetNodes(now, entries, standby, selfIsEntry, known)
 	problem := ""
 	if err := l.config.Bounds.Check(len(entries) + 1); err != nil {
 		problem = err.Error()
--- a/internal/quota/network_test.go
+++ b/internal/quota/network_test.go
@@ -119,7 +119,7 @@
 }
 
 func (n *network) configure(node *testNode) {
-	var entries []Peer
+	var entries, standby []Peer
 	known := make(map[uint64]bool)
 	for i := range n.nodes {
 		if i == node.index || n.gone[i] || n.hidden[node.index] == i+1 {
@@ -127,11 +127,13 @@
 		}
 		id := nodeID(i)
 		known[id] = true
-		if !n.standby[i] {
-			entries = append(entries, Peer{ID: id, Address: address(i)})
+		if n.standby[i] {
+			standby = append(standby, Peer{ID: id, Address: address(i)})
+			continue
 		}
+		entries = append(entries, Peer{ID: id, Address: address(i)})
 	}
-	node.core.SetNodes(n.now, entries, !n.standby[node.index], known)
+	node.core.SetNodes(n.now, entries, standby, !n.standby[node.index], known)
 	node.core.SetLimits(n.now, n.limits)
 	n.schedule(node)
 }
--- a/internal/quota/send.go
+++ b/internal/quota/send.go
@@ -107,7 +107,8 @@
 	return out
 }
 
-// broadcast reports what has changed to the entry nodes and the nodes heard of recently.
+// broadcast reports what has changed to the entry nodes and the nodes heard of recently, and at
+// times to the standby nodes.
 func (c *Core) broadcast(now, within time.Duration, always bool, out []Datagram) []Datagram {
 	c.flushAt = 0
 	contents := c.pack(now, 0, always, slices.Values(c.recent), func(a *account) bool {
@@ -125,6 +126,14 @@
 			}
 		}
 	}
+	if !c.isEntry && always && now-c.lastPresence >= presenceInterval {
+		c.lastPresence = now
+		for _, peer := range c.standby {
+			for _, content := range contents {
+				out = append(out, Datagram{peer.Address, content})
+			}
+		}
+	}
 	return out
 }
 
