--- a/internal/elapsed/http2_test.go
+++ b/internal/elapsed/http2_test.go
@@ -245,5 +245,9 @@
 		if states := s.connectionStates(); len(states) > 0 {
 			t.Errorf("states of open connections after the shutdown %v, want none", states)
 		}
+		time.Sleep(shutdownPollInterval) // net/http runs the shutdown of the inner server asynchronously
 	})
 }
+
+// shutdownPollInterval is the longest interval at which net/http's Shutdown looks for open connections.
+const shutdownPollInterval = 550 * time.Millisecond
