--- a/internal/elapsed/usage_test.go
+++ b/internal/elapsed/usage_test.go
@@ -41,7 +41,7 @@
 	"internal/registry/registry.go waitReady":        "the node is registered as not ready then",
 	"internal/replica/probe.go Run":                  "probes are repeated",
 	"internal/replica/tracker.go Refresh":            "the list is read again",
-	"internal/upstream/pool.go refuses":              "only a refused connection counts",
+	"internal/upstream/pool.go tryConnect":           "only a refused connection counts, and a lost replica is tested again",
 	"platform/call.go read":                          "a call that fails across a pause is repeated at once",
 	"platform/call.go write":                         "the lease's renewal and conditions decide, and the call is repeated",
 	"platform/store.go watchOnce":                    "the watch is opened again",
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -207,14 +207,14 @@
 
 // refuses reports whether nothing listens at the address any more. A connection that is
 // accepted is kept for a later request.
-func (p *Pool) refuses(ctx context.Context) bool { return errors.Is(p.test(ctx), syscall.ECONNREFUSED) }
+func (p *Pool) refuses(ctx context.Context) bool { return errors.Is(p.tryConnect(ctx), syscall.ECONNREFUSED) }
 
 // Accepts reports whether a process accepts connections at the address, as far as that can be
 // tested within the connection limit. The connection is kept for a later request.
-func (p *Pool) Accepts(ctx context.Context) bool { return p.test(ctx) == nil }
+func (p *Pool) Accepts(ctx context.Context) bool { return p.tryConnect(ctx) == nil }
 
-// test opens a connection, if the limit allows it, and returns the error of doing so.
-func (p *Pool) test(ctx context.Context) error {
+// tryConnect opens a connection, if the limit allows it, and returns the error of doing so.
+func (p *Pool) tryConnect(ctx context.Context) error {
 	if !p.reserve() {
 		return nil
 	}
