--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -207,7 +207,9 @@
 
 // refuses reports whether nothing listens at the address any more. A connection that is
 // accepted is kept for a later request.
-func (p *Pool) refuses(ctx context.Context) bool { return errors.Is(p.tryConnect(ctx), syscall.ECONNREFUSED) }
+func (p *Pool) refuses(ctx context.Context) bool {
+	return errors.Is(p.tryConnect(ctx), syscall.ECONNREFUSED)
+}
 
 // Accepts reports whether a process accepts connections at the address, as far as that can be
 // tested within the connection limit. The connection is kept for a later request.
