Quota and admission: names and comments

Cause: a newcomer would stop at some names (sureDemand, marks, eased), and a comment told how a constant had been chosen.

Change: renames inside internal/quota (sureDemand -> significantDemand, demandMarks -> demandHistory, markSlot -> demandSlot, marks -> demandSlots, note -> record, eased -> refusedAt, easedAfter -> underLimitAfter), one comment in internal/admission. No behaviour changes.

--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -33,9 +33,8 @@
 	// ones could use all of it.
 	lessUrgentFraction = 0.1
 	// overshootFraction is the part of the limit by which it may be exceeded for tenants within their
-	// shares, besides what others use beyond an equal share; maxOvershootFraction bounds both. With a
-	// bound of 0.5, a tenant lost 0.053 to another one at ten times its rate on a node with a limit of
-	// 10, and with 0.25 more; the mean number in flight was at the limit in all cases.
+	// shares, besides what others use beyond an equal share; maxOvershootFraction bounds both. A smaller
+	// bound refuses tenants within their shares on nodes with a limit of about ten requests.
 	overshootFraction    = 0.125
 	maxOvershootFraction = 0.75
 	minOvershoot         = 2
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -56,7 +56,7 @@
 	count       int64
 	demand      demandMeter
 	long        demandMeter
-	marks       demandMarks
+	history     demandHistory
 }
 
 // reservation is the part of an account that a silent node may be spending.
@@ -77,28 +77,29 @@
 	openedAt time.Duration
 	usedAt   time.Duration
 
-	count               int64
-	countStartedAt      time.Duration
-	lastAdmission       time.Duration
-	changedAt           time.Duration // of this node's part
-	unreported          int
-	demand, long        demandMeter
-	marks               demandMarks
-	pacing              float64
-	parts               nodeMap[*part]
-	reservations        nodeMap[*reservation]
-	reserved            float64 // sum of the shares of reservations
-	margin              float64 // part of this side's share in a partition that is not used
-	silence             uint64  // version of the silent nodes that reservations are for
-	spent               [spentSlots]float32
-	spentAt             int64
-	admitted, refused   uint64
-	refusedFor          map[Reason]uint64
-	atLimit             bool
-	limitedSince, eased time.Duration
-	promisedUntil       time.Duration // times up to which tokens are promised by Retry-After
-	unpromised          uint64
-	recent              bool // in Core.recent
+	count             int64
+	countStartedAt    time.Duration
+	lastAdmission     time.Duration
+	changedAt         time.Duration // of this node's part
+	unreported        int
+	demand, long      demandMeter
+	history           demandHistory
+	pacing            float64
+	parts             nodeMap[*part]
+	reservations      nodeMap[*reservation]
+	reserved          float64 // sum of the shares of reservations
+	margin            float64 // part of this side's share in a partition that is not used
+	silence           uint64  // version of the silent nodes that reservations are for
+	spent             [spentSlots]float32
+	spentAt           int64
+	admitted, refused uint64
+	refusedFor        map[Reason]uint64
+	atLimit           bool
+	limitedSince      time.Duration
+	refusedAt         time.Duration // of the last refusal
+	promisedUntil     time.Duration // times up to which tokens are promised by Retry-After
+	unpromised        uint64
+	recent            bool // in Core.recent
 }
 
 // advance refills the balance.
@@ -156,9 +157,9 @@
 	a.balance = min(a.balance, a.division.Burst*(1-a.reserved))
 }
 
-// sureDemand returns the rate that the tenant's demand exceeds but for chance. Requests that arrive
+// significantDemand returns the rate that the tenant's demand exceeds but for chance. Requests that arrive
 // at random exceed their mean rate for moments. Nothing is refused because of these.
-func (a *account) sureDemand(now time.Duration) float64 {
+func (a *account) significantDemand(now time.Duration) float64 {
 	demand := a.totalDemand(now)
 	return demand - 2*math.Sqrt(demand/(2*shortDemand.Seconds()))
 }
@@ -175,37 +176,37 @@
 // earlierDemand returns the sum of the long demands before a time. A surge since a node fell silent
 // says nothing of that node's share.
 func (a *account) earlierDemand(now, before time.Duration) float64 {
-	sum := a.marks.read(now, before)
+	sum := a.history.read(now, before)
 	for _, p := range a.parts.all() {
-		sum += p.marks.read(now, before)
+		sum += p.history.read(now, before)
 	}
 	return sum
 }
 
 const (
-	// markSlot is the resolution of demandMarks, marks the number of slots that they keep. They
+	// demandSlot is the resolution of demandHistory, demandSlots the number of slots that it keeps. They
 	// cover the time after which a node counts as silent, up to a fleet of 300 nodes.
-	markSlot = 500 * time.Millisecond
-	marks    = 6
+	demandSlot  = 500 * time.Millisecond
+	demandSlots = 6
 )
 
-// demandMarks are earlier states of a demandMeter: those at the end of the last slots in which it
+// demandHistory is the earlier states of a demandMeter: those at the end of the last slots in which it
 // changed, the newest first.
-type demandMarks [marks]demandMeter
+type demandHistory [demandSlots]demandMeter
 
-// note takes the state of a meter after it has changed.
-func (m *demandMarks) note(state demandMeter) {
-	if state.at/markSlot != m[0].at/markSlot {
-		copy(m[1:], m[:marks-1])
+// record takes the state of a meter after it has changed.
+func (h *demandHistory) record(state demandMeter) {
+	if state.at/demandSlot != h[0].at/demandSlot {
+		copy(h[1:], h[:demandSlots-1])
 	}
-	m[0] = state
+	h[0] = state
 }
 
 // read returns the present value of the meter if nothing had been added since a time.
-func (m *demandMarks) read(now, since time.Duration) float64 {
-	for i := range m {
-		if (m[i].at/markSlot+1)*markSlot <= since {
-			return m[i].read(now, longDemand)
+func (h *demandHistory) read(now, since time.Duration) float64 {
+	for i := range h {
+		if (h[i].at/demandSlot+1)*demandSlot <= since {
+			return h[i].read(now, longDemand)
 		}
 	}
 	return 0
--- a/internal/quota/core.go
+++ b/internal/quota/core.go
@@ -305,7 +305,7 @@
 			if part := a.parts.get(id); total >= minDemand {
 				r.byDemand = 0
 				if part != nil {
-					r.byDemand = min(1, part.marks.read(now, before)/total)
+					r.byDemand = min(1, part.history.read(now, before)/total)
 				}
 			}
 			added[id] = r
@@ -339,7 +339,7 @@
 func (c *Core) contactLost(a *account, now time.Duration) time.Duration {
 	before := now - c.silenceAfter()
 	for id, p := range c.silent.all() {
-		if p.heard && a.reservations.get(id) == nil && now-p.heardAt < marks*markSlot {
+		if p.heard && a.reservations.get(id) == nil && now-p.heardAt < demandSlots*demandSlot {
 			before = min(before, p.heardAt)
 		}
 	}
@@ -489,7 +489,7 @@
 	reason := ReasonBalance
 	if a.balance >= 1 {
 		pace := max(minPace, 9*c.silenceAfter()/5).Seconds()
-		demand := a.sureDemand(now) * pace
+		demand := a.significantDemand(now) * pace
 		own := 1 - a.reserved
 		if available := a.balance + a.division.Rate*own*pace; demand > available {
 			a.pacing += available / demand
@@ -513,7 +513,7 @@
 	if !a.atLimit {
 		a.atLimit, a.limitedSince = true, now
 	}
-	a.eased = now
+	a.refusedAt = now
 	return Decision{Reason: reason, RetryAfter: a.retryAfter(now)}
 }
 
@@ -687,7 +687,7 @@
 	known.sequence, known.count = r.Sequence, e.Count
 	known.demand = demandMeter{float64(e.Demand) / valueScale, now}
 	known.long = demandMeter{float64(e.LongDemand) / valueScale, now}
-	known.marks.note(known.long)
+	known.history.record(known.long)
 	if reserved := a.reservations.get(p.ID); reserved != nil {
 		a.release(p.ID, reserved, float64(delta))
 		return
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -23,8 +23,8 @@
 	maxWait = 60 * time.Millisecond
 	// reviewInterval is the interval at which the known nodes and limits are read.
 	reviewInterval = 100 * time.Millisecond
-	// easedAfter is the time without a refusal after which a tenant is under its limit again.
-	easedAfter = 5 * time.Second
+	// underLimitAfter is the time without a refusal after which a tenant is under its limit again.
+	underLimitAfter = 5 * time.Second
 	// maxListed bounds the lists of State.
 	maxListed = 20
 	// maxLoggedTenants bounds the log lines of tenants at their limit, per review.
@@ -318,7 +318,7 @@
 					"demand", fmt.Sprintf("%.1f", a.totalDemand(now)), "reserved", fmt.Sprintf("%.2f", a.reserved)}})
 			}
 		}
-		if now-a.eased > easedAfter {
+		if now-a.refusedAt > underLimitAfter {
 			a.atLimit = false
 			delete(l.limited, a)
 			if len(lines) < maxLoggedTenants {
--- a/internal/quota/send.go
+++ b/internal/quota/send.go
@@ -155,7 +155,7 @@
 	for _, a := range matched {
 		// Other nodes compute this node's share of demand from its reports. It does the same, so
 		// that the shares of both sides of a partition add up to one.
-		a.marks.note(demandMeter{a.long.read(now, longDemand), now})
+		a.history.record(demandMeter{a.long.read(now, longDemand), now})
 		entries = append(entries, a.entry(now))
 		if len(entries) == maxEntries {
 			contents = append(contents, c.report(now, flags, entries))
