Send a query that has waited for a full shard, in place of refusing it

Change: after the wait of a fifth of the objective the query is sent. Queries that need a lost shard are rejected as before.

--- a/internal/query/gate.go
+++ b/internal/query/gate.go
@@ -16,8 +16,8 @@
 	"github.com/doorpond/doorpond/internal/replica"
 )
 
-// maxWaitFraction bounds the wait for a full shard, as a fraction of the objective. A refusal then
-// still reaches the caller within a quarter of the objective.
+// maxWaitFraction bounds the wait for a full shard, as a fraction of the objective. The query is sent
+// then, so that its answer may still come within the objective.
 const maxWaitFraction = 0.2
 
 // gate holds the queries over many shards of one target back while their scarcest shards are
@@ -175,13 +175,13 @@
 	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), ErrShuttingDown) {
 		return nil, failure.New(failure.Canceled, "request canceled by the caller").WithNotRun(true)
 	}
-	shards := count()
-	if verdict == admission.Refuse {
-		s.controllers.CountRefusal("shard_lost")
-		return nil, failure.New(failure.NoReplica, fmt.Sprintf("%d of %d shards can be reached, %d are needed",
-			shards.Total-shards.Lost, shards.Total, needed))
+	if verdict == admission.Wait && ctx.Err() == nil {
+		// A late answer is worth more to the caller than a refusal.
+		target.starting.Add(1)
+		return target, nil
 	}
-	s.controllers.CountRefusal("shard_full")
-	return nil, failure.New(failure.Overloaded, fmt.Sprintf("%d of %d shards can take a request, %d are needed",
-		shards.Total-shards.Lost-shards.Full, shards.Total, needed)).WithRetryAfter(limit)
+	s.controllers.CountRefusal("shard_lost")
+	shards := count()
+	return nil, failure.New(failure.NoReplica, fmt.Sprintf("%d of %d shards can be reached, %d are needed",
+		shards.Total-shards.Lost, shards.Total, needed))
 }
