review/2: an answer that was reset on the way looks complete

Replicas answer requests with long bodies before these are in, without a length, and break off some answers by a reset. The write of the body takes the reset, the read gets the end of the stream, and the first part of the answer reaches the client as a whole one.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -23,6 +23,7 @@
 
 var plays = map[string]play{
 	"surplus-rejection": playSurplusRejection,
+	"cut-answer":        playCutAnswer,
 }
 
 func main() {
