--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -24,6 +24,7 @@
 var plays = map[string]play{
 	"surplus-rejection": playSurplusRejection,
 	"cut-answer":        playCutAnswer,
+	"crashing-caller":   playCrashingCaller,
 }
 
 func main() {
