--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -49,14 +49,18 @@
 		return exitFailed
 	}
 	held, err := chosen(s)
-	err = errors.Join(err, s.close())
+	closeErr := s.close()
+	if failure := errors.Join(err, closeErr); failure != nil {
+		fmt.Fprintln(os.Stderr, failure)
+	}
 	switch {
 	case err != nil:
-		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
-	case held:
-		return exitHeld
-	default:
+	case !held:
 		return exitBroken
+	case closeErr != nil:
+		return exitFailed
+	default:
+		return exitHeld
 	}
 }
--- a/review/harness/stage.go
+++ b/review/harness/stage.go
@@ -18,7 +18,7 @@
 
 const (
 	readyWait = 20 * time.Second
-	stopWait  = 10 * time.Second
+	stopWait  = 15 * time.Second
 )
 
 // zones maps the zones of the deployment to their regions.
