upstream: an answer that ends with a reset is incomplete

Cause: a long body is written beside the read of the answer. The kernel reports a reset to one of the two calls; if that is the write, the read meets the end of the stream, which was the end of an answer without a length.

requestWrite.endOfStreamError ends the write and looks at its error: ECONNRESET, or any other cause, means that the replica did not end the stream; EPIPE means that it had closed before. Errors of the write are reported with the other errors of an exchange as well.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"syscall"
 	"time"
 )
@@ -14,10 +13,6 @@
 // maxResponseBytes limits the size of a response body.
 const maxResponseBytes = 16 << 20
 
-// asyncBodyBytes is the size from which a request body is written concurrently with
-// reading the response, since a replica may respond before it has read a long body.
-const asyncBodyBytes = 16 << 10
-
 // Errors of an exchange. They tell whether the replica may have executed the request.
 var (
 	// ErrNotSent means that no byte of the request was sent.
@@ -86,15 +81,15 @@
 func (c *connection) exchange(codec Codec, request *Request, incarnation string, timeout time.Duration) (response *Response, idleTimeout time.Duration, reusable bool, err error) {
 	write := c.write(request, codec.RequestHeader(request, incarnation, timeout))
 	if _, err := c.reader.Peek(1); err != nil {
-		return nil, 0, false, c.noResponseError(errors.Join(err, write.syncError()))
+		return nil, 0, false, c.noResponseError(errors.Join(err, write.abort()))
 	}
 	parsed, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
 	if err != nil {
-		return nil, 0, false, errors.Join(err, write.syncError())
+		return nil, 0, false, errors.Join(err, write.abort())
 	}
-	body, err := readBody(parsed)
+	body, err := readBody(parsed, write)
 	if err != nil {
-		return nil, 0, false, err
+		return nil, 0, false, errors.Join(err, write.abort())
 	}
 	response = &Response{Status: parsed.StatusCode, Header: parsed.Header, Body: body}
 	codec.ReadResponse(response)
@@ -118,71 +113,11 @@
 	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
-// requestWrite is the write of one request. A long body is written in a goroutine of
-// its own.
-type requestWrite struct {
-	done chan error // nil if the write was synchronous
-	err  error
-}
-
-func (w *requestWrite) syncError() error {
-	if w.done == nil {
-		return w.err
-	}
-	return nil
-}
-
-// complete reports whether the whole request has been written.
-func (w *requestWrite) complete() bool {
-	if w.done == nil {
-		return w.err == nil
-	}
-	select {
-	case err := <-w.done:
-		return err == nil
-	default:
-		return false
-	}
-}
-
-func (c *connection) write(request *Request, header http.Header) *requestWrite {
-	c.writeHeader(request, header)
-	if len(request.Body) < asyncBodyBytes {
-		_, _ = c.writer.Write(request.Body) // Flush returns the first error
-		return &requestWrite{err: c.writer.Flush()}
-	}
-	err := c.writer.Flush()
-	if err != nil {
-		return &requestWrite{err: err}
-	}
-	done := make(chan error, 1)
-	go func() {
-		_, err := c.Conn.Write(request.Body)
-		done <- err
-	}()
-	return &requestWrite{done: done}
-}
-
-func (c *connection) writeHeader(request *Request, header http.Header) {
-	_, _ = c.writer.WriteString(request.Method + " " + request.Target + " HTTP/1.1\r\nHost: " + request.Host + "\r\n")
-	_ = header.Write(c.writer)
-	if len(request.Body) > 0 || hasBody(request.Method) {
-		_, _ = c.writer.WriteString("Content-Length: " + strconv.Itoa(len(request.Body)) + "\r\n")
-	}
-	_, _ = c.writer.WriteString("\r\n")
-}
-
-// hasBody reports whether requests with this method carry a Content-Length even if
-// their body is empty.
-func hasBody(method string) bool {
-	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
-}
-
 var errTooLarge = errors.New("response body exceeds the size limit")
 
-// readBody reads a complete body. A body without a Content-Length ends with EOF; a
-// reset is an error.
-func readBody(response *http.Response) ([]byte, error) {
+// readBody reads a complete body. A body without a Content-Length ends with the stream,
+// which must have been ended by the replica.
+func readBody(response *http.Response, write *requestWrite) ([]byte, error) {
 	if response.ContentLength > maxResponseBytes {
 		return nil, errTooLarge
 	}
@@ -192,8 +127,18 @@
 		return body, err
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = errTooLarge
+	switch {
+	case err != nil:
+		return nil, err
+	case len(body) > maxResponseBytes:
+		return nil, errTooLarge
+	case endsWithStream(response):
+		return body, write.endOfStreamError()
+	default:
+		return body, nil
 	}
-	return body, err
 }
+
+// endsWithStream reports whether a response body without a Content-Length ends with the
+// stream, not with a last chunk.
+func endsWithStream(response *http.Response) bool { return len(response.TransferEncoding) == 0 }
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -42,6 +42,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return serveOn(t, listener, handle)
+}
+
+// serveOn is like serve, on a listener that it closes at the end of the test.
+func serveOn(t *testing.T, listener net.Listener, handle func(conn net.Conn, number int64, request *http.Request) bool) *rawServer {
+	t.Helper()
 	server := &rawServer{Listener: listener}
 	t.Cleanup(func() { _ = listener.Close() })
 	go func() {
