quarantine: only a request's own answers exempt it

Cause: the record of recent answers had its own notion of the same request, without the caller. Ruled out: records lost between nodes, early releases (RecordCrash dropped the evidence, no node had an entry).

hashRequest is now the only definition; Identity and the short hash are made by it.

--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -191,7 +191,7 @@
 	}
 	record.setEvidence(evidence)
 	if canary != "" {
-		record.Canaries = []string{truncate(canary, maxReplicaNameBytes)}
+		record.addCanaries([]string{canary})
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -227,20 +227,26 @@
 }
 
 // Disputed reports whether all replicas that crashed under canaries of a request also crashed
-// under canaries of another one, so that either may be the cause.
-func (l *List) Disputed(message *upstream.Request) bool {
+// under canaries of another one, so that either may be the cause. canaries names the replicas
+// that crashed under those of the current try, the latest last: they are in no record if the
+// request was answered recently.
+func (l *List) Disputed(message *upstream.Request, canaries []string) bool {
 	if l == nil {
 		return false
 	}
 	identity := IdentityOf(message)
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	known := l.entries[identity]
-	if known == nil || len(known.record.Canaries) == 0 {
+	var tried Record
+	tried.addCanaries(canaries)
+	if known := l.entries[identity]; known != nil {
+		tried = known.record
+	}
+	if len(tried.Canaries) == 0 {
 		return false
 	}
 	for other, entry := range l.entries {
-		if other != identity && containsAll(entry.record.Canaries, known.record.Canaries) {
+		if other != identity && containsAll(entry.record.Canaries, tried.Canaries) {
 			return true
 		}
 	}
--- a/internal/quarantine/list_test.go
+++ b/internal/quarantine/list_test.go
@@ -246,18 +246,18 @@
 		sender.RecordCrash(target(1), testRoute, canary, suspicious)
 	}
 	list.RecordCrash(message(nil), testRoute, "b/2", conclusive)
-	if list.Disputed(message(nil)) {
+	if list.Disputed(message(nil), nil) {
 		t.Error("disputed without another request")
 	}
 	sender.RecordCrash(target(1), testRoute, "b/2", conclusive)
 	for _, record := range *sent {
 		list.Receive(record)
 	}
-	if !list.Disputed(message(nil)) {
+	if !list.Disputed(message(nil), nil) {
 		t.Error("not disputed with a request that crashed the same replicas")
 	}
 	list.RecordCrash(message(nil), testRoute, "c/3", conclusive)
-	if list.Disputed(message(nil)) {
+	if list.Disputed(message(nil), nil) {
 		t.Error("disputed with a request that did not crash the last replica")
 	}
 	now.now = now.now.Add(confirmationWindow)
@@ -296,6 +296,23 @@
 	}
 }
 
+// A request that was answered recently is in no record, and its canaries may meet those of another
+// one all the same.
+func TestRecentlyAnsweredRequestDisputed(t *testing.T) {
+	list, _, _ := newTestList(nil)
+	list.RecordAnswer(message(nil))
+	for _, canary := range []string{"a/1", "b/2"} {
+		list.RecordCrash(message(nil), testRoute, canary, suspicious)
+		list.RecordCrash(target(1), testRoute, canary, suspicious)
+	}
+	if !list.Disputed(message(nil), []string{"a/1", "b/2"}) {
+		t.Error("not disputed with a request that crashed the same replicas")
+	}
+	if list.Disputed(message(nil), []string{"a/1", "c/3"}) {
+		t.Error("disputed with a request that did not crash the last replica")
+	}
+}
+
 func BenchmarkRecordAnswer(b *testing.B) {
 	asked := message(func(m *upstream.Request) { m.Body = make([]byte, 1024) })
 	list := New(Config{})
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -11,7 +11,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
-	"hash"
+	"io"
 	"slices"
 	"time"
 
@@ -40,25 +40,29 @@
 // IdentityOf returns the identity of a request.
 func IdentityOf(message *upstream.Request) Identity {
 	digest := sha256.New()
-	credentials := message.Header.Get("Authorization")
-	if message.Tenant != "" {
-		credentials = message.Tenant
-	}
-	for _, field := range []string{message.Method, message.Host, message.Target, credentials} {
-		writeField(digest, field)
-	}
-	_, _ = digest.Write(message.Body) // never fails
+	hashRequest(digest, message)
 	var identity Identity
 	digest.Sum(identity[:0])
 	return identity
 }
 
-// writeField writes a length-prefixed field, so that adjacent fields cannot be confused.
-func writeField(digest hash.Hash, field string) {
-	var length [8]byte
-	binary.BigEndian.PutUint64(length[:], uint64(len(field)))
-	_, _ = digest.Write(length[:])
-	_, _ = digest.Write([]byte(field))
+// maxFieldsBytes is a capacity that suffices for the fields of most requests.
+const maxFieldsBytes = 256
+
+// hashRequest writes to a digest what makes two requests the same request. All hashes of requests
+// are made by it, so that what is known of one request is never held for or against another one.
+func hashRequest[Digest io.Writer](digest Digest, message *upstream.Request) {
+	credentials := message.Header.Get("Authorization")
+	if message.Tenant != "" {
+		credentials = message.Tenant
+	}
+	fields := make([]byte, 0, maxFieldsBytes)
+	for _, field := range [...]string{message.Method, message.Host, message.Target, credentials} {
+		fields = binary.BigEndian.AppendUint64(fields, uint64(len(field))) // adjacent fields cannot be confused
+		fields = append(fields, field...)
+	}
+	_, _ = digest.Write(fields) // never fails
+	_, _ = digest.Write(message.Body)
 }
 
 // String returns the identity in hexadecimal.
@@ -128,6 +132,7 @@
 // addCanaries adds replica names and keeps the latest maxCanaries.
 func (r *Record) addCanaries(names []string) {
 	for _, name := range names {
+		name = truncate(name, maxReplicaNameBytes)
 		if !slices.Contains(r.Canaries, name) {
 			r.Canaries = append(r.Canaries, name)
 		}
--- a/internal/quarantine/recentanswers.go
+++ b/internal/quarantine/recentanswers.go
@@ -14,16 +14,18 @@
 // many callers send is in flight at each crash and would be suspected without this record: after
 // three crashes of all replicas of ten shards within 6 s, 1,081 of 2,464 such requests were refused.
 //
-// It is a fixed-size hash table in which later requests overwrite earlier ones. A collision
-// exempts a request from quarantine for at most recentAnswerTTL.
+// It is a fixed-size set-associative hash table, in which a new request replaces the one of its
+// bucket that was answered longest ago. A collision exempts a request from quarantine for at most
+// recentAnswerTTL.
 type recentAnswers struct {
-	slots [recentAnswerSlots]atomic.Uint64
+	buckets [recentAnswerBuckets][recentAnswersPerBucket]atomic.Uint64
 }
 
 const (
-	// recentAnswerSlots is the number of 8-byte entries: at 20 distinct requests per second
-	// an entry survives for about 50 s.
-	recentAnswerSlots = 1024
+	// recentAnswerBuckets and recentAnswersPerBucket give room for 16,384 requests at 8 bytes,
+	// which are those of a minute at 270 distinct requests per second. A bucket is a cache line.
+	recentAnswerBuckets    = 2048
+	recentAnswersPerBucket = 8
 	// recentAnswerTTL is longer than a crash-looping service takes to restart, and much
 	// shorter than the time between changes of the data that can make a request harmful.
 	recentAnswerTTL = time.Minute
@@ -32,29 +34,46 @@
 	timeBits = 24
 )
 
+// shortHash is a fast hash of what Identity identifies.
 func shortHash(message *upstream.Request) uint64 {
 	digest := xxhash.New()
-	_, _ = digest.WriteString(message.Method) // never fails
-	_, _ = digest.WriteString(message.Host)
-	_, _ = digest.WriteString(message.Target)
-	_, _ = digest.Write(message.Body)
+	hashRequest(digest, message)
 	return digest.Sum64()
 }
 
 func truncatedSeconds(at time.Time) uint64 { return uint64(at.Unix()) & (1<<timeBits - 1) }
 
+// entryAge returns how long ago the request of an entry was answered.
+func entryAge(entry uint64, now time.Time) time.Duration {
+	return time.Duration((truncatedSeconds(now)-entry)&(1<<timeBits-1)) * time.Second
+}
+
 func (a *recentAnswers) add(message *upstream.Request, now time.Time) {
 	hash := shortHash(message)
-	a.slots[hash%recentAnswerSlots].Store(hash>>timeBits<<timeBits | truncatedSeconds(now))
+	bucket := &a.buckets[hash%recentAnswerBuckets]
+	slot, oldest := 0, time.Duration(-1)
+	for i := range bucket {
+		entry := bucket[i].Load()
+		if entry>>timeBits == hash>>timeBits {
+			slot = i
+			break
+		}
+		if age := entryAge(entry, now); age > oldest {
+			slot, oldest = i, age
+		}
+	}
+	bucket[slot].Store(hash>>timeBits<<timeBits | truncatedSeconds(now))
 }
 
 // contains reports whether a replica has answered the request within recentAnswerTTL.
 func (a *recentAnswers) contains(message *upstream.Request, now time.Time) bool {
 	hash := shortHash(message)
-	entry := a.slots[hash%recentAnswerSlots].Load()
-	if entry>>timeBits != hash>>timeBits {
-		return false
+	bucket := &a.buckets[hash%recentAnswerBuckets]
+	for i := range bucket {
+		entry := bucket[i].Load()
+		if entry>>timeBits == hash>>timeBits && entryAge(entry, now) <= recentAnswerTTL {
+			return true
+		}
 	}
-	age := (truncatedSeconds(now) - entry) & (1<<timeBits - 1)
-	return time.Duration(age)*time.Second <= recentAnswerTTL
+	return false
 }
--- a/internal/query/crash_network_test.go
+++ b/internal/query/crash_network_test.go
@@ -22,10 +22,11 @@
 	"github.com/doorpond/doorpond/internal/replica"
 	"github.com/doorpond/doorpond/internal/routing"
 	"github.com/doorpond/doorpond/internal/topology"
+	"github.com/doorpond/doorpond/internal/upstream"
 )
 
-// crashNetwork has replicas that crash when they execute crashingTarget. All connections
-// of a replica break when it crashes.
+// crashNetwork has replicas that crash when they execute a crashing request. All
+// connections of a replica break when it crashes.
 type crashNetwork struct {
 	mutex  sync.Mutex
 	random *rand.Rand
@@ -38,7 +39,16 @@
 	crashes     []time.Time
 	// otherRate is the number of other requests per second.
 	otherRate int
-	// crashingArrivals are the times at which crashingTarget arrived at a replica.
+	// otherTarget returns the target of an other request.
+	otherTarget func(number int) string
+	// otherTenants is the number of tenants that send them; 0 means that there are none.
+	otherTenants int
+	// distinguish, if not nil, changes the crashing requests so that they differ from others
+	// with the same target.
+	distinguish func(message *upstream.Request)
+	// quarantines are the lists of the nodes.
+	quarantines []*quarantine.List
+	// crashingArrivals are the times at which a crashing request arrived at a replica.
 	crashingArrivals []time.Time
 }
 
@@ -72,7 +82,7 @@
 		_, _ = io.WriteString(conn, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
 		return
 	}
-	if request.URL.Path == crashingTarget {
+	if strings.HasPrefix(request.Header.Get("Id"), crashingIDPrefix) {
 		n.runCrashingRequest(address, process)
 		return
 	}
@@ -131,6 +141,14 @@
 	return n.random.Uint64()
 }
 
+// randomTenant returns the tenant of another request, or "" if there are none.
+func (n *crashNetwork) randomTenant() string {
+	if n.otherTenants == 0 {
+		return ""
+	}
+	return fmt.Sprint("tenant-", n.randomUint64()%uint64(n.otherTenants))
+}
+
 // newConnectedQuarantines returns the quarantine lists of nodes that exchange records.
 func newConnectedQuarantines(nodes int) []*quarantine.List {
 	lists := make([]*quarantine.List, nodes)
@@ -151,7 +169,7 @@
 // newCrashServices returns the services of all nodes.
 func newCrashServices(t *testing.T, network *crashNetwork, nodes int) []*query.Service {
 	var services []*query.Service
-	quarantines := newConnectedQuarantines(nodes)
+	network.quarantines = newConnectedQuarantines(nodes)
 	for i := range nodes {
 		zone := virtualZones[i%len(virtualZones)]
 		budgets := make(map[string]*decision.TokenBudget)
@@ -165,7 +183,7 @@
 			GroupRetryBudget: func(group string) decision.Budget { return budgets[group] },
 		})
 		t.Cleanup(pool.Close)
-		services = append(services, query.NewService(query.Options{Board: network.board, Pool: pool, Quarantine: quarantines[i]}))
+		services = append(services, query.NewService(query.Options{Board: network.board, Pool: pool, Quarantine: network.quarantines[i]}))
 	}
 	return services
 }
--- a/internal/query/crashing_request_virtual_test.go
+++ b/internal/query/crashing_request_virtual_test.go
@@ -30,6 +30,8 @@
 // Parameters of the runs with a request that crashes replicas.
 const (
 	crashingTarget = "/ends-replicas"
+	// crashingIDPrefix begins the IDs of crashing requests and of no others.
+	crashingIDPrefix = "c"
 	// crashAfter is how long a replica executes it before it crashes, restartAfter how long
 	// after that its successor starts.
 	crashAfter   = 3 * time.Millisecond
@@ -50,6 +52,9 @@
 	maxCrashes = 13
 	// maxArrivalDelay bounds the time from the third crash to the last arrival.
 	maxArrivalDelay = time.Second
+	// maxPlainArrivalDelay is the time after the third crash within which all connected
+	// nodes must know of a request that is sent to one replica at a time.
+	maxPlainArrivalDelay = 5 * time.Second
 	// minOthersAnswered is the required fraction of other requests that are answered.
 	minOthersAnswered = 0.95
 )
@@ -72,6 +77,7 @@
 		network := &crashNetwork{
 			random: rand.New(rand.NewPCG(seed, 3)), board: &blackboard.Board{},
 			processes: map[string]replicaProcess{}, connections: map[string]map[net.Conn]bool{}, otherRate: budgetRate,
+			otherTarget: uniqueTarget,
 		}
 		virtual := &virtualNetwork{
 			random: network.random, phases: map[string]time.Duration{}, delays: map[string]time.Duration{}, shards: map[string]string{},
@@ -108,7 +114,7 @@
 		setUp(network, route)
 		var sending sync.WaitGroup
 		sending.Go(func() { result.firstTryCrashes = network.sendCrashing(services, route, caller) })
-		network.sendOthers(services, route, &result, uniqueTarget)
+		network.sendOthers(services, route, &result)
 		sending.Wait()
 		time.Sleep(restartAfter) // lingering attempts end
 		network.mutex.Lock()
@@ -127,9 +133,12 @@
 	for number := range crashingSends {
 		for try := range 2 {
 			message := &upstream.Request{
-				ID: fmt.Sprint("c", number, "-", try), Caller: caller(number, try),
+				ID: fmt.Sprint(crashingIDPrefix, number, "-", try), Caller: caller(number, try),
 				Method: http.MethodGet, Target: crashingTarget, Host: "h",
 			}
+			if n.distinguish != nil {
+				n.distinguish(message)
+			}
 			_, _ = services[(number+try)%len(services)].Forward(context.Background(), &query.ForwardRequest{Message: message, Route: route})
 			if number == 0 && try == 0 {
 				n.mutex.Lock()
@@ -143,15 +152,16 @@
 }
 
 // sendOthers sends harmless requests and records their results.
-func (n *crashNetwork) sendOthers(services []*query.Service, route *routing.Route, result *crashResult, target func(number int) string) {
+func (n *crashNetwork) sendOthers(services []*query.Service, route *routing.Route, result *crashResult) {
 	var answered, refused atomic.Int64
 	var sending sync.WaitGroup
 	for number := range int(float64(n.otherRate) * budgetRunTime.Seconds()) {
 		result.others++
+		tenant := n.randomTenant()
 		sending.Go(func() {
 			message := &upstream.Request{
 				ID: fmt.Sprint("q", number), Caller: netip.AddrFrom4([4]byte{198, 51, 100, byte(number)}),
-				Method: http.MethodGet, Target: target(number), Host: "h",
+				Method: http.MethodGet, Target: n.otherTarget(number), Host: "h", Tenant: tenant,
 			}
 			_, err := services[number%len(services)].Forward(context.Background(), &query.ForwardRequest{Message: message, Route: route})
 			switch {
@@ -196,6 +206,39 @@
 	}
 }
 
+// TestCrashingRequestQuarantinedBesideOtherCallers guards against exempting a request because a
+// replica has answered another one, which has the same target and differs in one thing. The other
+// requests must be served.
+func TestCrashingRequestQuarantinedBesideOtherCallers(t *testing.T) {
+	for name, distinguish := range map[string]func(message *upstream.Request){
+		"tenant":      func(message *upstream.Request) { message.Tenant = "crashing" },
+		"credentials": func(message *upstream.Request) { message.Header = http.Header{"Authorization": {"crashing"}} },
+		"host":        func(message *upstream.Request) { message.Host = "crashing" },
+		"method":      func(message *upstream.Request) { message.Method = http.MethodPost },
+		"body":        func(message *upstream.Request) { message.Method, message.Body = http.MethodPost, []byte("crashing") },
+	} {
+		for _, plain := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, plain %v", name, plain), func(t *testing.T) {
+				got := runCrashing(t, 0, budgetNodes, fixedAddress, func(network *crashNetwork, route *routing.Route) {
+					network.otherTarget = func(int) string { return crashingTarget }
+					network.distinguish = distinguish
+					if plain {
+						usePlainRoute(network, route)
+					}
+				})
+				t.Logf("%d crashes, last arrival %v after the third crash; %d of %d other requests answered, %d quarantined",
+					got.crashes, got.lastAfterThird, got.answered, got.others, got.refused)
+				if got.crashes > maxCrashes || got.lastAfterThird > maxPlainArrivalDelay {
+					t.Errorf("%d replicas crashed, last arrival %v after the third crash", got.crashes, got.lastAfterThird)
+				}
+				if got.refused > 0 || float64(got.answered) < minOthersAnswered*float64(got.others) {
+					t.Errorf("%d of %d other requests answered, %d quarantined", got.answered, got.others, got.refused)
+				}
+			})
+		}
+	}
+}
+
 // TestZoneCrashRequestsServed crashes the replicas of each zone in turn. Requests in flight
 // there must be retried elsewhere, and none may be quarantined.
 func TestZoneCrashRequestsServed(t *testing.T) {
@@ -210,7 +253,7 @@
 					network.crashZone(zone)
 				}
 			})
-			network.sendOthers(services, route, &got, uniqueTarget)
+			network.sendOthers(services, route, &got)
 			crashing.Wait()
 			time.Sleep(restartAfter)
 			network.mutex.Lock()
@@ -231,18 +274,53 @@
 // are back, while all callers send the same request. As that was answered before the
 // crashes, it must not be quarantined.
 func TestRepeatedCrashPopularRequestNotQuarantined(t *testing.T) {
+	testRepeatedCrash(t, func(network *crashNetwork, _ *routing.Route) {
+		// The rate is low, as requests are retried until replicas are back, which makes the
+		// run slow.
+		network.otherRate = budgetRate / 4
+	})
+}
+
+// TestRepeatedCrashOfBusyServiceQuarantinesNothing is like
+// TestRepeatedCrashPopularRequestNotQuarantined on nodes that have answered many requests in the
+// last minute, with up to 80 tenants. An answer to one tenant shows nothing of another's request.
+func TestRepeatedCrashOfBusyServiceQuarantinesNothing(t *testing.T) {
+	const answeredBefore = 4000
+	for _, plain := range []bool{false, true} {
+		for _, tenants := range []int{0, 5, 80} {
+			t.Run(fmt.Sprintf("plain %v, %d tenants", plain, tenants), func(t *testing.T) {
+				testRepeatedCrash(t, func(network *crashNetwork, route *routing.Route) {
+					network.otherTenants = tenants
+					if plain {
+						usePlainRoute(network, route)
+					}
+					time.AfterFunc(crashingStart-time.Millisecond, func() {
+						for number := range answeredBefore {
+							for _, list := range network.quarantines {
+								list.RecordAnswer(&upstream.Request{Method: http.MethodGet, Target: uniqueTarget(-number), Host: "h"})
+							}
+						}
+					})
+				})
+			})
+		}
+	}
+}
+
+// testRepeatedCrash sends the same request all the time, on a network and a route that setUp has
+// changed, while all replicas crash repeatedly.
+func testRepeatedCrash(t *testing.T, setUp func(*crashNetwork, *routing.Route)) {
+	t.Helper()
 	const (
 		crashRounds = 3
 		// uptime is how long a replica runs before it crashes again: too short to answer.
 		uptime = serviceTime / 2
-		// rate is low, as requests are retried until replicas are back, which makes the
-		// run slow.
-		rate = budgetRate / 4
 	)
 	for seed := range uint64(3) {
 		var got crashResult
 		withCrashNetwork(t, seed, budgetNodes, func(network *crashNetwork, services []*query.Service, route *routing.Route) {
-			network.otherRate = rate
+			network.otherTarget = sharedTarget
+			setUp(network, route)
 			var crashing sync.WaitGroup
 			crashing.Go(func() {
 				time.Sleep(crashingStart)
@@ -253,7 +331,7 @@
 					time.Sleep(restartAfter + uptime)
 				}
 			})
-			network.sendOthers(services, route, &got, sharedTarget)
+			network.sendOthers(services, route, &got)
 			crashing.Wait()
 			time.Sleep(restartAfter)
 		})
@@ -287,9 +365,6 @@
 		// maxPlainCrashes allows three crashes by one attempt at a time, and one more by
 		// each of three tries that overtake the messages between nodes.
 		maxPlainCrashes = 6
-		// maxPlainArrivalDelay is the time after the third crash within which all connected
-		// nodes must know of the request.
-		maxPlainArrivalDelay = 5 * time.Second
 	)
 	for _, repeatable := range []bool{true, false} {
 		for seed := range uint64(3) {
--- a/internal/query/quarantine.go
+++ b/internal/query/quarantine.go
@@ -1,6 +1,9 @@
 package query
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/doorpond/doorpond/internal/decision"
@@ -24,7 +27,26 @@
 // isDisputed reports whether all crashes attributed to the request may have been caused
 // by another request.
 func (r *forwardRun) isDisputed() bool {
-	return r.core.AbortPending() && r.service.options.Quarantine.Disputed(r.request.Message)
+	return r.core.AbortPending() && r.service.options.Quarantine.Disputed(r.request.Message, r.crashedCanaries())
+}
+
+// crashedCanaries returns the processes that crashed while running a canary, in the order
+// in which the canaries were sent.
+func (r *forwardRun) crashedCanaries() []string {
+	var crashed []attempt
+	for i := range r.shards {
+		for _, sent := range r.shards[i].attempts {
+			if sent.canary && sent.outcome == decision.Crashed.String() {
+				crashed = append(crashed, sent)
+			}
+		}
+	}
+	slices.SortFunc(crashed, func(a, b attempt) int { return cmp.Compare(a.sentAt, b.sentAt) })
+	processes := make([]string, len(crashed))
+	for i := range crashed {
+		processes[i] = crashed[i].handle.ProcessName()
+	}
+	return processes
 }
 
 // reportCrash tells the quarantine list, while the request is still running, that a
