upstream: a connection carries a request ID once

An answer without an ID was taken for any request's. Ruled out: bytes that lie in the socket before a request (found by usable), hedges, canceled tries.

A connection remembers the hashes of the IDs that it has carried, at most 1,024; Pool.takeIdle passes over those that have carried an ID, and replaces one at the limit. Surplus answers to earlier requests are skipped, as are interim ones; an answer without an ID counts on the first request only.

TestResetOfNewConnection sends requests with different IDs now: its case of a reused connection sent the same ID twice, which no connection carries any more. What it checks is unchanged.

--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -6,10 +6,13 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Buffer sizes of a connection, in bytes. Requests to a shard are small.
@@ -25,7 +28,16 @@
 // sent while the replica closes the connection.
 const idleTimeoutFactor = 0.8
 
+// maxRequests is the number of requests after which a connection is closed. It bounds the
+// memory for the IDs that it has carried.
+const maxRequests = 1024
+
 // connection is a persistent connection to a replica. It serves one request at a time.
+//
+// It carries at most one request with a given ID. A response tells whose it is by the ID
+// alone, and a replica may send a surplus response at any later time. If a retry were sent
+// on the connection of the earlier try, a surplus response to that one would be taken for
+// its own. Pool.takeIdle, which selects a connection for a request, ensures this.
 type connection struct {
 	net.Conn
 	reader *bufio.Reader
@@ -35,6 +47,8 @@
 	idleSince, expiresAt time.Time
 	// reused is true from the second request on.
 	reused bool
+	// carried holds the hashes of the IDs of all requests that were sent.
+	carried []uint64
 }
 
 func newConnection(conn net.Conn) *connection {
@@ -45,6 +59,17 @@
 	}
 }
 
+func (c *connection) addCarried(id string) { c.carried = append(c.carried, xxhash.Sum64String(id)) }
+
+// hasCarried reports whether a request with the ID was sent on the connection. Rarely, it is
+// also true for another ID with the same hash.
+func (c *connection) hasCarried(id string) bool {
+	return slices.Contains(c.carried, xxhash.Sum64String(id))
+}
+
+// isExhausted reports whether the connection must not be used for another request.
+func (c *connection) isExhausted() bool { return len(c.carried) >= maxRequests }
+
 // usable reports whether an idle connection is open and has no unread data. Unsolicited
 // data belongs to no request.
 func (c *connection) usable() bool {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -5,14 +5,10 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/http"
 	"syscall"
 	"time"
 )
 
-// maxResponseBytes limits the size of a response body.
-const maxResponseBytes = 16 << 20
-
 // Errors of an exchange. They tell whether the replica may have executed the request.
 var (
 	// ErrNotSent means that no byte of the request was sent.
@@ -35,7 +31,7 @@
 // Errors wrap ErrNotSent or ErrIncomplete.
 func (p *Pool) Exchange(ctx context.Context, codec Codec, request *Request, incarnation string, timeout time.Duration) (*Response, error) {
 	started := time.Now()
-	conn, err := p.acquire(ctx)
+	conn, err := p.acquire(ctx, request.ID)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
@@ -79,26 +75,18 @@
 // exchange writes the request and reads the response. The connection may be reused only
 // if reusable is true.
 func (c *connection) exchange(codec Codec, request *Request, incarnation string, timeout time.Duration) (response *Response, idleTimeout time.Duration, reusable bool, err error) {
+	c.addCarried(request.ID)
 	write := c.write(request, codec.RequestHeader(request, incarnation, timeout))
 	if _, err := c.reader.Peek(1); err != nil {
 		return nil, 0, false, c.noResponseError(errors.Join(err, write.abort()))
 	}
-	parsed, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
-	if err != nil {
-		return nil, 0, false, errors.Join(err, write.abort())
-	}
-	body, err := readBody(parsed, write)
+	read, err := c.readOwnResponse(codec, request, write)
 	if err != nil {
 		return nil, 0, false, errors.Join(err, write.abort())
 	}
-	response = &Response{Status: parsed.StatusCode, Header: parsed.Header, Body: body}
-	codec.ReadResponse(response)
-	if response.RequestID != "" && response.RequestID != request.ID {
-		return nil, 0, false, fmt.Errorf("response has request ID %q", response.RequestID)
-	}
-	idleTimeout, keep := keepAliveTimeout(parsed)
-	reusable = keep && write.complete() && c.reader.Buffered() == 0
-	return response, idleTimeout, reusable, nil
+	idleTimeout, keep := keepAliveTimeout(read.parsed)
+	reusable = keep && !read.afterSurplus && write.complete() && c.reader.Buffered() == 0 && !c.isExhausted()
+	return read.response, idleTimeout, reusable, nil
 }
 
 // noResponseError classifies an error that occurred before any byte of a response.
@@ -112,33 +100,3 @@
 func isReset(err error) bool {
 	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
-
-var errTooLarge = errors.New("response body exceeds the size limit")
-
-// readBody reads a complete body. A body without a Content-Length ends with the stream,
-// which must have been ended by the replica.
-func readBody(response *http.Response, write *requestWrite) ([]byte, error) {
-	if response.ContentLength > maxResponseBytes {
-		return nil, errTooLarge
-	}
-	if response.ContentLength >= 0 {
-		body := make([]byte, response.ContentLength)
-		_, err := io.ReadFull(response.Body, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
-	switch {
-	case err != nil:
-		return nil, err
-	case len(body) > maxResponseBytes:
-		return nil, errTooLarge
-	case endsWithStream(response):
-		return body, write.endOfStreamError()
-	default:
-		return body, nil
-	}
-}
-
-// endsWithStream reports whether a response body without a Content-Length ends with the
-// stream, not with a last chunk.
-func endsWithStream(response *http.Response) bool { return len(response.TransferEncoding) == 0 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -146,10 +147,11 @@
 	}
 }
 
-// acquire returns a usable idle connection or opens a new one.
-func (p *Pool) acquire(ctx context.Context) (*connection, error) {
+// acquire returns a usable connection for a request with the given ID. It opens a new one
+// if there is none.
+func (p *Pool) acquire(ctx context.Context, id string) (*connection, error) {
 	for {
-		idle, mayOpen := p.takeIdle(time.Now())
+		idle, mayOpen := p.takeIdle(id, time.Now())
 		if idle == nil && !mayOpen {
 			return nil, ErrConnectionLimit
 		}
@@ -164,20 +166,29 @@
 	}
 }
 
-// takeIdle returns the most recently used idle connection. If there is none, mayOpen
-// reports whether a new one may be opened, which is then already counted.
-func (p *Pool) takeIdle(now time.Time) (idle *connection, mayOpen bool) {
+// takeIdle returns the most recently used idle connection that has not carried a request
+// with the given ID. If there is none, mayOpen reports whether a new one may be opened,
+// which is then already counted. At the connection limit it replaces an idle one.
+func (p *Pool) takeIdle(id string, now time.Time) (idle *connection, mayOpen bool) {
 	p.mutex.Lock()
-	expired := p.takeExpired(now)
-	if last := len(p.idle) - 1; last >= 0 {
-		idle = p.idle[last]
-		p.idle = p.idle[:last]
-	} else if p.open < p.limit {
+	closing := p.takeExpired(now)
+	for i := len(p.idle) - 1; i >= 0 && idle == nil; i-- {
+		if !p.idle[i].hasCarried(id) {
+			idle = p.idle[i]
+			p.idle = slices.Delete(p.idle, i, i+1)
+		}
+	}
+	for idle == nil && p.open >= p.limit && len(p.idle) > 0 {
+		closing = append(closing, p.idle[0])
+		p.idle = slices.Delete(p.idle, 0, 1)
+		p.open--
+	}
+	if idle == nil && p.open < p.limit {
 		p.open++
 		mayOpen = true
 	}
 	p.mutex.Unlock()
-	closeAll(expired)
+	closeAll(closing)
 	return idle, mayOpen
 }
 
--- a/internal/upstream/reset_test.go
+++ b/internal/upstream/reset_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -46,8 +47,8 @@
 	} {
 		pool := newTestPool(serve(t, test.handle), 1)
 		var err error
-		for range test.calls {
-			_, err = exchange(t, pool, newRequest("m"))
+		for number := range test.calls {
+			_, err = exchange(t, pool, newRequest(fmt.Sprint(number)))
 		}
 		if !errors.Is(err, ErrIncomplete) || errors.Is(err, ErrReset) != test.want {
 			t.Errorf("%s: error %v", test.name, err)
