registry: write an entry again that is gone while its lease lives

An unlisted entry led to a check of the lease only. It is written at the second check that finds the lease in force, then at the fourth, eighth and so on, as the node's own list may be late. TestUpdateWritesUnlistedEntryAgain failed before (no second write); writes come after 6, 12, 24 and 48 s now. Not seen in a running system.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"log/slog"
+	"math/bits"
 	"math/rand/v2"
 	"time"
 
@@ -57,7 +58,9 @@
 	written topology.Node
 	// checkedAt is when the entry was written, or a renewal of its lease was last attempted.
 	checkedAt time.Time
-	failing   bool
+	// unlistedChecks counts the checks of the lease since the entry was last listed.
+	unlistedChecks int
+	failing        bool
 	// retryAt is the earliest time of the next attempt after a failure.
 	retryAt time.Time
 	backoff time.Duration
@@ -165,7 +168,8 @@
 // lease has expired.
 func (r *Registry) reconcile(ctx context.Context) error {
 	node := r.config.Node()
-	if r.lease != 0 && (r.config.Now().Sub(r.renewedAt) >= r.config.TTL/renewalsPerTTL || r.missing()) {
+	missing := r.lease != 0 && r.missing()
+	if r.lease != 0 && (r.config.Now().Sub(r.renewedAt) >= r.config.TTL/renewalsPerTTL || missing) {
 		r.checkedAt = r.config.Now()
 		requestedAt := r.config.Now()
 		err := r.config.Store.KeepAlive(ctx, r.lease)
@@ -177,7 +181,7 @@
 			r.renewedAt = requestedAt
 		}
 	}
-	if r.lease != 0 && node == r.written {
+	if r.lease != 0 && node == r.written && !(missing && r.countUnlisted()) {
 		return nil
 	}
 	if r.lease == 0 {
@@ -193,7 +197,19 @@
 
 // missing reports whether the entry is overdue to be listed.
 func (r *Registry) missing() bool {
-	return !r.config.Listed() && r.config.Now().Sub(r.checkedAt) >= listingDelay
+	if r.config.Listed() {
+		r.unlistedChecks = 0
+		return false
+	}
+	return r.config.Now().Sub(r.checkedAt) >= listingDelay
+}
+
+// countUnlisted counts a check that found the lease in force and the entry not listed. It reports
+// whether to write the entry again, as an earlier process of this node may have deleted it: at the
+// second, fourth, eighth such check and so on, since it may also be this node's list that is late.
+func (r *Registry) countUnlisted() bool {
+	r.unlistedChecks++
+	return r.unlistedChecks > 1 && bits.OnesCount(uint(r.unlistedChecks)) == 1
 }
 
 // writeEntry writes the entry unconditionally: only this node writes its key, and repeating
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -250,3 +251,33 @@
 		t.Errorf("calls %v, error %v", fake.calls, err)
 	}
 }
+
+// An entry can be gone while its lease lives, for example by a late write of an earlier process of
+// this node. It must be written again, and less and less often if it is only listed late.
+func TestUpdateWritesUnlistedEntryAgain(t *testing.T) {
+	fake := &fakeStore{}
+	now, listed := time.Unix(1000, 0), false
+	registry := New(Config{
+		Store: fake, Key: "k", TTL: time.Hour, Now: func() time.Time { return now }, Listed: func() bool { return listed },
+		Node: func() topology.Node { return topology.Node{ID: "n"} },
+	})
+	var writtenAt []time.Duration
+	advance := func(until time.Duration) {
+		for ; now.Before(time.Unix(1000, 0).Add(until)); now = now.Add(time.Second) {
+			calls := len(fake.calls)
+			registry.update(t.Context())
+			if slices.Contains(fake.calls[calls:], "put k under 1") {
+				writtenAt = append(writtenAt, now.Sub(time.Unix(1000, 0)))
+			}
+		}
+	}
+	advance(time.Minute)
+	listed = true
+	advance(2 * time.Minute)
+	listed = false
+	advance(2*time.Minute + 10*time.Second)
+	want := []time.Duration{0, 6 * time.Second, 12 * time.Second, 24 * time.Second, 48 * time.Second, 123 * time.Second, 129 * time.Second}
+	if diff := cmp.Diff(want, writtenAt); diff != "" {
+		t.Errorf("times of writing (-want +got):\n%s", diff)
+	}
+}
