follower: messages read after a pause confirm nothing

A batch or an announcement that waited unread during a pause confirmed its revision as of its reading, here and at peers, which then ask the store later by as much (a suspicion of the review; no late configuration is known). sentAfter says since when a message holds; listings, batches and announcements use it, and announcements carry the age that follows. TestNothingConfirmedByUnreadMessages failed in its three cases.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -379,8 +379,10 @@
 // handleAnnouncement handles a peer's announcement, and forwards it if it is news.
 func (f *Follower) handleAnnouncement(announcement announce.Announcement) {
 	now := f.options.Now()
-	f.observe(now.Add(-announcement.Age()), announcement.Revision)
-	if f.confirm(now, now.Add(-announcement.Age()), announcement.Revision) {
+	at := f.sentAfter(now).Add(-announcement.Age())
+	f.observe(at, announcement.Revision)
+	if f.confirm(now, at, announcement.Revision) {
+		announcement.AgeMilliseconds = now.Sub(at).Milliseconds()
 		f.options.Announcer.Send(announcement)
 	}
 }
@@ -421,12 +423,28 @@
 	return isNews
 }
 
-// announceApplied marks a revision as applied, and announces it to peers if it is news.
+// announceApplied marks a revision that was just read as applied, and announces it to peers if it
+// is news.
 func (f *Follower) announceApplied(now time.Time, revision int64) {
 	f.markApplied(revision)
 	f.publishFeed()
-	if f.confirm(now, now, revision) {
-		f.options.Announcer.Send(announce.Announcement{Revision: revision})
+	at := f.sentAfter(now)
+	if f.confirm(now, at, revision) {
+		f.options.Announcer.Send(announce.Announcement{Revision: revision, AgeMilliseconds: now.Sub(at).Milliseconds()})
+	}
+}
+
+// sentAfter returns the time after which a message that was just read is known to have been sent:
+// now, but for the short time on the way. After a pause of the process it may have waited unread,
+// and nothing is known beyond the last confirmation.
+func (f *Follower) sentAfter(now time.Time) time.Time {
+	switch {
+	case f.ranWithoutPause():
+		return now
+	case f.staleness.confirmedAt.IsZero():
+		return now.Add(-f.options.MaxStaleness)
+	default:
+		return f.staleness.confirmedAt
 	}
 }
 
--- a/internal/follower/pause_test.go
+++ b/internal/follower/pause_test.go
@@ -10,6 +10,7 @@
 	"github.com/doorpond/doorpond/internal/announce"
 	"github.com/doorpond/doorpond/internal/blackboard"
 	"github.com/doorpond/doorpond/internal/elapsed"
+	"github.com/doorpond/doorpond/internal/store"
 	"github.com/doorpond/doorpond/internal/topology"
 )
 
@@ -197,3 +198,46 @@
 		}
 	})
 }
+
+// TestNothingConfirmedByUnreadMessages tests that a message that may have waited unread during a
+// pause of the process does not count as a confirmation as of its reading, neither here nor at
+// peers: they would not ask the store for as long as a confirmation lasts.
+func TestNothingConfirmedByUnreadMessages(t *testing.T) {
+	const sincePaused = 2 * time.Second
+	for _, test := range []struct {
+		name string
+		read func(f *Follower, revision int64)
+	}{
+		{"batch", func(f *Follower, revision int64) { f.handleBatch(store.WatchBatch{Revision: revision}) }},
+		{"announcement", func(f *Follower, revision int64) {
+			f.handleAnnouncement(announce.Announcement{Revision: revision})
+		}},
+		{"announcement with an age", func(f *Follower, revision int64) {
+			f.handleAnnouncement(announce.Announcement{Revision: revision, AgeMilliseconds: 100})
+		}},
+	} {
+		now, ran := start, true
+		announcer := &fakeAnnouncer{}
+		f := New(Options{
+			Decoder: testDecoder{}, Keys: testKeys, Board: &blackboard.Board{}, Self: topology.Node{ID: "self"},
+			MaxStaleness: testMaxStaleness, Announcer: announcer,
+			Now: func() time.Time { return now }, RanWithoutPause: func(time.Duration) bool { return ran },
+		})
+		f.announceApplied(now, 4)
+		now, ran = now.Add(sincePaused), false
+		test.read(f, 4)
+		test.read(f, 7)
+		if f.staleness.confirmedAt.After(start) {
+			t.Errorf("%s: confirmed as of %v after the pause began", test.name, f.staleness.confirmedAt.Sub(start))
+		}
+		last := announcer.sent[len(announcer.sent)-1]
+		if len(announcer.sent) != 2 || last.Revision != 7 || last.Age() < sincePaused {
+			t.Errorf("%s: announced %+v, want revision 7 with an age of %v", test.name, announcer.sent, sincePaused)
+		}
+		ran = true
+		test.read(f, 9)
+		if f.staleness.confirmedAt.Before(now.Add(-time.Second)) || f.staleness.confirmed != 9 {
+			t.Errorf("%s: revision %d confirmed at %v without a pause", test.name, f.staleness.confirmed, f.staleness.confirmedAt)
+		}
+	}
+}
--- a/internal/follower/validity.go
+++ b/internal/follower/validity.go
@@ -171,11 +171,17 @@
 // observe records the store's revision as of a given time, unless the message may have waited
 // unread during a pause of the process.
 func (f *Follower) observe(at time.Time, revision int64) {
-	if f.options.RanWithoutPause(f.options.fraction(noPauseFraction)) {
+	if f.ranWithoutPause() {
 		f.validity.observe(observation{revision: revision, at: at}, f.staleness.applied)
 	}
 }
 
+// ranWithoutPause reports whether the process has run for some time, so that what it reads has not
+// waited unread.
+func (f *Follower) ranWithoutPause() bool {
+	return f.options.RanWithoutPause(f.options.fraction(noPauseFraction))
+}
+
 // markApplied records that all changes up to a revision are applied.
 func (f *Follower) markApplied(revision int64) {
 	f.staleness.markApplied(revision)
