soak: surplus, early, unframed and cut answers, long bodies, a shared path

A service with one replica gets such faults once in each round, with requests of up to 240,000 bytes and requests that may run once and are retried there. While a request crashes replicas, a tenant whose requests do not asks for the same path.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -33,8 +34,34 @@
 	regional path = standin.RegionalPath
 	// public needs no key. Only runs with tenants have it.
 	public path = standin.PublicPath
+	// upload and retried go to the service whose answers may be garbled, with long bodies and
+	// with requests that may run once.
+	upload  path = standin.UploadPath
+	retried path = standin.RetriedPath
 )
 
+// uploadBytes is the longest body of a request. The limit of the routes is 256 KiB.
+const uploadBytes = 240_000
+
+// service returns the service of a path that is not scattered.
+func (p path) service() string {
+	if p == upload || p == retried {
+		return standin.GarbledService
+	}
+	return standin.PlainService
+}
+
+// garbledShare is the share of requests to the service whose answers may be garbled.
+const garbledShare = 0.15
+
+// chooseBody returns the body of a request.
+func chooseBody(chosen path) []byte {
+	if chosen != upload {
+		return nil
+	}
+	return bytes.Repeat([]byte("u"), rand.IntN(uploadBytes))
+}
+
 // isScattered reports whether the path is answered by many shards.
 func (p path) isScattered() bool { return p == scattered || p == regional }
 
@@ -97,6 +124,9 @@
 }
 
 func choosePath() path {
+	if rand.Float64() < garbledShare {
+		return []path{upload, retried}[rand.IntN(2)]
+	}
 	switch rand.IntN(5) {
 	case 0:
 		return plain
@@ -110,10 +140,16 @@
 }
 
 func request(client *standin.Client, id string, asked path) observation {
+	client.Body = chooseBody(asked)
+	return requestTarget(client, id, asked, string(asked)+"x")
+}
+
+// requestTarget sends a request for a target that begins with a path.
+func requestTarget(client *standin.Client, id string, asked path, target string) observation {
 	ctx, cancel := context.WithTimeout(context.Background(), callerWait+callerMargin)
 	defer cancel()
 	seen := observation{id: id, path: asked, key: client.Key, sent: time.Now()}
-	seen.response, seen.err = client.Send(ctx, id, string(asked)+"x", callerWait)
+	seen.response, seen.err = client.Send(ctx, id, target, callerWait)
 	seen.ended = time.Now()
 	return seen
 }
--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -70,7 +70,7 @@
 // own request.
 func (c *checker) checkAnswer(obs *observation) {
 	if !obs.path.isScattered() {
-		if err := standin.CheckPlain(obs.id, obs.response); err != nil {
+		if err := standin.CheckPlain(obs.path.service(), obs.id, obs.response); err != nil {
 			c.addFinding("%s: %v", obs.id, err)
 		}
 		return
@@ -124,7 +124,7 @@
 // executionsByID counts the executions of each request over all replicas.
 func (c *checker) executionsByID() map[string]int {
 	executions := make(map[string]int)
-	for _, replica := range c.cluster.replicas() {
+	for _, replica := range c.cluster.observedReplicas() {
 		for _, arrival := range replica.ArrivalLog() {
 			if arrival.Executed {
 				executions[arrival.ID]++
@@ -155,7 +155,7 @@
 // checkRuns checks that a non-idempotent request is executed at most once, and
 // not at all if it was refused.
 func (c *checker) checkRuns(obs *observation, executions int) {
-	if obs.path != nonIdempotent {
+	if obs.path != nonIdempotent && obs.path != retried {
 		return
 	}
 	if executions > 1 {
--- a/internal/soak/checker_test.go
+++ b/internal/soak/checker_test.go
@@ -83,7 +83,7 @@
 
 func plainAnswer(id string) observation {
 	seen := answered(id, plain, http.StatusOK)
-	seen.response = standin.PlainResponse(id)
+	seen.response = standin.PlainResponse(standin.PlainService, id)
 	return seen
 }
 
--- a/internal/soak/crash.go
+++ b/internal/soak/crash.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/doorpond/doorpond/internal/inspect"
@@ -36,6 +37,13 @@
 func (c *cluster) sendCrashing(ctx context.Context, fault Fault) {
 	defer c.recordFault(fault.Kind, nil)()
 	path := fmt.Sprintf("%s%s%d%s", standin.ScatteredPath, crashPrefix, fault.Target, standin.CrashSuffix)
+	if c.keys != nil {
+		sending, stop := context.WithCancel(ctx)
+		var harmless sync.WaitGroup
+		harmless.Go(func() { c.sendHarmless(sending, fault, path) })
+		defer harmless.Wait()
+		defer stop()
+	}
 	for try := range crashAttempts {
 		client := &standin.Client{HTTP: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, Method: http.MethodPost}
 		client.Key = c.steadyKey()
@@ -49,6 +57,28 @@
 	c.replacing.Wait()
 }
 
+const (
+	// harmlessInterval is the time between requests of another tenant for the path of a
+	// crashing one, and harmlessPrefix starts their IDs.
+	harmlessInterval = 100 * time.Millisecond
+	harmlessPrefix   = "h"
+)
+
+// sendHarmless sends requests of a tenant whose requests crash nothing to the path of a crashing
+// one, each to a random node, until ctx is done. Their answers must not exempt the crashing
+// request from the quarantine.
+func (c *cluster) sendHarmless(ctx context.Context, fault Fault, target string) {
+	client := &standin.Client{HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}, Method: http.MethodPost}
+	for number := 0; ctx.Err() == nil; number++ {
+		if keys := c.keys.keysOf(standin.HarmlessTenant); len(keys) > 0 {
+			client.Key = keys[0]
+			client.Pin(c.nodes[rand.IntN(len(c.nodes))].settings.Callers)
+			c.record(requestTarget(client, fmt.Sprintf("%s%d-%d", harmlessPrefix, fault.Target, number), scattered, target))
+		}
+		time.Sleep(harmlessInterval)
+	}
+}
+
 // replaceCrashed closes the link of a crashed replica and starts a successor.
 func (c *cluster) replaceCrashed(crashed *standin.Replica) {
 	c.markLeaving(crashed)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -79,6 +79,8 @@
 	// resumed, it must not answer by the old configuration.
 	PauseStop
 	PauseDuringChange
+	// ServiceGarble spoils answers of a service, see newGarblePlan.
+	ServiceGarble
 	// The kinds from here on are drawn from a fourth sequence (see newTenantPlan).
 	// Tenant kinds change a tenant: a key is added, revoked or moved to another tenant, all
 	// keys are revoked for a time, the limit falls far below what the tenant sends, or rises,
@@ -108,7 +110,7 @@
 	"store_outage", "store_throttle", "store_slow", "store_lost_answers", "store_deaf",
 	"configure", "configure_series", "drain", "vanish", "evacuate",
 	"replica_link_deaden", "service_hang", "start_without_store",
-	"ending_request", "store_copy", "pause_stop", "pause_news",
+	"ending_request", "store_copy", "pause_stop", "pause_news", "service_garble",
 	"tenant_key_add", "tenant_key_revoke", "tenant_key_move", "tenant_lockout", "tenant_limit_drop", "tenant_limit_rise", "tenant_surge",
 }
 
@@ -155,9 +157,25 @@
 func NewPlan(seed uint64, length time.Duration) []Fault {
 	plan := append(newPlan(seed, length), newSupplementaryPlan(seed, length)...)
 	plan = append(plan, newPausePlan(seed, length)...)
+	plan = append(plan, newGarblePlan(seed, length)...)
 	return append(plan, newTenantPlan(seed, length)...)
 }
 
+// garbleLength is how long answers are garbled in each round.
+const garbleLength = 5 * time.Second
+
+// newGarblePlan draws how the answers of the garbled service are spoiled, once in each round.
+func newGarblePlan(seed uint64, length time.Duration) []Fault {
+	random := rand.New(rand.NewPCG(^seed, ^seed))
+	var plan []Fault
+	for round := 0; time.Duration(round+1)*roundLength <= length; round++ {
+		fault := newFault(random, time.Duration(round)*roundLength, ServiceGarble)
+		fault.For = garbleLength
+		plan = append(plan, fault)
+	}
+	return plan
+}
+
 // The pauses of PauseStop and PauseDuringChange range from those that look like
 // a busy machine to those that exceed all caller timeouts.
 const (
--- a/internal/soak/replicas.go
+++ b/internal/soak/replicas.go
@@ -153,6 +153,38 @@
 	return slices.Clone(c.deployment.Replicas)
 }
 
+// observedReplicas returns all current and former replicas and the one whose answers may be
+// garbled. No other fault acts on that one.
+func (c *cluster) observedReplicas() []*standin.Replica {
+	all := c.replicas()
+	if garbled := c.deployment.Garbled; garbled != nil {
+		all = append(all, garbled)
+	}
+	return all
+}
+
+// garble spoils answers of the garbled service for some time. Its replica also rejects requests, so
+// that they are retried there.
+func (c *cluster) garble(fault Fault) {
+	defer c.recordFault(fault.Kind, nil)()
+	target := c.deployment.Garbled
+	target.Garble(garblings[fault.Target%len(garblings)])
+	target.Reject(garbledRejections)
+	time.Sleep(fault.For)
+	target.Garble(standin.Garbling{})
+	target.Reject(0)
+}
+
+// garbledRejections is the share of requests that are rejected while answers are garbled.
+const garbledRejections = 0.2
+
+// garblings are the ways in which answers are garbled.
+var garblings = []standin.Garbling{
+	{Surplus: 0.3},
+	{Early: 0.7, Unframed: 0.5, Cut: 0.3},
+	{Surplus: 0.2, Early: 0.5, Unframed: 0.3, Cut: 0.3},
+}
+
 func (c *cluster) markLeaving(target *standin.Replica) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/soak/tenants.go
+++ b/internal/soak/tenants.go
@@ -370,7 +370,7 @@
 // process than the one addressed.
 func (c *checker) arrivalsByID() map[string][]tenantcheck.Arrival {
 	arrivals := make(map[string][]tenantcheck.Arrival)
-	for _, replica := range c.cluster.replicas() {
+	for _, replica := range c.cluster.observedReplicas() {
 		for _, arrival := range replica.ArrivalLog() {
 			if arrival.Misdirected {
 				continue
