ingress: read the body of a refused request that closes its connection

Callers that sent a long body with Connection: close and were refused before it was read (401, 404, 503) got a reset in place of the refusal: net/http closes such connections without reading on, and a close with unread bytes resets. TestRefusalReachesCallerThatSendsBody: 40 of 40 resets before, none after; kept connections as before.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -108,6 +108,7 @@
 	answer, err := h.forward(r, timeout, &entry)
 	if err != nil {
 		h.writeError(w, err)
+		discardBody(w, r)
 	} else {
 		h.writeAnswer(w, answer)
 	}
@@ -220,6 +221,21 @@
 	return body, nil
 }
 
+// maxDiscardedBytes limits what is read of the body of a request that was refused. It is the limit
+// of net/http for connections that are kept.
+const maxDiscardedBytes = 256 << 10
+
+// discardBody reads the rest of the body of a request that was answered without it. If the caller
+// sends "Connection: close", net/http closes the connection without reading on, and the kernel
+// resets it: the caller may lose the answer.
+func discardBody(w http.ResponseWriter, r *http.Request) {
+	if !r.Close || r.ContentLength == 0 {
+		return
+	}
+	_ = http.NewResponseController(w).Flush() // reading fails as well if the caller has disconnected
+	_, _ = io.CopyN(io.Discard, r.Body, maxDiscardedBytes)
+}
+
 // writeAnswer writes the replicas' answer.
 func (h *Handler) writeAnswer(w http.ResponseWriter, answer query.ForwardResult) {
 	header := w.Header()
