--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -59,7 +59,10 @@
 	if chosen != upload {
 		return nil
 	}
-	return bytes.Repeat([]byte("u"), rand.IntN(uploadBytes))
+	if rand.IntN(4) == 0 {
+		return bytes.Repeat([]byte("u"), rand.IntN(uploadBytes))
+	}
+	return bytes.Repeat([]byte("u"), uploadBytes) // longer than what the kernel's buffers take
 }
 
 // isScattered reports whether the path is answered by many shards.
