soak: charge requests whose key is moving to the tenant that was named

The check of refusals below a limit left requests out of its exact account while their key changed its holder or was revoked, as it could not tell whose they were, though the nodes charge them.

A request that ran is charged to the tenant that its replica was named, at the time at which it was sent; whether that tenant may be named is checked elsewhere. It isn't counted as owed, so that the share of lost requests has the same denominator. Refusals of such requests are left out as before. The check is as strict: a refusal while the account has a token is still found (two new cases, one of them with another tenant's tokens spent).

--- a/internal/soak/tenantcheck/quota.go
+++ b/internal/soak/tenantcheck/quota.go
@@ -157,11 +157,10 @@
 	for i := range requests {
 		request := &requests[i]
 		versions := c.possible(request.Node, request.Sent, request.Ended)
-		names := holders(versions, request.Key)
-		if len(names) != 1 || names[0] == "" || !chargeable(request) {
-			continue // whose request it is, or whether it was admitted, cannot be told
+		name, judged := chargedTenant(request, holders(versions, request.Key))
+		if name == "" {
+			continue
 		}
-		name := names[0]
 		rate, burst := lowestLimit(versions, name)
 		if accounts[name] == nil {
 			accounts[name] = &account{}
@@ -175,7 +174,7 @@
 			continue
 		}
 		accounts[name].tokens--
-		if !c.settled(request) {
+		if !judged || !c.settled(request) {
 			continue
 		}
 		owed[name]++
@@ -225,6 +224,23 @@
 	return strings.Join(nodes, ", ")
 }
 
+// chargedTenant returns the tenant that a request was charged to, or "" if that cannot be told. While
+// a key changes its holder, it is told by the tenant that the replica was named; whether that is one
+// of the possible holders is checked elsewhere. judged is false for such requests.
+func chargedTenant(request *Request, possible []string) (name string, judged bool) {
+	switch {
+	case !chargeable(request):
+		return "", false
+	case len(possible) == 1:
+		return possible[0], true
+	}
+	ran := slices.IndexFunc(request.Arrivals, func(a Arrival) bool { return a.Executed })
+	if ran < 0 {
+		return "", false
+	}
+	return request.Arrivals[ran].tenant(), false
+}
+
 // chargeable reports whether a request was admitted or refused because of a limit, as far as its
 // caller can tell. 401 and 503 come before, or give the token back.
 func chargeable(request *Request) bool {
--- a/internal/soak/tenantcheck/tenantcheck_test.go
+++ b/internal/soak/tenantcheck/tenantcheck_test.go
@@ -162,6 +162,21 @@
 			Requests: append(burst(0, time.Millisecond, 10, runAcme), append(burst(80*time.Millisecond, 20*second, 200, runAcme),
 				burst(0, 20*second, 800, func(at time.Duration) Request { return limitAcme(at - at%(100*time.Millisecond)) })...)...),
 		}, ""},
+		{"what requests spent while their key moved", Record{
+			Versions: []Version{first, moved},
+			// 10 requests take the burst while the key may still be acme's, and 429 follow
+			Requests: append(burst(10*second, second, 20, runAcme),
+				burst(11*second, second/10, 3, func(at time.Duration) Request { return refused(at, "k2", 429) })...),
+		}, ""},
+		{"429 while another key moved and spent nothing", Record{
+			Versions: []Version{first, moved},
+			Requests: burst(11*second, second/10, 3, func(at time.Duration) Request { return refused(at, "k2", 429) }),
+		}, "3 of the 3 requests of \"acme\""},
+		{"429 while a key moved and spent another tenant's tokens", Record{
+			Versions: []Version{first, moved},
+			Requests: append(burst(10*second, second, 20, func(at time.Duration) Request { return passed(at, "k1", "globex") }),
+				burst(11*second, second/10, 3, func(at time.Duration) Request { return refused(at, "k2", 429) })...),
+		}, "3 of the 3 requests of \"acme\""},
 		{"503 below the limit", Record{Requests: []Request{refused(second, "k1", 503)}}, ""},
 	}
 	for _, test := range cases {
