replica: a surplus refusal is not the response to the next call

The same cause as in upstream on the daemon's path: a back end's refusal names no request. A surplus one in the slot of the next response was taken for it, so that a call that ran was reported as not run and offered to another replica. Each sending has an Attempt-Id, which the response repeats; one with another ID is an unknown outcome and closes the connection. Responses without the header, of older back ends, count as before.

The edge node does not use this path.

--- a/internal/backendapi/backendapi.go
+++ b/internal/backendapi/backendapi.go
@@ -9,6 +9,10 @@
 // was not executed. After any other error status, or a connection that breaks
 // once the first byte of the request has been written, it is unknown whether
 // the request was executed.
+//
+// Each response to a POST repeats the header AttemptHeader of its request, so
+// that a surplus response is not taken for the response to another request. One
+// without the header, of an older back end, is taken for the response that is due.
 package backendapi
 
 import (
@@ -18,6 +22,9 @@
 	"github.com/doorpond/doorpond/client"
 )
 
+// AttemptHeader is the header that identifies one sending of a request.
+const AttemptHeader = "Attempt-Id"
+
 // Endpoint paths.
 const (
 	SearchPath = "/search"
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -10,12 +10,14 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/doorpond/doorpond/internal/backendapi"
 	"github.com/doorpond/doorpond/internal/certificates"
 )
 
@@ -116,7 +118,23 @@
 	e.buffer, e.body = nil, nil
 }
 
-var requestHeader = http.Header{"Content-Type": {"application/json"}}
+// nextAttempt is the number of the latest request that was sent.
+var nextAttempt atomic.Uint64
+
+// newRequestHeader returns the header of a new request and the ID that its response repeats.
+func newRequestHeader() (header http.Header, attempt string) {
+	attempt = strconv.FormatUint(nextAttempt.Add(1), 10)
+	return http.Header{"Content-Type": {"application/json"}, backendapi.AttemptHeader: {attempt}}, attempt
+}
+
+// errSurplus is returned for a response to an earlier request on the connection.
+var errSurplus = eris.New("response belongs to another request")
+
+// isSurplus reports whether a response belongs to another request than the given one.
+func isSurplus(response *http.Response, attempt string) bool {
+	repeated := response.Header.Get(backendapi.AttemptHeader)
+	return repeated != "" && repeated != attempt
+}
 
 // writeTracker detects whether any byte of a request was written.
 type writeTracker struct {
@@ -164,8 +182,9 @@
 	// net/http recognizes this type as an in-memory body and writes header and
 	// body together. It cannot rewind it because GetBody is not set.
 	body := io.NopCloser(bytes.NewReader(encoded))
+	header, attempt := newRequestHeader()
 	request := (&http.Request{
-		Method: http.MethodPost, URL: target, Host: target.Host, Header: requestHeader,
+		Method: http.MethodPost, URL: target, Host: target.Host, Header: header,
 		Body: body, ContentLength: int64(len(encoded)), Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}).WithContext(traced)
 	response, err := handle.transport.RoundTrip(request)
@@ -176,6 +195,13 @@
 			notSent: !canceled && tracker.provesNothingWritten(handle.multiplex),
 		}
 	}
+	if isSurplus(response, attempt) {
+		if connection := tracker.connection.Load(); connection != nil && !handle.multiplex {
+			_ = connection.Close() // the response that is due would be taken for the next one
+		}
+		_ = response.Body.Close()
+		return exchangeResult{err: errSurplus}
+	}
 	return readBody(response, p.options.MaxReplyBytes)
 }
 
--- a/internal/standin/backend/handler.go
+++ b/internal/standin/backend/handler.go
@@ -31,6 +31,9 @@
 
 // ServeHTTP serves the back end's interface and the administration paths.
 func (r *Replica) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	if attempt := request.Header.Get(backendapi.AttemptHeader); attempt != "" {
+		w.Header().Set(backendapi.AttemptHeader, attempt)
+	}
 	r.mux.ServeHTTP(w, request)
 }
 
