upstream: the test of surplus answers plays the order that it names

TestSurplusResponseIsNotTakenForNextOne was red once, and in 4 of 60 plays at eight side by side: case 'without an ID, at once, then other'. Callers see no change. Cause: the copy was sent by a write of its own and came in the slot of the next request by chance, where an answer without an ID cannot be told from the due one and fails that request, as the case of the next slot allows. The copy is sent together with the answer now, and the idle case waits for the event in place of 15 ms.

--- a/internal/upstream/surplus_test.go
+++ b/internal/upstream/surplus_test.go
@@ -20,14 +20,17 @@
 	// received holds the request IDs of each connection, executed counts executions by ID.
 	received map[net.Conn][]string
 	executed map[string]int
+	// surplusSent is closed once the copy has been sent while the connection is idle.
+	surplusSent chan struct{}
 }
 
 // surplusMoment is when a copy of an answer is sent.
 type surplusMoment int
 
 const (
+	// atOnce is together with the answer.
 	atOnce surplusMoment = iota
-	// idle is some time after the answer, with the next request some time later.
+	// idle is some time after the answer, before the next request.
 	idle
 	// inNextSlot is after the next request on the connection has arrived, before its answer.
 	inNextSlot
@@ -35,7 +38,7 @@
 
 func serveSurplus(t *testing.T, answer string, moment surplusMoment) *surplusServer {
 	t.Helper()
-	server := &surplusServer{received: make(map[net.Conn][]string), executed: make(map[string]int)}
+	server := &surplusServer{received: make(map[net.Conn][]string), executed: make(map[string]int), surplusSent: make(chan struct{})}
 	server.rawServer = serve(t, func(conn net.Conn, _ int64, r *http.Request) bool {
 		id := r.Header.Get("Id")
 		server.mutex.Lock()
@@ -45,12 +48,17 @@
 		server.mutex.Unlock()
 		write := func(id string) { _, _ = fmt.Fprintf(conn, answer, id) }
 		if first && server.connections.Load() == 1 {
-			write(id)
 			switch moment {
 			case atOnce:
-				write(id)
+				_, _ = fmt.Fprintf(conn, answer+answer, id, id)
 			case idle:
-				time.AfterFunc(5*time.Millisecond, func() { write(id) })
+				write(id)
+				time.AfterFunc(5*time.Millisecond, func() {
+					write(id)
+					close(server.surplusSent)
+				})
+			default:
+				write(id)
 			}
 			return true
 		}
@@ -90,7 +98,8 @@
 							t.Fatal(err)
 						}
 						if moment == idle {
-							time.Sleep(15 * time.Millisecond) // the surplus answer has arrived
+							<-server.surplusSent
+							time.Sleep(5 * time.Millisecond) // it has arrived
 						}
 						response, err := exchange(t, pool, newRequest(next))
 						withoutID := strings.Contains(answer, "Other:")
