standin, soak: answer faults in place of garbling; comments say why

No caller sees a change: names and comments only. The stand-in used the users' word for its faults, and comments of several packages told how a value was tuned.

platform/standin: Garbling -> AnswerFaults, Replica.Garble -> Replica.SetAnswerFaults, Options.Garbled -> Options.FaultyService, Deployment.Garbled -> Deployment.Faulty, GarbledService -> FaultyService (its name in the configuration is 'faulty'), TestGarbledAnswers -> TestFaultyAnswers. internal/soak: ServiceGarble -> ServiceAnswerFaults, newGarblePlan -> newAnswerFaultPlan; its random sequence is as before.

--- a/internal/decision/crash.go
+++ b/internal/decision/crash.go
@@ -92,8 +92,7 @@
 }
 
 // disputeWindow is the time for which an abort is delayed so that other nodes can
-// dispute the evidence. It must exceed the latency between regions. Without it, one of
-// 2,464 requests sent beside a crashing one was refused in about 1 of 150 runs.
+// dispute the evidence. It must exceed the latency between regions.
 const disputeWindow = 50 * time.Millisecond
 
 const noCanary = -1
@@ -218,8 +217,7 @@
 
 // offerCanary sends a canary to the next suspended shard that has not declined it.
 // The first one is chosen pseudo-randomly, so that the canaries of different
-// queries rarely share a replica and each other's attribution. With the same order
-// for all of them, innocent queries beside a crashing one were refused.
+// queries rarely share a replica and each other's attribution.
 func (q *Query) offerCanary(now time.Duration) (sent bool) {
 	q.canariesSent++
 	first := int(mix64(q.plan.CrashDetection.Seed+uint64(q.canariesSent)) % uint64(len(q.shards)))
--- a/internal/decision/query.go
+++ b/internal/decision/query.go
@@ -320,9 +320,7 @@
 }
 
 // remainingUnreachable reports whether no shard that has not settled has a
-// reachable replica. Waiting for them would most likely only delay the answer: with
-// the replicas of one shard gone for 8 s, 12 instead of 108 of 1,583 short requests
-// were late.
+// reachable replica. Waiting for them would most likely only delay the answer.
 func (q *Query) remainingUnreachable() bool {
 	for i := range q.shards {
 		state := &q.shards[i]
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -301,8 +301,7 @@
 
 // maxWatchRejections is how many consecutive watches may be rejected right after a listing and
 // still be followed by another listing at once. A stale listing may be older than the compacted
-// revision, but further listings would not help and would overload the store: without the bound,
-// three nodes made 5,000 in 3 s.
+// revision, but further listings would not help and would overload the store.
 const maxWatchRejections = 1
 
 // resync lists everything and applies it.
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -33,8 +33,7 @@
 
 // Identity identifies a request by a hash of what replicas see of it: method, host, path, query,
 // the caller's credentials or its tenant, and the body. The request ID, other headers and the caller's address
-// are left out, as they may differ between tries of the same request. When the address was part
-// of it, a request that came from another one each time crashed 12 replicas with each try.
+// are left out, as they may differ between tries of the same request.
 type Identity [sha256.Size]byte
 
 // IdentityOf returns the identity of a request.
--- a/internal/query/run.go
+++ b/internal/query/run.go
@@ -336,9 +336,7 @@
 		acquired = r.protocol.acquire(plan, action, shard.tried)
 	}
 	if acquired.Exhausted && shard.readmitRejected() {
-		// Only replicas that rejected an attempt are left: retry them after a delay. With one
-		// replica a shard that rejects a twentieth of the requests, 0.998 instead of 0.96 of
-		// them are answered.
+		// Only replicas that rejected an attempt are left: retry them after a delay.
 		acquired.Busy = true
 	}
 	handle := acquired.Handle
--- a/internal/replica/health.go
+++ b/internal/replica/health.go
@@ -39,9 +39,8 @@
 	// limitDecrease is the factor applied to the limit after a shed reply.
 	limitDecrease = 0.8
 	// minCutInterval is the minimum time between two decreases for shed replies, if the latency
-	// is shorter. A replica that was paused rejects much of what arrived meanwhile. With a
-	// decrease for each rejection, 0.42 instead of 0.46 of the full sweeps were answered in time in
-	// an overload of single replicas.
+	// is shorter. A replica that was paused rejects much of what arrived meanwhile, which is one
+	// sign of overload and not many.
 	minCutInterval = 20 * time.Millisecond
 	// maxLimitPerSlot bounds the limit as a multiple of the replica's slots.
 	maxLimitPerSlot = 4
--- a/internal/soak/apply.go
+++ b/internal/soak/apply.go
@@ -62,8 +62,8 @@
 		return c.restoreStore(fault)
 	case fault.Kind == PauseStop:
 		return c.pauseStop(ctx, fault, c.nodes[fault.Target%len(c.nodes)])
-	case fault.Kind == ServiceGarble:
-		c.garble(fault)
+	case fault.Kind == ServiceAnswerFaults:
+		c.spoilAnswers(fault)
 	case fault.Kind >= firstTenantKind:
 		return c.changeTenants(ctx, fault)
 	case fault.Kind == PauseDuringChange:
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -34,7 +34,7 @@
 	regional path = standin.RegionalPath
 	// public needs no key. Only runs with tenants have it.
 	public path = standin.PublicPath
-	// upload and retried go to the service whose answers may be garbled, with long bodies and
+	// upload and retried go to the service whose answers may be spoiled, with long bodies and
 	// with requests that may run once.
 	upload  path = standin.UploadPath
 	retried path = standin.RetriedPath
@@ -46,13 +46,13 @@
 // service returns the service of a path that is not scattered.
 func (p path) service() string {
 	if p == upload || p == retried {
-		return standin.GarbledService
+		return standin.FaultyService
 	}
 	return standin.PlainService
 }
 
-// garbledShare is the share of requests to the service whose answers may be garbled.
-const garbledShare = 0.15
+// faultyShare is the share of requests to the service whose answers may be spoiled.
+const faultyShare = 0.15
 
 // chooseBody returns the body of a request.
 func chooseBody(chosen path) []byte {
@@ -127,7 +127,7 @@
 }
 
 func choosePath() path {
-	if rand.Float64() < garbledShare {
+	if rand.Float64() < faultyShare {
 		return []path{upload, retried}[rand.IntN(2)]
 	}
 	switch rand.IntN(5) {
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -128,7 +128,7 @@
 
 func newCluster(config Config) (*cluster, error) {
 	c := &cluster{leaving: make(map[*standin.Replica]time.Time), allowed: map[int]bool{shards: true}, shards: shards}
-	options := standin.Options{Zones: zones, Shards: shards, ProcessingTime: processingTime, Advertise: c.link, OnCrash: c.replaceCrashed, Garbled: true}
+	options := standin.Options{Zones: zones, Shards: shards, ProcessingTime: processingTime, Advertise: c.link, OnCrash: c.replaceCrashed, FaultyService: true}
 	if HasTenants(config.Seed) {
 		c.keys = newKeyBook()
 		options.Tenants = c.keys.tenants
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -79,8 +79,8 @@
 	// resumed, it must not answer by the old configuration.
 	PauseStop
 	PauseDuringChange
-	// ServiceGarble spoils answers of a service, see newGarblePlan.
-	ServiceGarble
+	// ServiceAnswerFaults spoils answers of a service, see newAnswerFaultPlan.
+	ServiceAnswerFaults
 	// The kinds from here on are drawn from a fourth sequence (see newTenantPlan).
 	// Tenant kinds change a tenant: a key is added, revoked or moved to another tenant, all
 	// keys are revoked for a time, the limit falls far below what the tenant sends, or rises,
@@ -110,7 +110,7 @@
 	"store_outage", "store_throttle", "store_slow", "store_lost_answers", "store_deaf",
 	"configure", "configure_series", "drain", "vanish", "evacuate",
 	"replica_link_deaden", "service_hang", "start_without_store",
-	"ending_request", "store_copy", "pause_stop", "pause_news", "service_garble",
+	"ending_request", "store_copy", "pause_stop", "pause_news", "service_answer_faults",
 	"tenant_key_add", "tenant_key_revoke", "tenant_key_move", "tenant_lockout", "tenant_limit_drop", "tenant_limit_rise", "tenant_surge",
 }
 
@@ -157,20 +157,20 @@
 func NewPlan(seed uint64, length time.Duration) []Fault {
 	plan := append(newPlan(seed, length), newSupplementaryPlan(seed, length)...)
 	plan = append(plan, newPausePlan(seed, length)...)
-	plan = append(plan, newGarblePlan(seed, length)...)
+	plan = append(plan, newAnswerFaultPlan(seed, length)...)
 	return append(plan, newTenantPlan(seed, length)...)
 }
 
-// garbleLength is how long answers are garbled in each round.
-const garbleLength = 5 * time.Second
+// answerFaultLength is how long answers are spoiled in each round.
+const answerFaultLength = 5 * time.Second
 
-// newGarblePlan draws how the answers of the garbled service are spoiled, once in each round.
-func newGarblePlan(seed uint64, length time.Duration) []Fault {
+// newAnswerFaultPlan draws how the answers of the faulty service are spoiled, once in each round.
+func newAnswerFaultPlan(seed uint64, length time.Duration) []Fault {
 	random := rand.New(rand.NewPCG(^seed, ^seed))
 	var plan []Fault
 	for round := 0; time.Duration(round+1)*roundLength <= length; round++ {
-		fault := newFault(random, time.Duration(round)*roundLength, ServiceGarble)
-		fault.For = garbleLength
+		fault := newFault(random, time.Duration(round)*roundLength, ServiceAnswerFaults)
+		fault.For = answerFaultLength
 		plan = append(plan, fault)
 	}
 	return plan
--- a/internal/soak/replicas.go
+++ b/internal/soak/replicas.go
@@ -154,32 +154,32 @@
 }
 
 // observedReplicas returns all current and former replicas and the one whose answers may be
-// garbled. No other fault acts on that one.
+// spoiled. No other fault acts on that one.
 func (c *cluster) observedReplicas() []*standin.Replica {
 	all := c.replicas()
-	if garbled := c.deployment.Garbled; garbled != nil {
-		all = append(all, garbled)
+	if faulty := c.deployment.Faulty; faulty != nil {
+		all = append(all, faulty)
 	}
 	return all
 }
 
-// garble spoils answers of the garbled service for some time. Its replica also rejects requests, so
+// spoilAnswers spoils answers of the faulty service for some time. Its replica also rejects requests, so
 // that they are retried there.
-func (c *cluster) garble(fault Fault) {
+func (c *cluster) spoilAnswers(fault Fault) {
 	defer c.recordFault(fault.Kind, nil)()
-	target := c.deployment.Garbled
-	target.Garble(garblings[fault.Target%len(garblings)])
-	target.Reject(garbledRejections)
+	target := c.deployment.Faulty
+	target.SetAnswerFaults(answerFaults[fault.Target%len(answerFaults)])
+	target.Reject(faultyRejections)
 	time.Sleep(fault.For)
-	target.Garble(standin.Garbling{})
+	target.SetAnswerFaults(standin.AnswerFaults{})
 	target.Reject(0)
 }
 
-// garbledRejections is the share of requests that are rejected while answers are garbled.
-const garbledRejections = 0.2
+// faultyRejections is the share of requests that are rejected while answers are spoiled.
+const faultyRejections = 0.2
 
-// garblings are the ways in which answers are garbled.
-var garblings = []standin.Garbling{
+// answerFaults are the ways in which answers are spoiled.
+var answerFaults = []standin.AnswerFaults{
 	{Surplus: 0.3},
 	{Early: 0.7, Unframed: 0.5, Cut: 0.3},
 	{Surplus: 0.2, Early: 0.5, Unframed: 0.3, Cut: 0.3},
--- a/internal/upstream/surplus_test.go
+++ b/internal/upstream/surplus_test.go
@@ -36,6 +36,8 @@
 	inNextSlot
 )
 
+// serveSurplus starts a server that answers the first request on its first connection with answer,
+// a format of the request ID, and sends it again at the given moment.
 func serveSurplus(t *testing.T, answer string, moment surplusMoment) *surplusServer {
 	t.Helper()
 	server := &surplusServer{received: make(map[net.Conn][]string), executed: make(map[string]int), surplusSent: make(chan struct{})}
