--- a/review/stage/drill.go
+++ b/review/stage/drill.go
@@ -39,12 +39,13 @@
 	}
 	configuration := plainConfiguration(3)
 	s.configure(configuration)
+	for i, zone := range zones {
+		s.addNode(fmt.Sprintf("edge-%s-%d", zone, i), zone, nodeOptions{drain: drain}).start()
+	}
 	var clients []*client
 	for i, zone := range zones {
-		n := s.addNode(fmt.Sprintf("edge-%s-%d", zone, i), zone, nodeOptions{drain: drain})
-		n.start()
 		for range 6 {
-			clients = append(clients, s.addClient("callers", zone, "", []string{n.directory}))
+			clients = append(clients, s.addClient("callers", zone, "", s.directoriesFrom(i)))
 		}
 	}
 	s.awaitReady()
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -17,6 +17,7 @@
 var cases = map[string]func(s *stage, trouble bool) (broken bool){
 	"quota-cut":   quotaCut,
 	"drain-drill": drainDrill,
+	"cold-start":  coldStart,
 }
 
 const (
--- a/review/stage/net.go
+++ b/review/stage/net.go
@@ -59,6 +59,7 @@
 	peers   map[string]string         // address of a node's socket to its name
 	pids    map[string]int            // by node
 	streams []*stream
+	stale   *staleReads // nil: no read is stale
 }
 
 func newNetwork() *network {
@@ -296,6 +297,13 @@
 			panic(http.ErrAbortHandler)
 		}
 		n.await(node, "")
+		if query := r.URL.Query(); n.stale != nil && r.URL.Path == "/-/kv-range" && query.Get("stale") == "1" && query.Get("pathPrefix") == "" {
+			if content := n.stale.answer(); content != nil {
+				w.Header().Set("Content-Type", "application/json")
+				_, _ = w.Write(content)
+				return
+			}
+		}
 		if r.URL.Path == "/-/kv-txn" {
 			body = replaceAddresses(body, replaced)
 			r.ContentLength = int64(len(body))
--- a/review/stage/quota.go
+++ b/review/stage/quota.go
@@ -57,12 +57,12 @@
 	for i := range 24 {
 		// A client asks the directories of its zone, beginning with any of them.
 		d := []string{s.nodes[i%3].directory, s.nodes[(i+1)%3].directory, s.nodes[(i+2)%3].directory}
-		clients = append(clients, s.addClient("acme", "hall-a", "key-acme", d))
-		others = append(others, s.addClient("birch", "hall-a", "key-birch", d))
+		clients = append(clients, s.addClient("acme", "hall-a", "key-acme", d).keepConnections())
+		others = append(others, s.addClient("birch", "hall-a", "key-birch", d).keepConnections())
 	}
 	for i := range 4 {
 		d := []string{s.nodes[3+i%2].directory}
-		others = append(others, s.addClient("birch", zones[3+i%2], "key-birch", d))
+		others = append(others, s.addClient("birch", zones[3+i%2], "key-birch", d).keepConnections())
 	}
 	go s.load(others, 60, 40*time.Second, "/look/a")
 	// The tenant asks for more than its limit all the while.
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -240,6 +241,12 @@
 	born        time.Time
 	stop        chan struct{}
 	server      *http.Server
+
+	mutex sync.Mutex
+	down  bool
+	// warmup is how long the replica is cold after its next start; coldUntil is when that ends.
+	warmup    time.Duration
+	coldUntil time.Time
 }
 
 const heartbeat = 1200 * time.Millisecond
@@ -256,13 +263,16 @@
 
 // beat writes the replica's entry now and at each heartbeat, until the replica stops.
 func (r *replica) beat() {
+	r.mutex.Lock()
+	stop := r.stop
+	r.mutex.Unlock()
 	r.writeEntry(0)
 	go func() {
 		ticker := time.NewTicker(heartbeat)
 		defer ticker.Stop()
 		for seq := 1; ; seq++ {
 			select {
-			case <-r.stop:
+			case <-stop:
 				return
 			case <-ticker.C:
 				r.writeEntry(seq)
@@ -272,12 +282,42 @@
 }
 
 func (r *replica) writeEntry(seq int) {
+	r.mutex.Lock()
+	born, coldFor := r.born.UnixMilli(), max(0, time.Until(r.coldUntil).Milliseconds())
+	r.mutex.Unlock()
 	check(r.stage.store.Put("servers/"+r.id, map[string]any{
 		"backend": r.service, "address": r.address, "zone": r.zone, "version": "v1", "slots": 40,
-		"state": "ready", "warmupLeftMs": 0, "seq": seq, "born": r.born.UnixMilli(),
+		"state": "ready", "warmupLeftMs": coldFor, "seq": seq, "born": born,
 	}))
 }
 
+// crash ends the replica as a process that exits: its port is closed and its connections break. It
+// is back at its address after a time, under the id that it had, and cold if warmup is set.
+func (r *replica) crash(away time.Duration) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.down {
+		return
+	}
+	r.down = true
+	close(r.stop)
+	_ = r.server.Close()
+	time.AfterFunc(away, func() {
+		listener, err := net.Listen("tcp", r.address)
+		if err != nil {
+			r.stage.note("replica %s could not start again: %v", r.id, err)
+			return
+		}
+		r.mutex.Lock()
+		r.down, r.born, r.stop, r.coldUntil = false, time.Now(), make(chan struct{}), time.Now().Add(r.warmup)
+		server := &http.Server{Handler: r}
+		r.server = server
+		r.mutex.Unlock()
+		go func() { _ = server.Serve(listener) }()
+		r.beat()
+	})
+}
+
 // ServeHTTP implements http.Handler.
 func (r *replica) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	if request.URL.Path == "/health" {
@@ -308,8 +348,8 @@
 	_, _ = w.Write(body)
 }
 
-// client is a caller: it asks a directory of its zone where to go, keeps the answer for its time,
-// and keeps connections for several requests.
+// client is a caller: it asks a directory where to go, beginning with the near ones, keeps the
+// answer for its time, and opens a connection for each request unless it is told to keep them.
 type client struct {
 	stage       *stage
 	group       string
@@ -326,8 +366,25 @@
 func (s *stage) addClient(group, zone, key string, directories []string) *client {
 	return &client{
 		stage: s, group: group, zone: zone, key: key, directories: directories,
-		http: http.Client{Transport: &http.Transport{IdleConnTimeout: 5 * time.Second, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}},
+		http: http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}},
+	}
+}
+
+// keepConnections makes the client use its connections for several requests. It must not be used
+// where nodes end: net/http sends a GET once more, with its Request-Id, if a kept connection breaks.
+func (c *client) keepConnections() *client {
+	transport := c.http.Transport.(*http.Transport)
+	transport.DisableKeepAlives, transport.IdleConnTimeout = false, 5*time.Second
+	return c
+}
+
+// directoriesFrom returns the addresses of all nodes' directories, beginning with one of them.
+func (s *stage) directoriesFrom(first int) []string {
+	var directories []string
+	for i := range s.nodes {
+		directories = append(directories, s.nodes[(first+i)%len(s.nodes)].directory)
 	}
+	return directories[:min(3, len(directories))]
 }
 
 // pick returns one of the addresses that the directory names, by chance.
@@ -355,12 +412,16 @@
 		c.addresses, c.expires = answer.Addresses, time.Now().Add(time.Duration(min(answer.TTL, 5)*float64(time.Second)))
 		return c.addresses[randomN(len(c.addresses))]
 	}
-	if len(c.addresses) > 0 {
-		return c.addresses[randomN(len(c.addresses))]
-	}
 	return ""
 }
 
+// leaveOut drops an address that has failed the client, until it asks a directory again.
+func (c *client) leaveOut(address string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.addresses = slices.DeleteFunc(slices.Clone(c.addresses), func(each string) bool { return each == address })
+}
+
 var lastID atomic.Int64
 
 // send sends one request and records it.
@@ -381,6 +442,9 @@
 		request.Header.Set("Authorization", "Bearer "+c.key)
 	}
 	response, err := c.http.Do(request)
+	if err != nil {
+		c.leaveOut(address)
+	}
 	if err == nil {
 		_, err = io.ReadAll(response.Body)
 		_ = response.Body.Close()
