--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -18,6 +18,7 @@
 	"quota-cut":   quotaCut,
 	"drain-drill": drainDrill,
 	"cold-start":  coldStart,
+	"turned":      turned,
 }
 
 const (
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -45,6 +45,9 @@
 	recordMutex sync.Mutex
 	record      *os.File
 
+	// ending is true while one request ends the replicas that run it.
+	ending atomic.Bool
+
 	mutex    sync.Mutex
 	arrivals []arrival
 	attempts []attempt
@@ -54,6 +57,8 @@
 type arrival struct {
 	id, service, replica, tenant, path string
 	at                                 time.Time
+	// ended is true if the request ended the replica.
+	ended bool
 }
 
 // attempt is a request as a client sees it.
@@ -331,10 +336,14 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	at := time.Now()
+	ends := r.stage.endsReplica(request.URL.Path)
 	r.stage.mutex.Lock()
-	r.stage.arrivals = append(r.stage.arrivals, arrival{id, r.service, r.id, request.Header.Get("Tenant-Id"), request.URL.Path, at})
+	r.stage.arrivals = append(r.stage.arrivals, arrival{id, r.service, r.id, request.Header.Get("Tenant-Id"), request.URL.Path, time.Now(), ends})
 	r.stage.mutex.Unlock()
+	if ends {
+		r.crash(turnedAway)
+		panic(http.ErrAbortHandler)
+	}
 	timer := time.NewTimer(r.work)
 	defer timer.Stop()
 	select {
